--- a/src/bin/crowspindle-simhost/main.rs
+++ b/src/bin/cottonnotch-simhost/main.rs
@@ -4,7 +4,7 @@
 mod settings;
 mod wire;
 
-use crowspindle::{
+use cottonnotch::{
     Action, Balancer, ClassId, Entry, Event, Listed, Micros, Notice, Outcome, Request, RequestId, ServerId,
     TenantId, ZoneId,
 };
--- a/src/bin/crowspindle-simhost/settings.rs
+++ b/src/bin/cottonnotch-simhost/settings.rs
@@ -1,7 +1,7 @@
 //! The settings of the first message, read into the module's own terms. Unknown keys are ignored.
 
 use crate::wire::{Bad, Names, bad};
-use crowspindle::{Class, Effect, Micros, Scope, Settings, Tenant, ZoneId};
+use cottonnotch::{Class, Effect, Micros, Scope, Settings, Tenant, ZoneId};
 use std::collections::HashMap;
 
 /// The module's settings, and the names that the wire uses.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use crowspindle::*;
+use cottonnotch::*;
 
 #[test]
 fn turns_rotate_over_all_servers() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use crowspindle::*;
+use cottonnotch::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 struct Rng(u64);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Stdio};
 
 fn run(input: &[u8]) -> (String, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_crowspindle-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_cottonnotch-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
