--- a/src/bin/cottonnotch-simhost/main.rs
+++ b/src/bin/cottonnotch-simhost/main.rs
@@ -1,17 +1,17 @@
 //! The bench's adapter: puts the wire's lines into the module's events and its actions into lines.
 //! It decides nothing.
 
-mod settings;
 mod wire;
 
+use cottonnotch::names::{Names, digest};
+use cottonnotch::settings::{self, Pairs, Profile};
 use cottonnotch::{
     Action, Balancer, ClassId, Entry, Event, Listed, Micros, Notice, Outcome, Request, RequestId, ServerId,
     TenantId, ZoneId,
 };
-use settings::Profile;
 use std::collections::HashMap;
 use std::io::{self, BufRead, Write};
-use wire::{Bad, Names, Parts, bad};
+use wire::{Bad, Parts, bad};
 
 struct Instance {
     balancer: Balancer,
@@ -94,7 +94,7 @@
         match name {
             "create" => {
                 let seed: u64 = parts.number("nonce64")?;
-                let profile = settings::read(parts.remainder())?;
+                let profile = profile(parts.remainder())?;
                 let balancer = Balancer::new(profile.settings.clone(), seed, self.now);
                 let (servers, timers) = (Names::default(), HashMap::new());
                 self.instances.insert(node, Instance { balancer, profile, servers, timers });
@@ -215,7 +215,7 @@
         parts.raw("classOfHost")?;
         parts.end()?;
         let zone = ZoneId(self.profile.zones.intern(zone) as u16);
-        let digest = wire::digest(host);
+        let digest = digest(host);
         let server = ServerId(self.servers.intern(host));
         Ok(Entry { server, digest, state, zone, cell, started, weight })
     }
@@ -409,6 +409,21 @@
     }
 }
 
+/// The settings as the first message carries them: `path=value` parts.
+fn profile(text: &str) -> Result<Profile, Bad> {
+    let mut pairs = Pairs::default();
+    for pair in text.split('\t').filter(|p| !p.is_empty() && *p != "-") {
+        match pair.split_once('=') {
+            Some((key, value)) => pairs.0.insert(key.to_owned(), value.to_owned()),
+            None => return bad("profileData", format!("has no '=' in '{}'", wire::short(pair))),
+        };
+    }
+    match settings::read(&pairs) {
+        Ok(profile) => Ok(profile),
+        Err(error) => bad("profileData", format!("{} {}", error.key, error.trouble)),
+    }
+}
+
 fn report_bad(number: u64, Bad { field, trouble }: &Bad) {
     eprintln!("line {number}: field {field} {trouble}; ignored");
 }
--- a/src/bin/cottonnotch-simhost/wire.rs
+++ b/src/bin/cottonnotch-simhost/wire.rs
@@ -1,6 +1,5 @@
 //! Reading the parts of a wire line, with plain messages on what is malformed.
 
-use std::collections::HashMap;
 use std::str::FromStr;
 
 /// What is wrong with a line: the field and the trouble with it.
@@ -97,44 +96,12 @@
     text.chars().take(40).collect()
 }
 
-/// Names and the small numbers that stand for them.
-#[derive(Default)]
-pub struct Names {
-    numbers: HashMap<String, u32>,
-    names: Vec<String>,
-}
-
-impl Names {
-    pub fn intern(&mut self, name: &str) -> u32 {
-        if let Some(number) = self.numbers.get(name) {
-            return *number;
-        }
-        let number = self.names.len() as u32;
-        self.numbers.insert(name.to_owned(), number);
-        self.names.push(name.to_owned());
-        number
-    }
-
-    pub fn find(&self, name: &str) -> Option<u32> {
-        self.numbers.get(name).copied()
-    }
-
-    pub fn name(&self, number: u32) -> &str {
-        self.names.get(number as usize).map_or("-", String::as_str)
-    }
-}
-
-/// FNV-1a: a digest that is the same at every node.
-pub fn digest(name: &str) -> u64 {
-    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
 /// Base64 with padding; `-` is empty.
 pub fn base64(text: &str) -> Option<Vec<u8>> {
     if text == "-" {
         return Some(Vec::new());
     }
-    if text.len() % 4 != 0 {
+    if !text.len().is_multiple_of(4) {
         return None;
     }
     let body = text.trim_end_matches('=');
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,9 @@
 #![warn(missing_docs)]
 
 pub mod interface;
+pub mod names;
 pub mod policy;
+pub mod settings;
 
 pub use interface::*;
 pub use policy::Balancer;
--- /dev/null
+++ b/src/names.rs
@@ -0,0 +1,38 @@
+//! Names and the small numbers that stand for them in the module.
+
+use std::collections::HashMap;
+
+/// Names and the small numbers that stand for them.
+#[derive(Debug, Default)]
+pub struct Names {
+    numbers: HashMap<String, u32>,
+    names: Vec<String>,
+}
+
+impl Names {
+    /// The number of `name`, given to it at first sight.
+    pub fn intern(&mut self, name: &str) -> u32 {
+        if let Some(number) = self.numbers.get(name) {
+            return *number;
+        }
+        let number = self.names.len() as u32;
+        self.numbers.insert(name.to_owned(), number);
+        self.names.push(name.to_owned());
+        number
+    }
+
+    /// The number of a `name` seen before.
+    pub fn find(&self, name: &str) -> Option<u32> {
+        self.numbers.get(name).copied()
+    }
+
+    /// The name that a number stands for.
+    pub fn name(&self, number: u32) -> &str {
+        self.names.get(number as usize).map_or("-", String::as_str)
+    }
+}
+
+/// FNV-1a: a digest that is the same at every node.
+pub fn digest(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
--- /dev/null
+++ b/src/net/call_attempt.rs
@@ -0,0 +1,123 @@
+//! One call attempt: connect to the subchannel, write the first line, wait for what comes back.
+
+use super::happening::AttemptOrder;
+use super::line::{Fill, LineStream, trim_end};
+use super::reactor::{Io, Key, Leg};
+use cottonnotch::{Micros, Outcome};
+use std::io;
+
+/// Until the last byte of the first line is written, the attempt can't have run; from then on it may have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Connecting,
+    Writing,
+    Waiting,
+}
+
+/// How far the attempt is.
+#[derive(Debug)]
+pub enum Progress {
+    Pending,
+    /// Stopped before it would have blocked; to be called again.
+    Again,
+    /// The subchannel's `UP` line, as it came.
+    Up(Vec<u8>),
+    Ended(Outcome),
+}
+
+/// An attempt that is out.
+#[derive(Debug)]
+pub struct CallAttempt {
+    link: LineStream,
+    phase: Phase,
+    started: Micros,
+    connect_until: Micros,
+    until: Option<Micros>,
+}
+
+/// What an answer line means, by the protocol's table.
+fn answer(line: Vec<u8>) -> Progress {
+    let words = trim_end(&line);
+    let verb = words.split(|b| *b == b' ').next().unwrap_or_default();
+    match verb {
+        b"UP" => Progress::Up(line),
+        b"BUSY" => Progress::Ended(Outcome::Full),
+        b"MOVE" => Progress::Ended(Outcome::Cancelled),
+        b"ERR" => Progress::Ended(Outcome::Error),
+        _ => {
+            log::warn!("subchannel answered a call attempt with '{}'", words.escape_ascii());
+            Progress::Ended(Outcome::Error)
+        }
+    }
+}
+
+impl CallAttempt {
+    /// Begins the attempt; `line` is the whole first line, `until` when the proxy stops waiting.
+    pub fn start(
+        io: &mut Io,
+        key: Key,
+        order: &AttemptOrder,
+        line: &[u8],
+        until: Option<Micros>,
+    ) -> io::Result<Self> {
+        let mut link = LineStream::connect(order.address, io, key, Leg::Far)?;
+        link.push(line);
+        let started = io.now();
+        let connect_until = started + order.connect_timeout;
+        Ok(CallAttempt { link, phase: Phase::Connecting, started, connect_until, until })
+    }
+
+    /// When the attempt is next due to be ended.
+    pub fn due(&self) -> Option<Micros> {
+        let connect = (self.phase == Phase::Connecting).then_some(self.connect_until);
+        [connect, self.until].into_iter().flatten().min()
+    }
+
+    /// Time since it began.
+    pub fn elapsed(&self, now: Micros) -> Micros {
+        now - self.started
+    }
+
+    /// Goes on as far as the socket allows.
+    pub fn advance(&mut self) -> Progress {
+        if self.phase == Phase::Connecting {
+            match self.link.connected() {
+                Ok(true) => self.phase = Phase::Writing,
+                Ok(false) => return Progress::Pending,
+                Err(_) => return Progress::Ended(Outcome::ConnectFailed),
+            }
+        }
+        if self.phase == Phase::Writing {
+            match self.link.flush() {
+                Ok(true) => self.phase = Phase::Waiting,
+                Ok(false) => return Progress::Pending,
+                // The last byte was not written: it never ran.
+                Err(_) => return Progress::Ended(Outcome::ConnectFailed),
+            }
+        }
+        let fill = self.link.fill();
+        match (self.link.take_line(), fill) {
+            (Ok(Some(line)), _) => answer(line),
+            (Err(_), _) => Progress::Ended(Outcome::Error),
+            (Ok(None), Fill::Blocked) => Progress::Pending,
+            (Ok(None), Fill::More) => Progress::Again,
+            (Ok(None), Fill::Ended | Fill::Broken(_)) => Progress::Ended(Outcome::Reset),
+        }
+    }
+
+    /// Ends the attempt if its time is up.
+    pub fn overdue(&self, now: Micros) -> Option<Outcome> {
+        if self.until.is_some_and(|until| until <= now) {
+            // While not even connected, nothing can have run.
+            let waiting = self.phase == Phase::Waiting;
+            return Some(if waiting { Outcome::TimedOut } else { Outcome::ConnectFailed });
+        }
+        let slow = self.phase == Phase::Connecting && self.connect_until <= now;
+        slow.then_some(Outcome::ConnectFailed)
+    }
+
+    /// The connection, once it is up.
+    pub fn into_link(self) -> LineStream {
+        self.link
+    }
+}
--- /dev/null
+++ b/src/net/driver.rs
@@ -0,0 +1,493 @@
+//! Between the sockets and the decisions: turns happenings into the module's events and carries out its
+//! actions in order. Here the network's terms (subchannel, RPC, call attempt) meet the module's (server,
+//! request, send); nothing is decided.
+
+use super::happening::{AttemptOrder, Happening, Wish};
+use super::invariant::invariant;
+use super::lifecycle::{self, Shutdown};
+use super::listener::{Listener, Signals};
+use super::message_delay::{self, MessageDelay};
+use super::reactor::{Key, Reactor};
+use super::resolver::Watch;
+use super::resolver_result::ResolverResult;
+use super::rpc::Rpc;
+use crate::config::Config;
+use cottonnotch::names::{Names, digest};
+use cottonnotch::{
+    Action, Balancer, ClassId, Entry, Event, Listed, Micros, Notice, Outcome, Request, RequestId, ServerId,
+    TenantId, ZoneId,
+};
+use mio::net::TcpStream;
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+
+/// Descriptors kept for what is no RPC: the listener, the watch, the poll, standard streams, signals, and
+/// connections that are being turned away.
+const RESERVED_SOCKETS: usize = 32;
+/// An RPC needs two: the client's and the subchannel's.
+const SOCKETS_PER_RPC: usize = 2;
+/// What a client is told when there is no descriptor for it.
+const FULL_RETRY_AFTER: Micros = 1_000_000;
+/// A connection that was open before the start is tried again after this, until its client gives up.
+const REOPEN_AFTER: Micros = 200_000;
+
+/// Timers: the module's tokens are below these.
+const TICK: u32 = 1 << 16;
+const ROUND: u32 = TICK + 1;
+const REOPEN: u32 = TICK + 2;
+
+/// A client's RPC as the driver knows it.
+#[derive(Debug)]
+struct Call {
+    id: RequestId,
+    /// Where its latest attempt went, and that attempt's number.
+    at: Option<(ServerId, u32)>,
+    attempts: u32,
+    stage: Stage,
+}
+
+#[derive(Debug, PartialEq)]
+enum Stage {
+    /// One final answer is owed.
+    Owed,
+    /// Open before the start: it goes to one subchannel, and the module hears of it when it is up.
+    Reopening(Box<Request>),
+    /// The connection is up.
+    Up,
+}
+
+/// A render node, as the resolver has it.
+#[derive(Debug, Default)]
+struct Subchannel {
+    address: Option<SocketAddr>,
+    delay: MessageDelay,
+}
+
+/// Everything that one proxy holds.
+pub struct Driver {
+    reactor: Reactor,
+    balancer: Balancer,
+    config: Config,
+    /// Ids of the subchannels: their numbers are the module's servers.
+    names: Names,
+    subchannels: Vec<Subchannel>,
+    calls: BTreeMap<Key, Call>,
+    keys: BTreeMap<RequestId, Key>,
+    next_id: u64,
+    watch: Option<Key>,
+    revision: u64,
+    reopening: Vec<Key>,
+    pending: VecDeque<Event>,
+    shutdown: Option<Shutdown>,
+    /// Messages that take longer are told to the module: a third of the shortest aim.
+    slow_mark: Micros,
+}
+
+impl Driver {
+    /// Opens the sockets and starts the module.
+    pub fn start(config: Config) -> io::Result<Self> {
+        let mut reactor = Reactor::new()?;
+        reactor.insert(|key, io| Listener::bind(config.listen, key, io))?;
+        reactor.insert(Signals::register)?;
+        let now = reactor.io.now();
+        let settings = config.profile.settings.clone();
+        let shortest = settings.classes.iter().map(|c| c.message_aim).filter(|aim| *aim > 0).min();
+        let mut driver = Driver {
+            balancer: Balancer::new(settings, config.seed, now),
+            reactor,
+            names: Names::default(),
+            subchannels: Vec::new(),
+            calls: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            next_id: 1,
+            watch: None,
+            revision: 0,
+            reopening: Vec::new(),
+            pending: VecDeque::new(),
+            shutdown: None,
+            slow_mark: shortest.map_or(Micros::MAX, |aim| aim / 3),
+            config,
+        };
+        let known = driver.config.known.clone();
+        driver.resolved(known, true);
+        driver.reactor.io.driver_timer(now + message_delay::EVERY, TICK);
+        Ok(driver)
+    }
+
+    /// Serves until a shutdown is over.
+    pub fn run(&mut self) -> io::Result<()> {
+        loop {
+            self.reactor.turn()?;
+            while let Some(happening) = self.reactor.io.happenings.pop_front() {
+                self.take(happening);
+            }
+            let now = self.reactor.io.now();
+            if self.shutdown.is_some_and(|s| s.is_over(now)) {
+                return Ok(());
+            }
+        }
+    }
+
+    fn take(&mut self, happening: Happening) {
+        match happening {
+            Happening::Accepted(stream) => self.accepted(stream),
+            Happening::Asked(key, wish) => self.asked(key, wish),
+            Happening::Up { rpc, elapsed } => self.up(rpc, elapsed),
+            Happening::AttemptEnded { rpc, outcome } => self.attempt_ended(rpc, outcome),
+            Happening::Ended { rpc, outcome } => self.ended(rpc, outcome),
+            Happening::ClientGone { rpc } => self.client_gone(rpc),
+            Happening::Load { rpc, load } => {
+                if let Some(call) = self.calls.get(&rpc) {
+                    self.tell(Event::LoadNote { request: call.id, load });
+                }
+            }
+            Happening::Message { rpc, delay } => self.message(rpc, delay),
+            Happening::Resolved(result) => self.resolved(result, false),
+            Happening::ResolverLost { watch, why } => {
+                if self.watch == Some(watch) {
+                    log::warn!("watch on discovery lost: {why}");
+                    self.watch = None;
+                    self.tell(Event::ListFailed);
+                }
+            }
+            Happening::Terminate => self.terminate(),
+            Happening::Timer(TICK) => self.tick(),
+            Happening::Timer(ROUND) => self.round(),
+            Happening::Timer(REOPEN) => {
+                for key in std::mem::take(&mut self.reopening) {
+                    self.reopen(key);
+                }
+            }
+            Happening::Timer(token) => self.tell(Event::Timer(token)),
+        }
+    }
+
+    // ---- clients ----
+
+    fn accepted(&mut self, stream: TcpStream) {
+        let used = self.reactor.connections() * SOCKETS_PER_RPC;
+        let result = if used + SOCKETS_PER_RPC + RESERVED_SOCKETS <= self.config.sockets {
+            self.reactor.insert(|key, io| Rpc::accepted(stream, key, io))
+        } else if self.reactor.io.sockets() + RESERVED_SOCKETS / 2 <= self.config.sockets {
+            // Guards against running out of descriptors: a client let in now could not be served, and one
+            // that waits unaccepted would not know to come again.
+            log::warn!("out of sockets, a client is turned away");
+            self.reactor.insert(|key, io| Rpc::turned_away(stream, key, io, FULL_RETRY_AFTER))
+        } else {
+            log::error!("out of sockets, a client is dropped");
+            return;
+        };
+        if let Err(error) = result {
+            log::warn!("client lost while it was accepted: {error}");
+        }
+    }
+
+    fn asked(&mut self, key: Key, wish: Wish) {
+        let Some(class) = self.config.profile.classes.find(&wish.class) else {
+            log::warn!("a client asked for an unknown class");
+            return self.fail(key, "the class is unknown");
+        };
+        let tenants = &self.config.profile.tenants;
+        let id = RequestId(self.next_id);
+        self.next_id += 1;
+        let request = Request {
+            id,
+            class: ClassId(class as u16),
+            tenant: wish.tenant.and_then(|t| tenants.find(&t)).map(|t| TenantId(t as u16)),
+            left: wish.left,
+            load_hint: wish.load_hint,
+            group: wish.group,
+            again: wish.again,
+        };
+        self.keys.insert(id, key);
+        let call = Call { id, at: None, attempts: 0, stage: Stage::Owed };
+        let at = wish.at.and_then(|at| self.names.find(&at));
+        match at {
+            None => {
+                self.calls.insert(key, call);
+                self.tell(Event::Request(request));
+            }
+            Some(at) => {
+                let stage = Stage::Reopening(Box::new(request));
+                self.calls.insert(key, Call { at: Some((ServerId(at), 0)), stage, ..call });
+                self.reopen(key);
+            }
+        }
+    }
+
+    fn fail(&mut self, key: Key, why: &str) {
+        self.reactor.with_front(key, |front, io| front.fail(io, why));
+    }
+
+    /// Takes a connection that was open before the start back to its subchannel.
+    fn reopen(&mut self, key: Key) {
+        let Some(Call { at: Some((server, _)), .. }) = self.calls.get(&key) else { return };
+        if !self.attempt(key, *server, 0) {
+            self.reopen_later(key);
+        }
+    }
+
+    fn reopen_later(&mut self, key: Key) {
+        let now = self.reactor.io.now();
+        self.reopening.push(key);
+        self.reactor.io.driver_timer(now + REOPEN_AFTER, REOPEN);
+    }
+
+    fn attempt(&mut self, key: Key, server: ServerId, timeout: Micros) -> bool {
+        let address = self.subchannels.get(server.0 as usize).and_then(|s| s.address);
+        let Some(address) = address else { return false };
+        let connect_timeout = self.config.profile.connect_timeout;
+        let order = AttemptOrder { address, timeout, connect_timeout };
+        self.reactor.with_front(key, |front, io| front.attempt(io, order)).unwrap_or(false)
+    }
+
+    fn up(&mut self, key: Key, elapsed: Micros) {
+        let Some(call) = self.calls.get_mut(&key) else { return };
+        let Some((server, attempt)) = call.at else { return };
+        let request = call.id;
+        let event = match std::mem::replace(&mut call.stage, Stage::Up) {
+            Stage::Reopening(request) => Event::Open { request: *request, server },
+            _ => Event::Established { request, attempt, server, elapsed },
+        };
+        self.tell(event);
+    }
+
+    fn attempt_ended(&mut self, key: Key, outcome: Outcome) {
+        let Some(call) = self.calls.get(&key) else { return };
+        let (request, at) = (call.id, call.at);
+        match (&call.stage, at) {
+            (Stage::Reopening(_), _) => self.reopen_later(key),
+            (_, Some((server, attempt))) => {
+                self.tell(Event::Ended { request, attempt, server, outcome, last: false });
+            }
+            _ => {}
+        }
+    }
+
+    fn ended(&mut self, key: Key, outcome: Outcome) {
+        let Some(call) = self.forget(key) else { return };
+        if let Some((server, attempt)) = call.at {
+            self.tell(Event::Ended { request: call.id, attempt, server, outcome, last: true });
+        }
+    }
+
+    fn client_gone(&mut self, key: Key) {
+        let Some(call) = self.forget(key) else { return };
+        if matches!(call.stage, Stage::Reopening(_)) {
+            return;
+        }
+        self.tell(Event::Gone(call.id));
+        if let Some((server, attempt)) = call.at {
+            // Each attempt's end is told, or a trial would be out for ever.
+            let (request, outcome) = (call.id, Outcome::Cancelled);
+            self.tell(Event::Ended { request, attempt, server, outcome, last: true });
+        }
+    }
+
+    fn forget(&mut self, key: Key) -> Option<Call> {
+        let call = self.calls.remove(&key)?;
+        self.keys.remove(&call.id);
+        Some(call)
+    }
+
+    // ---- messages ----
+
+    fn message(&mut self, key: Key, delay: Micros) {
+        let now = self.reactor.io.now();
+        let Some(Call { id, at: Some((server, _)), .. }) = self.calls.get(&key) else { return };
+        let Some(subchannel) = self.subchannels.get_mut(server.0 as usize) else { return };
+        if let Some(delay) = subchannel.delay.sample(now, delay, self.slow_mark) {
+            let (request, server) = (*id, *server);
+            self.tell(Event::DelayNote { request, server, delay });
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.reactor.io.now();
+        self.reactor.io.driver_timer(now + message_delay::EVERY, TICK);
+        let up: Vec<(Key, RequestId, ServerId)> = self.up_calls().collect();
+        for &(key, _, _) in &up {
+            let waited = self.reactor.with_front(key, |front, _| front.waiting_for(now)).flatten();
+            // A line that is still unanswered shows a delay as well as a late reply does.
+            if let Some(waited) = waited.filter(|waited| *waited > self.slow_mark) {
+                self.message(key, waited);
+            }
+        }
+        for (_, request, server) in up {
+            let delay = self.subchannels.get_mut(server.0 as usize).and_then(|s| s.delay.tick(now));
+            if let Some(delay) = delay.filter(|_| self.keys.contains_key(&request)) {
+                self.tell(Event::DelayNote { request, server, delay });
+            }
+        }
+    }
+
+    fn up_calls(&self) -> impl Iterator<Item = (Key, RequestId, ServerId)> {
+        let up = self.calls.iter().filter(|(_, call)| call.stage == Stage::Up);
+        up.filter_map(|(key, call)| Some((*key, call.id, call.at?.0)))
+    }
+
+    // ---- the list ----
+
+    fn resolved(&mut self, result: ResolverResult, copy: bool) {
+        let ResolverResult { revision, complete: full, members } = result;
+        self.revision = revision;
+        let mut entries = Vec::with_capacity(members.len());
+        for member in members {
+            // Numbers are never given anew: a member that restarts or moves keeps its number.
+            let number = self.names.intern(&member.id);
+            if self.subchannels.len() <= number as usize {
+                self.subchannels.resize_with(number as usize + 1, Subchannel::default);
+            }
+            let subchannel = &mut self.subchannels[number as usize];
+            subchannel.address = member.address.or(subchannel.address);
+            entries.push(Entry {
+                server: ServerId(number),
+                digest: digest(&member.id),
+                state: member.state,
+                zone: ZoneId(self.config.profile.zones.intern(&member.zone) as u16),
+                cell: member.cell,
+                started: member.started,
+                weight: member.weight,
+            });
+        }
+        log::debug!("resolver result {revision}: {} members, complete {full}", entries.len());
+        for entry in entries.iter().filter(|e| e.state != Listed::Ready) {
+            log::info!("subchannel {} is {:?}", self.names.name(entry.server.0), entry.state);
+        }
+        self.tell(Event::List { full, copy, entries });
+    }
+
+    fn watch(&mut self) {
+        if let Some(old) = self.watch.take() {
+            self.reactor.remove(old);
+        }
+        let (discovery, from) = (self.config.discovery, self.revision);
+        match self.reactor.insert(|key, io| Watch::start(discovery, from, key, io)) {
+            Ok(key) => self.watch = Some(key),
+            Err(error) => {
+                log::warn!("cannot watch discovery: {error}");
+                self.pending.push_back(Event::ListFailed);
+            }
+        }
+    }
+
+    // ---- shutdown ----
+
+    fn terminate(&mut self) {
+        if self.shutdown.is_some() {
+            return;
+        }
+        let now = self.reactor.io.now();
+        let longest = self.config.profile.settings.classes.iter().map(|c| c.deadline).max();
+        log::info!("asked to stop: clients are moved");
+        self.shutdown = Some(Shutdown::begin(now, longest.unwrap_or(0)));
+        self.round();
+    }
+
+    fn round(&mut self) {
+        let Some(shutdown) = self.shutdown else { return };
+        let now = self.reactor.io.now();
+        self.reactor.io.driver_timer(now + lifecycle::ROUND, ROUND);
+        let up: Vec<RequestId> = self.up_calls().map(|(_, id, _)| id).collect();
+        for id in up.iter().take(shutdown.quota(now, up.len())) {
+            self.move_away(*id);
+        }
+        self.settle();
+        if shutdown.is_last(now) {
+            let owed: Vec<Key> = self.calls.keys().copied().collect();
+            for key in owed {
+                self.reactor.with_front(key, |front, io| front.abandon(io));
+                self.forget(key);
+            }
+        }
+    }
+
+    // ---- the module ----
+
+    fn tell(&mut self, event: Event) {
+        self.pending.push_back(event);
+        self.settle();
+    }
+
+    /// Hands the module what is pending, and what comes of its own actions.
+    fn settle(&mut self) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.pending.pop_front() {
+            let now = self.reactor.io.now();
+            self.balancer.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action);
+            }
+        }
+    }
+
+    fn act(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { request, server, timeout } => self.send(request, server, timeout),
+            Action::Refuse { request, retry_after } => {
+                if let Some(key) = self.answerable(request) {
+                    self.reactor.with_front(key, |front, io| front.refuse(io, retry_after));
+                }
+            }
+            Action::Fail(request) => {
+                if let Some(key) = self.answerable(request) {
+                    self.fail(key, "no attempt went well");
+                }
+            }
+            Action::Move(request) => self.move_away(request),
+            Action::Watch => self.watch(),
+            // No probe is made: the module asks for none.
+            Action::Probe(server) => {
+                self.pending.push_back(Event::Probed { server, report: None });
+            }
+            Action::Timer { after, token } => self.reactor.io.driver_timer(now + after, token),
+            Action::Log { notice, server } => self.log(notice, server),
+        }
+    }
+
+    /// The RPC of a request that is owed its final answer, which it then gets.
+    fn answerable(&mut self, request: RequestId) -> Option<Key> {
+        let key = self.keys.get(&request).copied();
+        invariant!(key.is_some(), "a final answer is given once, to a request that is owed one");
+        self.forget(key?);
+        key
+    }
+
+    fn send(&mut self, request: RequestId, server: ServerId, timeout: Micros) {
+        let key = self.keys.get(&request).copied();
+        let call = key.and_then(|key| self.calls.get_mut(&key));
+        let (Some(key), Some(call)) = (key, call) else {
+            invariant!(false, "an attempt is made for a request that is owed an answer");
+            return;
+        };
+        let attempt = call.attempts;
+        (call.at, call.attempts) = (Some((server, attempt)), attempt + 1);
+        if !self.attempt(key, server, timeout) {
+            let outcome = Outcome::NotSent;
+            self.pending.push_back(Event::Ended { request, attempt, server, outcome, last: false });
+        }
+    }
+
+    fn move_away(&mut self, request: RequestId) {
+        let Some(key) = self.keys.get(&request).copied() else { return };
+        if self.reactor.with_front(key, |front, io| front.move_away(io)) != Some(true) {
+            return;
+        }
+        let Some(Call { at: Some((server, attempt)), .. }) = self.forget(key) else { return };
+        let outcome = Outcome::Cancelled;
+        self.pending.push_back(Event::Ended { request, attempt, server, outcome, last: true });
+    }
+
+    fn log(&self, notice: Notice, server: Option<ServerId>) {
+        let name = server.map_or("-", |server| self.names.name(server.0));
+        match notice {
+            Notice::PausedFailing => log::warn!("subchannel {name} paused, keeps failing"),
+            Notice::Recovered => log::info!("subchannel {name} back after a good trial"),
+            Notice::Holding => log::warn!("no subchannel can be used now, holding RPCs"),
+            Notice::ListUnreachable => {
+                log::error!("discovery cannot be reached, going on with the last list")
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/happening.rs
@@ -0,0 +1,79 @@
+//! The seams: what any client protocol, and any resolver, has to tell the driver, and what the driver asks
+//! of a client protocol. The line protocol of [`rpc`](super::rpc) is one front; one with several channels on
+//! a connection would be another.
+
+use super::reactor::{Io, Key};
+use super::resolver_result::ResolverResult;
+use cottonnotch::{Micros, Outcome};
+use mio::net::TcpStream;
+use std::net::SocketAddr;
+
+/// A client's wish for a connection, in the terms of the settings.
+#[derive(Debug)]
+pub struct Wish {
+    pub class: String,
+    pub tenant: Option<String>,
+    /// How long the client waits, from now.
+    pub left: Option<Micros>,
+    pub load_hint: Option<f64>,
+    pub group: Option<u64>,
+    /// A repeat, or a client whose connection was broken or moved.
+    pub again: bool,
+    /// The subchannel on which the connection is open already.
+    pub at: Option<String>,
+}
+
+/// One call attempt to be made.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptOrder {
+    pub address: SocketAddr,
+    /// Ended as timed out after this; 0: when the client gives up.
+    pub timeout: Micros,
+    pub connect_timeout: Micros,
+}
+
+/// What has happened.
+#[derive(Debug)]
+pub enum Happening {
+    /// A client has connected.
+    Accepted(TcpStream),
+    /// A client wishes for a connection; it is owed one final answer.
+    Asked(Key, Wish),
+    /// The call attempt's subchannel took it; `elapsed` since the attempt began.
+    Up { rpc: Key, elapsed: Micros },
+    /// The call attempt has ended without having been up; a final answer is still owed.
+    AttemptEnded { rpc: Key, outcome: Outcome },
+    /// A connection that was up has ended; nothing more is owed.
+    Ended { rpc: Key, outcome: Outcome },
+    /// The client left before it had an answer.
+    ClientGone { rpc: Key },
+    /// The load of a connection has changed.
+    Load { rpc: Key, load: f64 },
+    /// A client's line was answered after this long, or is unanswered for that long by now.
+    Message { rpc: Key, delay: Micros },
+    /// The resolver's list, or changes of it.
+    Resolved(ResolverResult),
+    /// The resolver's call failed or its watch is lost.
+    ResolverLost { watch: Key, why: String },
+    /// The process was asked to stop.
+    Terminate,
+    /// A timer of the driver's.
+    Timer(u32),
+}
+
+/// What the driver asks of an RPC, whatever protocol its client speaks.
+pub trait Front {
+    /// Makes a call attempt. How it ends is reported; false: it could not even be begun, for want of
+    /// something on this machine.
+    fn attempt(&mut self, io: &mut Io, order: AttemptOrder) -> bool;
+    /// Final answer: turned away, to come again after this; 0: nothing said.
+    fn refuse(&mut self, io: &mut Io, retry_after: Micros);
+    /// Final answer: failed.
+    fn fail(&mut self, io: &mut Io, why: &str);
+    /// Ends a connection that is up politely; the client comes again. False if it is not up.
+    fn move_away(&mut self, io: &mut Io) -> bool;
+    /// The proxy leaves: an RPC that is up is moved, one that is owed an answer is refused.
+    fn abandon(&mut self, io: &mut Io);
+    /// For how long the oldest unanswered line of the client's has waited.
+    fn waiting_for(&self, now: Micros) -> Option<Micros>;
+}
--- /dev/null
+++ b/src/net/invariant.rs
@@ -0,0 +1,25 @@
+//! What must hold: asserted in debug builds, counted and logged in release builds, where a proxy that
+//! carries on serves its clients better than one that is gone.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+static BROKEN: AtomicU64 = AtomicU64::new(0);
+
+/// Counts a broken invariant; returns how many there have been.
+pub fn count() -> u64 {
+    BROKEN.fetch_add(1, Ordering::Relaxed) + 1
+}
+
+/// `invariant!(condition, "what must hold")`: the value of the condition, after asserting or counting it.
+macro_rules! invariant {
+    ($condition:expr, $what:literal) => {{
+        let held: bool = $condition;
+        debug_assert!(held, "invariant broken: {}", $what);
+        if !held {
+            let count = $crate::net::invariant::count();
+            log::error!("invariant broken ({count} so far): {}", $what);
+        }
+        held
+    }};
+}
+pub(crate) use invariant;
--- /dev/null
+++ b/src/net/lifecycle.rs
@@ -0,0 +1,43 @@
+//! Shutdown after SIGTERM: clients go on being served, and those that are up are moved, spread over the time
+//! there is, so that the other proxies do not get them as a storm.
+
+use cottonnotch::Micros;
+
+/// SIGKILL comes no earlier than the longest deadline (this much, where it is longer) ...
+const LONGEST_DEADLINE: Micros = 3_000_000;
+/// ... and this much after SIGTERM.
+const KILL_AFTER: Micros = 700_000;
+/// Held back for the last answers to be written and read.
+const RESERVE: Micros = 300_000;
+/// Between two rounds of moving.
+pub const ROUND: Micros = 25_000;
+
+/// A shutdown that has begun.
+#[derive(Clone, Copy, Debug)]
+pub struct Shutdown {
+    until: Micros,
+}
+
+impl Shutdown {
+    pub fn begin(now: Micros, longest_deadline: Micros) -> Self {
+        let time = longest_deadline.clamp(0, LONGEST_DEADLINE) + KILL_AFTER - RESERVE;
+        Shutdown { until: now + time }
+    }
+
+    /// How many of the connections that are up are to be moved in this round: an even part of what is left,
+    /// all of them in the last.
+    pub fn quota(&self, now: Micros, up: usize) -> usize {
+        let rounds = ((self.until - now) / ROUND).max(1) as usize;
+        up.div_ceil(rounds)
+    }
+
+    /// Time is up: what is still owed an answer is refused.
+    pub fn is_last(&self, now: Micros) -> bool {
+        now + ROUND >= self.until
+    }
+
+    /// When to leave: the last answers have been read, or never will be.
+    pub fn is_over(&self, now: Micros) -> bool {
+        now >= self.until + RESERVE / 2
+    }
+}
--- /dev/null
+++ b/src/net/line.rs
@@ -0,0 +1,162 @@
+//! Lines on a non-blocking socket: CRLF framing with a bound, partial reads and writes, bounded buffers.
+
+use super::reactor::{Counted, Io, Key, Leg};
+use mio::net::TcpStream;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::time::Duration;
+
+/// No line is longer, its end included.
+pub const MAX_LINE: usize = 4096;
+/// While more than this waits to be written, the other side is not read.
+pub const MAX_UNSENT: usize = 64 * 1024;
+/// Read in one callback before other connections have their turn.
+const MAX_TURN: usize = 16 * 1024;
+
+/// How a round of reading ended.
+#[derive(Debug)]
+pub enum Fill {
+    /// All that has come is in the buffer.
+    Blocked,
+    /// There may be more; to be called again.
+    More,
+    /// The peer has ended its sending.
+    Ended,
+    /// The connection is broken.
+    Broken(io::Error),
+}
+
+/// A line is longer than [`MAX_LINE`].
+#[derive(Debug, thiserror::Error)]
+#[error("a line of over {MAX_LINE} bytes")]
+pub struct TooLong;
+
+/// A socket that speaks lines.
+#[derive(Debug)]
+pub struct LineStream {
+    stream: TcpStream,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    /// End our sending once all is written.
+    finish: bool,
+    finished: bool,
+    _counted: Counted,
+}
+
+impl LineStream {
+    /// Takes over an accepted socket.
+    pub fn accepted(mut stream: TcpStream, io: &Io, key: Key) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        io.register(&mut stream, key, Leg::Near)?;
+        Ok(Self::new(stream, io))
+    }
+
+    /// Begins to connect.
+    pub fn connect(address: SocketAddr, io: &Io, key: Key, leg: Leg) -> io::Result<Self> {
+        let mut stream = TcpStream::connect(address)?;
+        io.register(&mut stream, key, leg)?;
+        Ok(Self::new(stream, io))
+    }
+
+    fn new(stream: TcpStream, io: &Io) -> Self {
+        let (input, output) = (Vec::new(), Vec::new());
+        LineStream { stream, input, output, finish: false, finished: false, _counted: io.count_socket() }
+    }
+
+    /// After `writable`: whether the connection stands by now.
+    pub fn connected(&self) -> io::Result<bool> {
+        if let Some(error) = self.stream.take_error()? {
+            return Err(error);
+        }
+        match self.stream.peer_addr() {
+            Ok(_) => self.stream.set_nodelay(true).map(|()| true),
+            Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Reads what has come, as far as this turn allows.
+    pub fn fill(&mut self) -> Fill {
+        let mut chunk = [0; MAX_LINE];
+        let mut taken = 0;
+        while taken < MAX_TURN {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return Fill::Ended,
+                Ok(n) => {
+                    self.input.extend_from_slice(&chunk[..n]);
+                    taken += n;
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Fill::Blocked,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Fill::Broken(error),
+            }
+        }
+        Fill::More
+    }
+
+    /// The next whole line, its end included.
+    pub fn take_line(&mut self) -> Result<Option<Vec<u8>>, TooLong> {
+        let end = self.input.iter().take(MAX_LINE).position(|b| *b == b'\n');
+        match end {
+            Some(end) => Ok(Some(self.input.drain(..=end).collect())),
+            None if self.input.len() >= MAX_LINE => Err(TooLong),
+            None => Ok(None),
+        }
+    }
+
+    /// What has come and is no whole line.
+    pub fn take_rest(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.input)
+    }
+
+    /// Queues bytes for [`flush`](Self::flush).
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.output.extend_from_slice(bytes);
+    }
+
+    /// Ends our sending once all that was queued is written.
+    pub fn finish(&mut self) {
+        self.finish = true;
+    }
+
+    /// Writes what is queued; true once every byte has been written.
+    pub fn flush(&mut self) -> io::Result<bool> {
+        let mut sent = 0;
+        let result = loop {
+            if sent == self.output.len() {
+                break Ok(true);
+            }
+            match self.stream.write(&self.output[sent..]) {
+                Ok(0) => break Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => sent += n,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break Ok(false),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => break Err(error),
+            }
+        };
+        self.output.drain(..sent);
+        if self.finish && !self.finished && self.output.is_empty() {
+            self.finished = true;
+            // The peer may be gone already; then there is nothing left to end.
+            let _ = self.stream.shutdown(Shutdown::Write);
+        }
+        result
+    }
+
+    /// Too much waits to be written for more to be read from the other side.
+    pub fn is_full(&self) -> bool {
+        self.output.len() >= MAX_UNSENT
+    }
+
+    /// Makes the coming close a reset, as the other side's was.
+    pub fn reset(&self) {
+        // Fails only on a socket that is gone, which needs no reset.
+        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
+}
+
+/// A line without its end.
+pub fn trim_end(line: &[u8]) -> &[u8] {
+    let line = line.strip_suffix(b"\n").unwrap_or(line);
+    line.strip_suffix(b"\r").unwrap_or(line)
+}
--- /dev/null
+++ b/src/net/open_line.rs
@@ -0,0 +1,89 @@
+//! The first line of a client's connection: `OPEN ID KEY name=value,...`.
+
+use super::happening::Wish;
+use cottonnotch::Micros;
+use cottonnotch::names::digest;
+
+/// What is wrong with a first line; the text is what the client is answered.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+pub enum BadLine {
+    #[error("the line is not text")]
+    NotText,
+    #[error("the line is not OPEN ID KEY NAMES")]
+    NotOpen,
+    #[error("no class is named")]
+    NoClass,
+    #[error("the figure of '{0}' cannot be read")]
+    BadFigure(&'static str),
+}
+
+/// A first line, kept as it came so that it can go on unchanged.
+#[derive(Debug)]
+pub struct OpenLine {
+    text: String,
+    /// Where the value of `d` stands in the text.
+    wait: Option<(usize, usize)>,
+}
+
+impl OpenLine {
+    /// Reads a line without its end.
+    pub fn parse(line: &[u8]) -> Result<(OpenLine, Wish), BadLine> {
+        let text = std::str::from_utf8(line).map_err(|_| BadLine::NotText)?;
+        let mut words = text.split(' ');
+        let (verb, id, key, names) = (words.next(), words.next(), words.next(), words.next());
+        let given = |word: Option<&str>| word.is_some_and(|w| !w.is_empty());
+        let names =
+            names.filter(|_| verb == Some("OPEN") && given(id) && given(key) && words.next().is_none());
+        let names = names.ok_or(BadLine::NotOpen)?;
+        let mut wish = Wish {
+            class: String::new(),
+            tenant: None,
+            left: None,
+            load_hint: None,
+            group: None,
+            again: false,
+            at: None,
+        };
+        let mut wait = None;
+        let mut start = text.len() - names.len();
+        for pair in names.split(',') {
+            let (name, value) = pair.split_once('=').ok_or(BadLine::NotOpen)?;
+            match name {
+                "c" => wish.class = value.to_owned(),
+                "t" => wish.tenant = Some(value.to_owned()).filter(|t| !t.is_empty() && t != "-"),
+                "d" => {
+                    let left: u32 = value.parse().map_err(|_| BadLine::BadFigure("d"))?;
+                    wish.left = Some(Micros::from(left) * 1000);
+                    wait = Some((start + 2, start + pair.len()));
+                }
+                "g" => {
+                    wish.group = Some(u64::from_str_radix(value, 16).unwrap_or_else(|_| digest(value)));
+                }
+                "h" => {
+                    let hint = value.parse().ok().filter(|h: &f64| h.is_finite());
+                    wish.load_hint = Some(hint.ok_or(BadLine::BadFigure("h"))?);
+                }
+                "r" | "again" => wish.again |= value == "1",
+                "at" => wish.at = Some(value.to_owned()),
+                _ => {}
+            }
+            start += pair.len() + 1;
+        }
+        if wish.class.is_empty() {
+            return Err(BadLine::NoClass);
+        }
+        Ok((OpenLine { text: text.to_owned(), wait }, wish))
+    }
+
+    /// The line for the subchannel: as it came, but `d` tells how long the proxy will wait.
+    pub fn forwarded(&self, wait: Option<Micros>) -> Vec<u8> {
+        let text = match (self.wait, wait) {
+            (Some((from, to)), Some(wait)) => {
+                let ms = (wait / 1000).max(1);
+                format!("{}{ms}{}\r\n", &self.text[..from], &self.text[to..])
+            }
+            _ => format!("{}\r\n", self.text),
+        };
+        text.into_bytes()
+    }
+}
--- /dev/null
+++ b/src/net/relay.rs
@@ -0,0 +1,148 @@
+//! A connection that is up: lines pass unchanged both ways, and an end on one side ends the other alike.
+
+use super::line::{Fill, LineStream, TooLong, trim_end};
+use cottonnotch::{Micros, Outcome};
+use std::collections::VecDeque;
+
+/// What the relay noticed in the subchannel's lines.
+#[derive(Debug, PartialEq)]
+pub enum Seen {
+    Load(f64),
+    /// A line of the client's was answered after this long.
+    Answered(Micros),
+}
+
+/// How a pass over one direction ended.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Pass {
+    On,
+    /// There may be more to read; to be called again.
+    More,
+    /// The client ended its sending; what the subchannel still sends is passed on.
+    ClientEnded,
+    /// The connection is over; the client's side is to be closed alike.
+    Over {
+        outcome: Outcome,
+        reset: bool,
+    },
+}
+
+/// The subchannel's side of a connection that is up, and what is known of the exchange.
+#[derive(Debug)]
+pub struct Relay {
+    link: LineStream,
+    /// When each line of the client's that is unanswered was passed on.
+    waiting: VecDeque<Micros>,
+    /// What the subchannel's last line makes of an end that follows it.
+    farewell: Option<Outcome>,
+    client_ended: bool,
+}
+
+impl Relay {
+    pub fn new(link: LineStream) -> Self {
+        Relay { link, waiting: VecDeque::new(), farewell: None, client_ended: false }
+    }
+
+    /// For how long the oldest unanswered line has waited.
+    pub fn waiting_for(&self, now: Micros) -> Option<Micros> {
+        self.waiting.front().map(|since| now - since)
+    }
+
+    /// Passes on what the client sent.
+    pub fn pass_client(&mut self, client: &mut LineStream, now: Micros) -> Pass {
+        if self.link.is_full() || self.client_ended {
+            return Pass::On;
+        }
+        let fill = client.fill();
+        loop {
+            match client.take_line() {
+                Ok(Some(line)) => {
+                    self.link.push(&line);
+                    self.waiting.push_back(now);
+                }
+                Ok(None) => break,
+                Err(TooLong) => return self.over(Outcome::Cancelled, false),
+            }
+        }
+        match fill {
+            Fill::Ended => {
+                self.link.push(&client.take_rest());
+                self.link.finish();
+                self.client_ended = true;
+            }
+            Fill::Broken(_) => {
+                self.link.reset();
+                return self.over(Outcome::Cancelled, true);
+            }
+            Fill::Blocked | Fill::More => {}
+        }
+        if self.link.flush().is_err() {
+            // What the subchannel sent before it broke is still to be read; that finds the end.
+            return Pass::On;
+        }
+        match fill {
+            Fill::More => Pass::More,
+            Fill::Ended => Pass::ClientEnded,
+            _ => Pass::On,
+        }
+    }
+
+    /// Passes on what the subchannel sent, and notes what it tells.
+    pub fn pass_subchannel(&mut self, client: &mut LineStream, now: Micros, seen: &mut Vec<Seen>) -> Pass {
+        if client.is_full() {
+            return Pass::On;
+        }
+        let fill = self.link.fill();
+        loop {
+            match self.link.take_line() {
+                Ok(Some(line)) => {
+                    self.note(trim_end(&line), now, seen);
+                    client.push(&line);
+                }
+                Ok(None) => break,
+                Err(TooLong) => return self.over(Outcome::Reset, true),
+            }
+        }
+        let pass = match fill {
+            Fill::Ended => {
+                client.push(&self.link.take_rest());
+                self.over(Outcome::Reset, false)
+            }
+            Fill::Broken(_) => self.over(Outcome::Reset, true),
+            Fill::Blocked => Pass::On,
+            Fill::More => Pass::More,
+        };
+        match client.flush() {
+            Err(_) if !matches!(pass, Pass::Over { .. }) => {
+                self.link.reset();
+                self.over(Outcome::Cancelled, true)
+            }
+            _ => pass,
+        }
+    }
+
+    /// Writes on to the subchannel what did not fit before.
+    pub fn flush(&mut self) {
+        // A broken connection is found by reading.
+        let _ = self.link.flush();
+    }
+
+    fn over(&self, outcome: Outcome, reset: bool) -> Pass {
+        let left = self.client_ended.then_some(Outcome::Cancelled);
+        Pass::Over { outcome: self.farewell.or(left).unwrap_or(outcome), reset }
+    }
+
+    fn note(&mut self, line: &[u8], now: Micros, seen: &mut Vec<Seen>) {
+        self.farewell = None;
+        let mut words = line.split(|b| *b == b' ');
+        match words.next().unwrap_or_default() {
+            b"LOAD" => {
+                let figure = words.next().and_then(|w| std::str::from_utf8(w).ok()?.parse::<f64>().ok());
+                seen.extend(figure.filter(|f| f.is_finite()).map(Seen::Load));
+            }
+            b"BYE" => self.farewell = Some(Outcome::Served),
+            b"MOVE" => self.farewell = Some(Outcome::Cancelled),
+            _ => seen.extend(self.waiting.pop_front().map(|since| Seen::Answered(now - since))),
+        }
+    }
+}
--- /dev/null
+++ b/src/net/resolver_result.rs
@@ -0,0 +1,76 @@
+//! A resolver result: the list of subchannels, or what changed of it, in discovery's JSON form.
+
+use cottonnotch::{Listed, Micros};
+use simd_json::OwnedValue;
+use simd_json::prelude::*;
+use std::net::SocketAddr;
+
+/// One entry of a result.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    pub id: String,
+    /// Where it can be reached; a withdrawn one may have none.
+    pub address: Option<SocketAddr>,
+    pub zone: String,
+    pub cell: u32,
+    pub state: Listed,
+    pub weight: f64,
+    pub started: Option<Micros>,
+}
+
+/// A list, or changes of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ResolverResult {
+    pub revision: u64,
+    /// All members are named; those that are not are gone.
+    pub complete: bool,
+    pub members: Vec<Member>,
+}
+
+/// What is wrong with a result. A result is taken whole or not at all: half a list would drop members.
+#[derive(Debug, thiserror::Error)]
+pub enum BadResult {
+    #[error("it is not JSON: {0}")]
+    NotJson(#[from] simd_json::Error),
+    #[error("'{0}' is missing or of the wrong kind")]
+    Field(&'static str),
+    #[error("member {0}: '{1}' is missing or of the wrong kind")]
+    Member(usize, &'static str),
+}
+
+impl ResolverResult {
+    /// Reads one JSON text; the buffer is used up.
+    pub fn parse(text: &mut [u8]) -> Result<Self, BadResult> {
+        Self::from_json(&simd_json::to_owned_value(text)?)
+    }
+
+    /// Reads a value.
+    pub fn from_json(json: &OwnedValue) -> Result<Self, BadResult> {
+        let revision = json.get_u64("revision").ok_or(BadResult::Field("revision"))?;
+        let complete = json.get_bool("complete").ok_or(BadResult::Field("complete"))?;
+        let members = json.get_array("members").ok_or(BadResult::Field("members"))?;
+        let members =
+            members.iter().enumerate().map(|(i, m)| member(m).map_err(|field| BadResult::Member(i, field)));
+        Ok(ResolverResult { revision, complete, members: members.collect::<Result<_, _>>()? })
+    }
+}
+
+fn member(json: &OwnedValue) -> Result<Member, &'static str> {
+    let id = json.get_str("id").filter(|id| !id.is_empty()).ok_or("id")?;
+    let state = match json.get_str("phase") {
+        Some("up") => Listed::Ready,
+        Some("draining") => Listed::Draining,
+        Some("removed") => Listed::Gone,
+        _ => return Err("phase"),
+    };
+    let address = json.get_str("host_port").map(str::parse).transpose().map_err(|_| "host_port")?;
+    if address.is_none() && state != Listed::Gone {
+        return Err("host_port");
+    }
+    let zone = json.get_str("locality").unwrap_or("").to_owned();
+    let cell = json.get("cell").map_or(Some(0), |c| c.as_u32()).ok_or("cell")?;
+    let weight = json.get("size").map_or(Some(1.0), |s| s.cast_f64()).ok_or("size")?;
+    let started = json.get("up_since_ms").map_or(Some(0), |u| u.as_u64()).ok_or("up_since_ms")?;
+    let started = (started != 0).then(|| Micros::try_from(started).ok()?.checked_mul(1000)).flatten();
+    Ok(Member { id: id.to_owned(), address, zone, cell, state, weight, started })
+}
--- /dev/null
+++ b/src/net/rpc.rs
@@ -0,0 +1,366 @@
+//! A client's RPC: the line protocol in front of the decisions, as an explicit state machine.
+
+use super::call_attempt::{CallAttempt, Progress};
+use super::happening::{AttemptOrder, Front, Happening};
+use super::invariant::invariant;
+use super::line::{Fill, LineStream, trim_end};
+use super::open_line::OpenLine;
+use super::reactor::{Connection, Io, Key, Leg};
+use super::relay::{Pass, Relay, Seen};
+use cottonnotch::{Micros, Outcome};
+use mio::net::TcpStream;
+use std::io;
+
+/// A connection that says nothing for this long before its first line is closed.
+const FIRST_LINE_WITHIN: Micros = 30_000_000;
+/// A client that was answered is given this long to close first: a close with its bytes unread would reset
+/// the connection and could take the answer with it.
+const LINGER: Micros = 1_000_000;
+/// A client's line unanswered for this long: the subchannel is silent, and the client is moved. The protocol
+/// allows 7 s.
+const SILENT: Micros = 5_500_000;
+/// After the client's end, the subchannel is given this long to end too.
+const FAR_END_WITHIN: Micros = 2_000_000;
+
+/// The timers of an RPC.
+const IDLE: u32 = 0;
+const ATTEMPT: u32 = 1;
+const SILENCE: u32 = 2;
+const CLOSE: u32 = 3;
+
+#[derive(Debug)]
+enum State {
+    /// The first line is not there yet.
+    Reading { since: Micros },
+    /// A final answer is owed, and no attempt is out.
+    Held,
+    /// A call attempt is out.
+    Attempting(Box<CallAttempt>),
+    /// Served: lines are relayed.
+    Up(Box<Relay>),
+    /// The final answer is given, or the connection is over; the client's end is awaited.
+    Answered,
+    /// Nothing is left to do.
+    Closed,
+}
+
+/// A client's connection, with the call attempt or relay behind it.
+#[derive(Debug)]
+pub struct Rpc {
+    key: Key,
+    client: LineStream,
+    state: State,
+    line: Option<OpenLine>,
+    deadline: Option<Micros>,
+}
+
+impl Rpc {
+    /// Takes over an accepted connection.
+    pub fn accepted(stream: TcpStream, key: Key, io: &mut Io) -> io::Result<Self> {
+        let client = LineStream::accepted(stream, io, key)?;
+        let since = io.now();
+        io.timer(since + FIRST_LINE_WITHIN, key, IDLE);
+        Ok(Rpc { key, client, state: State::Reading { since }, line: None, deadline: None })
+    }
+
+    /// Takes over an accepted connection for which there is no room: it is turned away at once.
+    pub fn turned_away(stream: TcpStream, key: Key, io: &mut Io, retry_after: Micros) -> io::Result<Self> {
+        let mut rpc = Self::accepted(stream, key, io)?;
+        rpc.answer(io, &busy(retry_after));
+        Ok(rpc)
+    }
+
+    /// Writes the client's last line and ends our sending.
+    fn answer(&mut self, io: &mut Io, line: &str) {
+        self.client.push(line.as_bytes());
+        self.end_client(io);
+    }
+
+    fn end_client(&mut self, io: &mut Io) {
+        self.client.finish();
+        // Dropping the state closes the call attempt or the relay's far side.
+        self.state = match self.client.flush() {
+            Ok(_) => State::Answered,
+            Err(_) => State::Closed,
+        };
+        io.timer(io.now() + LINGER, self.key, CLOSE);
+    }
+
+    fn first_line(&mut self, io: &mut Io) {
+        loop {
+            let fill = self.client.fill();
+            match self.client.take_line() {
+                Ok(Some(line)) => match trim_end(&line) {
+                    b"PING" => {
+                        self.client.push(b"PONG\r\n");
+                        if self.client.flush().is_err() {
+                            self.state = State::Closed;
+                            return;
+                        }
+                        self.state = State::Reading { since: io.now() };
+                    }
+                    line => return self.opened(io, line),
+                },
+                Err(error) => return self.answer(io, &format!("ERR {error}\r\n")),
+                Ok(None) => match fill {
+                    Fill::Blocked => return,
+                    Fill::More => return io.call_again(self.key, Leg::Near),
+                    Fill::Ended | Fill::Broken(_) => {
+                        self.state = State::Closed;
+                        return;
+                    }
+                },
+            }
+        }
+    }
+
+    fn opened(&mut self, io: &mut Io, line: &[u8]) {
+        match OpenLine::parse(line) {
+            Ok((line, wish)) => {
+                self.deadline = wish.left.map(|left| io.now() + left);
+                self.line = Some(line);
+                self.state = State::Held;
+                io.tell(Happening::Asked(self.key, wish));
+                // The client's end may have come with the line; an edge is told once.
+                io.call_again(self.key, Leg::Near);
+            }
+            Err(error) => {
+                // Guards against a client's rubbish: it costs one line and is never passed on, where a
+                // subchannel would answer SYNTAX.
+                log::warn!("malformed first line: {error}");
+                self.answer(io, &format!("ERR {error}\r\n"));
+            }
+        }
+    }
+
+    /// While no answer is given, the client's side is read only to see whether it left.
+    fn watch_client(&mut self, io: &mut Io) {
+        if let Fill::Ended | Fill::Broken(_) = self.client.fill() {
+            self.state = State::Closed;
+            io.tell(Happening::ClientGone { rpc: self.key });
+        }
+    }
+
+    fn advance(&mut self, io: &mut Io) {
+        let State::Attempting(attempt) = &mut self.state else { return };
+        match attempt.advance() {
+            Progress::Pending => {}
+            Progress::Again => io.call_again(self.key, Leg::Far),
+            Progress::Ended(outcome) => self.attempt_ended(io, outcome),
+            Progress::Up(line) => {
+                let elapsed = attempt.elapsed(io.now());
+                self.client.push(&line);
+                let State::Attempting(attempt) = std::mem::replace(&mut self.state, State::Closed) else {
+                    return;
+                };
+                self.state = State::Up(Box::new(Relay::new(attempt.into_link())));
+                io.tell(Happening::Up { rpc: self.key, elapsed });
+                // Either side may have sent more already.
+                self.relay(io, Leg::Far);
+                self.relay(io, Leg::Near);
+            }
+        }
+    }
+
+    fn attempt_ended(&mut self, io: &mut Io, outcome: Outcome) {
+        // Dropping the attempt closes its connection: never two attempts out.
+        self.state = State::Held;
+        io.tell(Happening::AttemptEnded { rpc: self.key, outcome });
+    }
+
+    fn relay(&mut self, io: &mut Io, from: Leg) {
+        let State::Up(relay) = &mut self.state else { return };
+        let now = io.now();
+        let idle = relay.waiting_for(now).is_none();
+        let mut seen = Vec::new();
+        let pass = match from {
+            Leg::Near => relay.pass_client(&mut self.client, now),
+            Leg::Far => relay.pass_subchannel(&mut self.client, now, &mut seen),
+        };
+        if idle && relay.waiting_for(now).is_some() {
+            io.timer(now + SILENT, self.key, SILENCE);
+        }
+        for seen in seen {
+            io.tell(match seen {
+                Seen::Load(load) => Happening::Load { rpc: self.key, load },
+                Seen::Answered(delay) => Happening::Message { rpc: self.key, delay },
+            });
+        }
+        match pass {
+            Pass::On => {}
+            Pass::More => io.call_again(self.key, from),
+            Pass::ClientEnded => io.timer(now + FAR_END_WITHIN, self.key, CLOSE),
+            Pass::Over { outcome, reset } => self.over(io, outcome, reset),
+        }
+    }
+
+    /// The connection is over; the client's side ends as the subchannel's did.
+    fn over(&mut self, io: &mut Io, outcome: Outcome, reset: bool) {
+        io.tell(Happening::Ended { rpc: self.key, outcome });
+        if reset {
+            self.client.reset();
+            self.state = State::Closed;
+        } else {
+            self.end_client(io);
+        }
+    }
+}
+
+fn busy(retry_after: Micros) -> String {
+    match retry_after {
+        0 => "BUSY\r\n".to_owned(),
+        after => format!("BUSY {}\r\n", (after + 999) / 1000),
+    }
+}
+
+impl Connection for Rpc {
+    fn readable(&mut self, io: &mut Io, leg: Leg) {
+        match (&self.state, leg) {
+            (State::Reading { .. }, Leg::Near) => self.first_line(io),
+            (State::Held | State::Attempting(_), Leg::Near) => self.watch_client(io),
+            (State::Attempting(_), Leg::Far) => self.advance(io),
+            (State::Up(_), leg) => self.relay(io, leg),
+            (State::Answered, Leg::Near) => match self.client.fill() {
+                Fill::Ended | Fill::Broken(_) => self.state = State::Closed,
+                Fill::More => io.call_again(self.key, Leg::Near),
+                Fill::Blocked => drop(self.client.take_rest()),
+            },
+            // Left over from an attempt that is closed.
+            (_, _) => {}
+        }
+    }
+
+    fn writable(&mut self, io: &mut Io, leg: Leg) {
+        match (&mut self.state, leg) {
+            (State::Attempting(_), Leg::Far) => self.advance(io),
+            (State::Up(relay), Leg::Far) => {
+                relay.flush();
+                // The client may have been left unread while this side was full.
+                io.call_again(self.key, Leg::Near);
+            }
+            (State::Up(_), Leg::Near) => {
+                // A broken connection is found by reading.
+                let _ = self.client.flush();
+                io.call_again(self.key, Leg::Far);
+            }
+            (_, Leg::Near) => {
+                if self.client.flush().is_err() && matches!(self.state, State::Answered) {
+                    self.state = State::Closed;
+                }
+            }
+            (_, Leg::Far) => {}
+        }
+    }
+
+    fn timer(&mut self, io: &mut Io, timer: u32) {
+        let now = io.now();
+        match (timer, &self.state) {
+            (IDLE, State::Reading { since }) => {
+                let due = since + FIRST_LINE_WITHIN;
+                if due <= now {
+                    self.state = State::Closed;
+                } else {
+                    io.timer(due, self.key, IDLE);
+                }
+            }
+            (ATTEMPT, State::Attempting(attempt)) => match attempt.overdue(now) {
+                Some(outcome) => self.attempt_ended(io, outcome),
+                None => {
+                    if let Some(due) = attempt.due() {
+                        io.timer(due.max(now), self.key, ATTEMPT);
+                    }
+                }
+            },
+            (SILENCE, State::Up(relay)) => match relay.waiting_for(now) {
+                // Guards against a subchannel that hangs or was cut off: its connections stay open and
+                // silent, and TCP does not notice.
+                Some(waited) if waited >= SILENT => {
+                    log::info!("subchannel silent for {} ms, client moved", waited / 1000);
+                    self.move_away(io);
+                    io.tell(Happening::Ended { rpc: self.key, outcome: Outcome::Reset });
+                }
+                Some(waited) => io.timer(now + SILENT - waited, self.key, SILENCE),
+                None => {}
+            },
+            (CLOSE, State::Answered) => self.state = State::Closed,
+            (CLOSE, State::Up(_)) => {
+                io.tell(Happening::Ended { rpc: self.key, outcome: Outcome::Cancelled });
+                self.state = State::Closed;
+            }
+            _ => {}
+        }
+    }
+
+    fn done(&self) -> bool {
+        matches!(self.state, State::Closed)
+    }
+
+    fn front(&mut self) -> Option<&mut dyn Front> {
+        Some(self)
+    }
+}
+
+impl Front for Rpc {
+    fn attempt(&mut self, io: &mut Io, order: AttemptOrder) -> bool {
+        if !invariant!(matches!(self.state, State::Held), "an attempt begins when none is out") {
+            return false;
+        }
+        let Some(line) = &self.line else { return false };
+        let now = io.now();
+        let timeout = (order.timeout > 0).then(|| now + order.timeout);
+        let until = [timeout, self.deadline].into_iter().flatten().min();
+        let line = line.forwarded(until.map(|until| until - now));
+        match CallAttempt::start(io, self.key, &order, &line, until) {
+            Ok(attempt) => {
+                if let Some(due) = attempt.due() {
+                    io.timer(due, self.key, ATTEMPT);
+                }
+                self.state = State::Attempting(Box::new(attempt));
+                true
+            }
+            Err(error) => {
+                log::warn!("call attempt to {} could not begin: {error}", order.address);
+                false
+            }
+        }
+    }
+
+    fn refuse(&mut self, io: &mut Io, retry_after: Micros) {
+        if invariant!(matches!(self.state, State::Held), "a refusal is the only answer") {
+            self.answer(io, &busy(retry_after));
+        }
+    }
+
+    fn fail(&mut self, io: &mut Io, why: &str) {
+        if invariant!(matches!(self.state, State::Held), "a failure is the only answer") {
+            self.answer(io, &format!("ERR {why}\r\n"));
+        }
+    }
+
+    fn move_away(&mut self, io: &mut Io) -> bool {
+        let up = matches!(self.state, State::Up(_));
+        if up {
+            // Only whole lines are queued for the client, so this falls between two.
+            self.answer(io, "MOVE\r\n");
+        }
+        up
+    }
+
+    fn abandon(&mut self, io: &mut Io) {
+        match self.state {
+            State::Up(_) => {
+                self.move_away(io);
+            }
+            // Dropping an attempt closes it first.
+            State::Held | State::Attempting(_) => self.answer(io, &busy(0)),
+            _ => {}
+        }
+    }
+
+    fn waiting_for(&self, now: Micros) -> Option<Micros> {
+        match &self.state {
+            State::Up(relay) => relay.waiting_for(now),
+            _ => None,
+        }
+    }
+}
--- a/src/bin/cottonnotch-simhost/settings.rs
+++ b/src/settings.rs
@@ -1,37 +1,60 @@
-//! The settings of the first message, read into the module's own terms. Unknown keys are ignored.
+//! The settings' names and units, read into the module's own terms: the one mapping that the adapter (the
+//! simulator's first message) and the proxy (its configuration) share. Unknown keys are ignored.
 
-use crate::wire::{Bad, Names, bad};
-use cottonnotch::{Class, Effect, Micros, Scope, Settings, Tenant, ZoneId};
+use crate::interface::{Class, Effect, Micros, Scope, Settings, Tenant, ZoneId};
+use crate::names::Names;
 use std::collections::HashMap;
 
 /// The module's settings, and the names that the wire uses.
+#[derive(Debug)]
 pub struct Profile {
+    /// What the module is started with.
     pub settings: Settings,
+    /// Classes, numbered as in the settings.
     pub classes: Names,
+    /// Tenants, numbered as in the settings.
     pub tenants: Names,
+    /// Zones, numbered as in the settings; a list may name more.
     pub zones: Names,
+    /// A connection that is not up after this long could not be made.
+    pub connect_timeout: Micros,
 }
 
-struct Pairs<'a>(HashMap<&'a str, &'a str>);
+/// A setting that cannot be used: its key, and the trouble with its value.
+#[derive(Debug, PartialEq, Eq)]
+pub struct BadSetting {
+    /// The faulty key, by its full path.
+    pub key: String,
+    /// What is wrong, to be read after the key.
+    pub trouble: String,
+}
+
+/// Settings as flat pairs of a path and a value: a list of plain values is joined with commas; a list of
+/// objects has its length under `.count` and its items under `.0`, `.1` ...
+#[derive(Debug, Default)]
+pub struct Pairs(pub HashMap<String, String>);
 
-impl<'a> Pairs<'a> {
-    fn text(&self, key: &str) -> Option<&'a str> {
-        self.0.get(key).copied().filter(|v| !v.is_empty() && *v != "-")
+impl Pairs {
+    fn text(&self, key: &str) -> Option<&str> {
+        self.0.get(key).map(String::as_str).filter(|v| !v.is_empty() && *v != "-")
     }
 
-    fn figure(&self, key: &str, default: f64) -> Result<f64, Bad> {
+    fn figure(&self, key: &str, default: f64) -> Result<f64, BadSetting> {
         let Some(text) = self.text(key) else { return Ok(default) };
         match text.parse::<f64>() {
             Ok(value) if value.is_finite() => Ok(value),
-            _ => bad("profileData", format!("{key} is not a number: '{}'", crate::wire::short(text))),
+            _ => {
+                let short: String = text.chars().take(40).collect();
+                Err(BadSetting { key: key.to_owned(), trouble: format!("is not a number: '{short}'") })
+            }
         }
     }
 
-    fn time(&self, key: &str, default: Micros) -> Result<Micros, Bad> {
+    fn time(&self, key: &str, default: Micros) -> Result<Micros, BadSetting> {
         Ok(self.figure(key, default as f64)?.clamp(-4e15, 4e15) as Micros)
     }
 
-    fn count(&self, key: &str, default: u32) -> Result<u32, Bad> {
+    fn count(&self, key: &str, default: u32) -> Result<u32, BadSetting> {
         Ok(self.figure(key, f64::from(default))?.clamp(0.0, 4e9) as u32)
     }
 
@@ -39,20 +62,13 @@
         matches!(self.text(key), Some("true" | "1"))
     }
 
-    fn list(&self, key: &str) -> Vec<&'a str> {
+    fn list(&self, key: &str) -> Vec<&str> {
         self.text(key).map(|v| v.split(',').collect()).unwrap_or_default()
     }
 }
 
-pub fn read(text: &str) -> Result<Profile, Bad> {
-    let mut pairs = HashMap::new();
-    for pair in text.split('\t').filter(|p| !p.is_empty() && *p != "-") {
-        match pair.split_once('=') {
-            Some((key, value)) => pairs.insert(key, value),
-            None => return bad("profileData", format!("has no '=' in '{}'", crate::wire::short(pair))),
-        };
-    }
-    let pairs = Pairs(pairs);
+/// Reads flat pairs into the module's terms.
+pub fn read(pairs: &Pairs) -> Result<Profile, BadSetting> {
     let (mut classes, mut tenants, mut zones) = (Names::default(), Names::default(), Names::default());
     for zone in pairs.list("zones") {
         zones.intern(zone);
@@ -122,5 +138,6 @@
         probe_price: pairs.figure("prices.probe", 0.0)?,
         move_price: pairs.figure("prices.moves", 0.0)?,
     };
-    Ok(Profile { settings, classes, tenants, zones })
+    let connect_timeout = pairs.time("policyLimits.connectTimeout", 250_000)?;
+    Ok(Profile { settings, classes, tenants, zones, connect_timeout })
 }
