Move a draining server's clients bit by bit within 2 s of the notice

Nothing moved them before: the server sent some away itself and cut the rest off as it left. The drain timer that the design leaves open is now in the module (drain() in src/policy.rs), on even rounds with chance, so that a node with few connections there doesn't move one each round.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -38,6 +38,17 @@
     Cell,
 }
 
+impl Scope {
+    /// A server of the one zone and cell does not drop what one of the other zone and cell may have run.
+    pub fn parts(self, one: (ZoneId, u32), other: (ZoneId, u32)) -> bool {
+        match self {
+            Scope::All => false,
+            Scope::Zone => one.0 != other.0,
+            Scope::Cell => one.1 != other.1,
+        }
+    }
+}
+
 /// What repeating a request does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -54,6 +65,22 @@
     Unsafe,
 }
 
+impl Effect {
+    /// Whether a repeat is allowed this long after the first send that may have run.
+    pub fn may_repeat(self, age: Micros) -> bool {
+        match self {
+            Effect::Safe => true,
+            Effect::Keyed { window, .. } => age < window,
+            Effect::Unsafe => false,
+        }
+    }
+
+    /// Whether a refusal is allowed though an attempt may have run.
+    pub fn may_refuse(self) -> bool {
+        matches!(self, Effect::Safe | Effect::Keyed { scope: Scope::All, .. })
+    }
+}
+
 /// A class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
@@ -127,6 +154,25 @@
     pub move_price: f64,
 }
 
+impl Settings {
+    /// What a repeat does in a class; an unknown one is treated as what allows least.
+    pub fn effect(&self, class: usize) -> Effect {
+        self.classes.get(class).map_or(Effect::Unsafe, |c| c.effect)
+    }
+
+    /// The shortest wanted time of a message, if any class states one.
+    pub fn shortest_aim(&self) -> Option<Micros> {
+        self.classes.iter().map(|c| c.message_aim).filter(|aim| *aim > 0).min()
+    }
+
+    /// The part of its capacity that a server has for certain, this long after its start.
+    pub fn share_at(&self, age: Micros) -> f64 {
+        let from = self.cold_from.clamp(0.05, 1.0);
+        let warmth = age.max(0) as f64 / self.warm_up.max(1) as f64;
+        from + (1.0 - from) * warmth.min(1.0)
+    }
+}
+
 /// State of a server in the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listed {
@@ -197,6 +243,13 @@
     NotSent,
 }
 
+impl Outcome {
+    /// The outcome proves that the attempt never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent)
+    }
+}
+
 /// What an instance is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
--- a/src/names.rs
+++ b/src/names.rs
@@ -36,3 +36,10 @@
 pub fn digest(name: &str) -> u64 {
     name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
+
+/// A number from 0 to 1 that looks random, the same for the same `x` at every node.
+pub fn unit(mut x: u64) -> f64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    ((x ^ (x >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+}
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -92,7 +92,7 @@
         reactor.insert(Signals::register)?;
         let now = reactor.io.now();
         let settings = config.profile.settings.clone();
-        let shortest = settings.classes.iter().map(|c| c.message_aim).filter(|aim| *aim > 0).min();
+        let shortest = settings.shortest_aim();
         let delays = MessageDelays::new(settings.nodes, shortest, settings.weighted);
         let mut driver = Driver {
             balancer: Balancer::new(settings, config.seed, now),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,6 +5,7 @@
 //! are held, and refused early when they cannot wait. What else is here is an exception to that.
 
 use crate::interface::*;
+use crate::names::unit;
 use std::collections::BTreeMap;
 
 /// Pauses end at marks of this clock, as PIP-385's quotas do.
@@ -40,16 +41,21 @@
 /// A call for the list that has had no answer for this long counts as lost.
 const LIST_SILENCE: Micros = 15 * SECOND;
 
-/// Timers: held connections may be tried again; the list is to be asked for.
+/// A draining server's connections are moved within this time, a part each round: what stays is cut off.
+const DRAIN_WITHIN: Micros = 2 * SECOND;
+const DRAIN_ROUND: Micros = SECOND / 10;
+
+/// Timers: held connections may be tried again; the list is to be asked for; draining servers' next round.
 const WAKE: u32 = 0;
 const LIST: u32 = 1;
+const DRAIN: u32 = 2;
 
 #[derive(Clone, Debug, Default)]
 struct Server {
     /// Takes new connections, as far as the list tells.
     ready: bool,
-    zone: ZoneId,
-    cell: u32,
+    /// Its zone and cell.
+    spot: (ZoneId, u32),
     weight: f64,
     started: Option<Micros>,
     digest: u64,
@@ -70,8 +76,9 @@
     /// New connections that it may get while cold or strained, and when that was last reckoned.
     budget: f64,
     filled: Micros,
-    /// This node's established connections there.
+    /// This node's established connections there; when they are to have left.
     open: Vec<RequestId>,
+    leave_by: Option<Micros>,
 }
 
 #[derive(Clone, Debug)]
@@ -102,6 +109,7 @@
     held: Vec<RequestId>,
     rotation: f64,
     wake: Option<Micros>,
+    drain_due: Option<Micros>,
     /// When the list is to be asked for (again), if that stands out.
     list_due: Option<Micros>,
     list_failures: u32,
@@ -166,6 +174,7 @@
                 out.push(Action::Watch);
                 self.ask_list_in(now, LIST_SILENCE, out);
             }
+            Event::Timer(DRAIN) if self.drain_due.is_some_and(|at| at <= now) => self.drain(now, out),
             Event::Probed { .. } | Event::Peer { .. } | Event::Timer(_) => {}
         }
     }
@@ -191,9 +200,27 @@
         let ids = 0..self.servers.len() as u32;
         self.ready = ids.map(ServerId).filter(|id| self.server(*id).is_some_and(|s| s.ready)).collect();
         self.total_weight = self.ready.iter().filter_map(|id| self.server(*id)).map(|s| s.weight).sum();
+        self.drain(now, out);
         self.release_held(now, out);
     }
 
+    /// Moves an even part of what is left on each draining server, so that the clients come again bit by bit.
+    fn drain(&mut self, now: Micros, out: &mut Vec<Action>) {
+        if self.drain_due.is_some_and(|at| at > now) {
+            return;
+        }
+        self.drain_due = None;
+        let chance = self.random() * 0.999;
+        for s in &mut self.servers {
+            let Some(until) = s.leave_by else { continue };
+            let rounds = ((until - now).max(0) / DRAIN_ROUND) as f64 + 1.0;
+            let kept = s.open.len() - (s.open.len() as f64 / rounds + chance) as usize;
+            out.extend(s.open.drain(kept..).map(Action::Move));
+            self.drain_due = self.drain_due.or((kept > 0 || now < until).then_some(now + DRAIN_ROUND));
+        }
+        out.extend(self.drain_due.map(|_| Action::Timer { after: DRAIN_ROUND, token: DRAIN }));
+    }
+
     fn entry(&mut self, now: Micros, entry: Entry) {
         let index = entry.server.0 as usize;
         if index >= self.servers.len() {
@@ -214,8 +241,9 @@
             *known = Server { digest, place, turn, budget: place, filled: now, open, ..Server::default() };
         }
         known.ready = entry.state == Listed::Ready;
-        (known.zone, known.cell, known.weight, known.started) =
-            (entry.zone, entry.cell, weight, entry.started);
+        let draining = entry.state == Listed::Draining;
+        known.leave_by = draining.then(|| known.leave_by.unwrap_or(now + DRAIN_WITHIN));
+        (known.spot, known.weight, known.started) = ((entry.zone, entry.cell), weight, entry.started);
     }
 
     fn ask_list_in(&mut self, now: Micros, after: Micros, out: &mut Vec<Action>) {
@@ -245,11 +273,8 @@
         let last_call =
             job.deadline.map_or(job.arrived + SECOND, |at| at.saturating_sub(ANSWER_MARGIN + LEAST_TRY));
         // No effect twice: also what was held meanwhile is repeated only within its window.
-        let repeatable = match (self.effect(job), job.may_have_run) {
-            (Effect::Safe, _) | (_, None) => true,
-            (Effect::Keyed { window, .. }, Some((_, sent))) => now - sent < window,
-            (Effect::Unsafe, Some(_)) => false,
-        };
+        let effect = self.settings.effect(job.class);
+        let repeatable = job.may_have_run.is_none_or(|(_, sent)| effect.may_repeat(now - sent));
         let spent = job.sent >= self.settings.max_attempts || left.is_some_and(|left| left < LEAST_TRY);
         if spent || !repeatable {
             return self.answer(now, id, out);
@@ -286,11 +311,7 @@
     /// The final answer to what cannot be placed: a refusal where that may be said.
     fn answer(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let refusable = match (self.effect(job), job.may_have_run) {
-            (Effect::Safe, _) | (_, None) => true,
-            (Effect::Keyed { scope, .. }, _) => scope == Scope::All,
-            (Effect::Unsafe, _) => false,
-        };
+        let refusable = job.may_have_run.is_none() || self.settings.effect(job.class).may_refuse();
         let longest = if self.settings.retry_after { self.settings.max_retry_after } else { 0 };
         let retry_after = (self.next_chance(now) - now).min(longest);
         out.push(if refusable { Action::Refuse { request: id, retry_after } } else { Action::Fail(id) });
@@ -300,8 +321,7 @@
     fn again(&mut self, now: Micros, id: RequestId, at: ServerId, outcome: Outcome, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&id).filter(|job| job.at == Some(at)) else { return };
         job.at = None;
-        let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
-        if !never_ran && job.may_have_run.is_none() {
+        if !outcome.never_ran() && job.may_have_run.is_none() {
             job.may_have_run = Some((at, job.last_sent));
         }
         self.dispatch(now, id, out);
@@ -336,10 +356,8 @@
             return None;
         }
         let job = self.jobs.get(&id)?;
-        let repeats = match (self.effect(job), job.may_have_run) {
-            (Effect::Keyed { scope, .. }, Some((at, _))) => {
-                Some((scope, self.server(at)?.zone, self.server(at)?.cell))
-            }
+        let repeats = match (self.settings.effect(job.class), job.may_have_run) {
+            (Effect::Keyed { scope, .. }, Some((at, _))) => Some((scope, self.server(at)?.spot)),
             _ => None,
         };
         let group = job.group.filter(|_| self.settings.groups && repeats.is_none());
@@ -382,11 +400,7 @@
                 s.budget = (s.budget + rate * (now - s.filled).max(0) as f64 / SECOND as f64).min(1.0);
             }
             s.filled = now;
-            let outside = match repeats {
-                Some((Scope::Zone, zone, _)) => s.zone != zone,
-                Some((Scope::Cell, _, cell)) => s.cell != cell,
-                _ => false,
-            };
+            let outside = repeats.is_some_and(|(scope, spot)| scope.parts(s.spot, spot));
             if outside
                 || s.half_open && s.trial.is_some()
                 || bound.is_some() && s.budget < 1.0
@@ -494,7 +508,7 @@
     /// Messages at a server take long: work has piled up there, though it refuses nothing. A note comes
     /// once a second while that lasts, so the pause reaches to the mark after the next note.
     fn delayed(&mut self, now: Micros, at: ServerId, delay: Micros, out: &mut Vec<Action>) {
-        let shortest = self.settings.classes.iter().map(|c| c.message_aim).filter(|aim| *aim > 0).min();
+        let shortest = self.settings.shortest_aim();
         let chance = self.random();
         let (jobs, settings) = (&self.jobs, &self.settings);
         let Some(s) = self.servers.get_mut(at.0 as usize) else { return };
@@ -526,10 +540,6 @@
         self.servers.get_mut(id.0 as usize)
     }
 
-    fn effect(&self, job: &Job) -> Effect {
-        self.settings.classes.get(job.class).map_or(Effect::Unsafe, |c| c.effect)
-    }
-
     fn random(&mut self) -> f64 {
         self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
         unit(self.random)
@@ -568,20 +578,10 @@
 /// bound. Guards against bursts: after a reconnect storm the turns of a cold server alone would push it
 /// over, and trials by many nodes keep a full server full. Each node keeps to its part of the usual.
 fn bound(settings: &Settings, now: Micros, (usual, fill): (f64, f64), s: &Server) -> Option<f64> {
-    let from = settings.cold_from.clamp(0.05, 1.0);
-    let warmth =
-        s.started.map_or(1.0, |at| now.saturating_sub(at).max(0) as f64 / settings.warm_up.max(1) as f64);
-    let share = from + (1.0 - from) * warmth.min(1.0);
+    let share = s.started.map_or(1.0, |at| settings.share_at(now.saturating_sub(at)));
     let cold = (share < 1.0).then_some(share * settings.fall_multiple.max(1.0) * COLD_BUDGET_USED * fill);
     let since = s.strained.map(|at| (now - at).max(0)).filter(|since| *since < EASE);
     let eased = since.map(|since| usual * EASE_FROM * (1.0 + since as f64 / SECOND as f64));
     let rate = cold.unwrap_or(f64::INFINITY).min(eased.unwrap_or(f64::INFINITY));
     rate.is_finite().then_some(rate * s.weight)
 }
-
-/// A number from 0 to 1 that looks random, the same for the same `x` at every node.
-fn unit(mut x: u64) -> f64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    ((x ^ (x >> 31)) >> 11) as f64 / (1u64 << 53) as f64
-}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -113,6 +113,15 @@
         }
     }
 
+    /// Ids of the requests that were last sent to `server`.
+    pub fn placed_at(&self, server: ServerId) -> Vec<u64> {
+        let to = |a: &Action| match a {
+            Action::Send { request, server: at, .. } if *at == server => Some(request.0),
+            _ => None,
+        };
+        self.done.iter().filter_map(to).collect()
+    }
+
     /// Asks, and takes the server that the request was sent to.
     pub fn place(&mut self, id: u64) -> ServerId {
         sent(&self.ask(id, 2 * S)).expect("the request is sent").0
@@ -133,3 +142,8 @@
 pub fn failed(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::Fail(_)))
 }
+
+pub fn moves(actions: &[Action]) -> Vec<u64> {
+    let moved = |a: &Action| if let Action::Move(request) = a { Some(request.0) } else { None };
+    actions.iter().filter_map(moved).collect()
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -395,3 +395,21 @@
     }
     assert!((3..=20).contains(&sends), "{sends} attempts in two seconds at 2 a second usual");
 }
+
+/// Guards against a draining server's clients being cut off, and against them coming again all at once.
+#[test]
+fn a_draining_servers_clients_are_moved_bit_by_bit_before_it_leaves() {
+    let mut node = Node::new(settings(Effect::Safe), 2);
+    node.carry(0..20, 50 * MS);
+    let there = node.placed_at(ServerId(0));
+    assert!(there.len() >= 8, "{there:?}");
+    let draining = Event::List { full: false, copy: false, entries: vec![entry(0, Listed::Draining)] };
+    let mut moved = moves(&node.tell(draining));
+    assert!(moved.len() <= 1, "not at once: {moved:?}");
+    let told = node.now;
+    moved.extend(moves(&node.run_to(told + S)));
+    assert!((2..there.len()).contains(&moved.len()), "spread over the time: {moved:?}");
+    moved.extend(moves(&node.run_to(told + 2 * S + 200 * MS)));
+    moved.sort_unstable();
+    assert_eq!(moved, there, "each is told to move, once, and no other server's");
+}
