--- a/src/main.rs
+++ b/src/main.rs
@@ -17,9 +17,9 @@
             return ExitCode::from(2);
         }
     };
-    let (name, listen) = (config.name.clone(), config.listen);
+    let name = config.name.clone();
     let served = Driver::start(config).and_then(|mut driver| {
-        log::info!("{name} listens on {listen}");
+        log::info!("{name} listens on {}", driver.address());
         driver.run()
     });
     match served {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -32,6 +32,9 @@
 /// A connection that was open before the start is tried again after this, until its client gives up.
 const REOPEN_AFTER: Micros = 200_000;
 
+/// The module's word that it holds RPCs is logged at most this often.
+const HOLDING_EVERY: Micros = 10_000_000;
+
 /// Timers: the module's tokens are below these.
 const TICK: u32 = 1 << 16;
 const ROUND: u32 = TICK + 1;
@@ -67,6 +70,7 @@
 
 /// Everything that one proxy holds.
 pub struct Driver {
+    address: SocketAddr,
     reactor: Reactor,
     balancer: Balancer,
     config: Config,
@@ -82,19 +86,26 @@
     pending: VecDeque<Event>,
     shutdown: Option<Shutdown>,
     delays: MessageDelays,
+    holding_logged: Micros,
 }
 
 impl Driver {
     /// Opens the sockets and starts the module.
     pub fn start(config: Config) -> io::Result<Self> {
         let mut reactor = Reactor::new()?;
-        reactor.insert(|key, io| Listener::bind(config.listen, key, io))?;
+        let mut address = config.listen;
+        reactor.insert(|key, io| {
+            let listener = Listener::bind(config.listen, key, io)?;
+            address = listener.address()?;
+            Ok(listener)
+        })?;
         reactor.insert(Signals::register)?;
         let now = reactor.io.now();
         let settings = config.profile.settings.clone();
         let shortest = settings.shortest_aim();
         let delays = MessageDelays::new(settings.nodes, shortest, settings.weighted);
         let mut driver = Driver {
+            address,
             balancer: Balancer::new(settings, config.seed, now),
             reactor,
             names: Names::default(),
@@ -108,6 +119,7 @@
             pending: VecDeque::new(),
             shutdown: None,
             delays,
+            holding_logged: 0,
             config,
         };
         let known = driver.config.known.clone();
@@ -116,6 +128,11 @@
         Ok(driver)
     }
 
+    /// Where clients connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Serves until a shutdown is over.
     pub fn run(&mut self) -> io::Result<()> {
         loop {
@@ -387,15 +404,16 @@
     }
 
     fn round(&mut self) {
-        let Some(shutdown) = self.shutdown else { return };
         let now = self.reactor.io.now();
-        self.reactor.io.driver_timer(now + lifecycle::ROUND, ROUND);
         let up: Vec<RequestId> = self.up_calls().map(|(_, id)| id).collect();
-        for id in up.iter().take(shutdown.quota(now, up.len())) {
+        let Some(shutdown) = &mut self.shutdown else { return };
+        self.reactor.io.driver_timer(now + lifecycle::ROUND, ROUND);
+        let (quota, is_last) = (shutdown.quota(now, up.len()), shutdown.is_last(now));
+        for id in up.iter().take(quota) {
             self.move_away(*id);
         }
         self.settle();
-        if shutdown.is_last(now) {
+        if is_last {
             let owed: Vec<Key> = self.calls.keys().copied().collect();
             for key in owed {
                 self.reactor.with_front(key, |front, io| front.abandon(io));
@@ -480,7 +498,15 @@
         self.pending.push_back(Event::Ended { request, attempt, server, outcome, last: true });
     }
 
-    fn log(&self, notice: Notice, server: Option<ServerId>) {
+    fn log(&mut self, notice: Notice, server: Option<ServerId>) {
+        if notice == Notice::Holding {
+            // Guards against a log that fills up in overload, when this comes many times a second.
+            let now = self.reactor.io.now();
+            if now < self.holding_logged + HOLDING_EVERY {
+                return;
+            }
+            self.holding_logged = now;
+        }
         let name = server.map_or("-", |server| self.names.name(server.0));
         match notice {
             Notice::PausedFailing => log::warn!("subchannel {name} paused, keeps failing"),
--- a/src/net/lifecycle.rs
+++ b/src/net/lifecycle.rs
@@ -15,20 +15,26 @@
 /// A shutdown that has begun.
 #[derive(Clone, Copy, Debug)]
 pub struct Shutdown {
+    began: Micros,
     until: Micros,
+    moved: usize,
 }
 
 impl Shutdown {
     pub fn begin(now: Micros, longest_deadline: Micros) -> Self {
         let time = longest_deadline.clamp(0, LONGEST_DEADLINE) + KILL_AFTER - RESERVE;
-        Shutdown { until: now + time }
+        Shutdown { began: now, until: now + time, moved: 0 }
     }
 
-    /// How many of the connections that are up are to be moved in this round: an even part of what is left,
-    /// all of them in the last.
-    pub fn quota(&self, now: Micros, up: usize) -> usize {
-        let rounds = ((self.until - now) / ROUND).max(1) as usize;
-        up.div_ceil(rounds)
+    /// How many of the connections that are up are to be moved in this round, so that as large a part of all
+    /// has been moved as of the time has passed: all of them in the last. Guards against rounding up, which
+    /// would move a few connections at one a round, within the first tenth of the time.
+    pub fn quota(&mut self, now: Micros, up: usize) -> usize {
+        let passed = (now + ROUND - self.began) as f64 / (self.until - self.began).max(1) as f64;
+        let due = (self.moved + up) as f64 * passed.min(1.0);
+        let quota = (due.ceil() as usize).saturating_sub(self.moved).min(up);
+        self.moved += quota;
+        quota
     }
 
     /// Time is up: what is still owed an answer is refused.
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -25,6 +25,11 @@
         io.register_reader(&mut listener, key)?;
         Ok(Listener { key, listener })
     }
+
+    /// Where it listens, also where the system chose the port.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
 }
 
 impl Connection for Listener {
--- /dev/null
+++ b/tests/peers/mod.rs
@@ -0,0 +1,204 @@
+//! The one helper of the stories over sockets: a proxy process, and peers that a story scripts line by line.
+//! Ports are ephemeral and every wait is bounded.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+/// No story waits longer for anything.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Waits until `look` finds something; fails the story if it never does.
+pub fn within<T>(time: Duration, what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let until = Instant::now() + time;
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(Instant::now() < until, "waited in vain: {what}");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// One end of a connection.
+pub struct Peer(BufReader<TcpStream>);
+
+impl Peer {
+    fn new(stream: TcpStream) -> Self {
+        stream.set_nonblocking(false).unwrap();
+        stream.set_nodelay(true).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Peer(BufReader::new(stream))
+    }
+
+    pub fn say(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    /// The next line, its end included; empty at the connection's end.
+    pub fn hear(&mut self) -> String {
+        let mut line = String::new();
+        self.0.read_line(&mut line).expect("a line or an end in time");
+        line
+    }
+
+    /// What is left, up to the end; the error if it ends in a reset.
+    pub fn rest(&mut self) -> std::io::Result<String> {
+        let mut text = String::new();
+        self.0.read_to_string(&mut text).map(|_| text)
+    }
+
+    /// Ends the connection with a reset.
+    pub fn reset(self) {
+        socket2::SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
+    /// Ends only the sending.
+    pub fn finish(&self) {
+        self.0.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
+    }
+}
+
+/// A scripted render node or discovery.
+pub struct Scripted(TcpListener);
+
+impl Scripted {
+    pub fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        Scripted(listener)
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.0.local_addr().unwrap()
+    }
+
+    pub fn poll(&self) -> Option<Peer> {
+        self.0.accept().ok().map(|(stream, _)| Peer::new(stream))
+    }
+
+    pub fn accept(&self) -> Peer {
+        within(PATIENCE, "a connection", || self.poll())
+    }
+
+    /// Accepts a call attempt and reads its first line.
+    pub fn called(&self) -> (Peer, String) {
+        let mut peer = self.accept();
+        let line = peer.hear();
+        (peer, line)
+    }
+
+    /// As discovery: accepts a watch and begins its response; returns what was asked for.
+    pub fn watched(&self) -> (Peer, String) {
+        let (mut peer, request) = self.called();
+        while peer.hear() != "\r\n" {}
+        peer.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        (peer, request)
+    }
+}
+
+/// The member of a list that a scripted render node is.
+pub fn member(id: &str, node: &Scripted, phase: &str) -> String {
+    let address = node.address();
+    format!(
+        r#"{{"id":"{id}","host_port":"{address}","locality":"a","cell":0,"phase":"{phase}","size":1.0,"up_since_ms":0}}"#
+    )
+}
+
+pub fn list(revision: u32, complete: bool, members: &[String]) -> String {
+    let members = members.join(",");
+    format!(r#"{{"revision":{revision},"complete":{complete},"members":[{members}]}}"#)
+}
+
+/// A chunk of a response that holds one line.
+pub fn chunk(line: &str) -> String {
+    format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
+}
+
+pub const SETTINGS: &str = r#"{"balancers":1,"ordinal":0,"zones":["a"],"zone":"a","registryMode":"on_request",
+    "policyLimits":{"mostTries":3,"connectTimeout":250000,"retryAfter":true,"maxRetryAfter":1000000},
+    "familyInfo":{"messageAim":[150000.0]},
+    "requestClasses":[{"name":"look","effect":"safe","target":300000,"deadline":2000000,"gain":1.0}]}"#;
+
+/// A line that opens a connection of class `look`.
+pub const OPEN: &str = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=look,d=2000,g=5c0f\r\n";
+
+/// A running proxy; killed when dropped.
+pub struct Proxy {
+    child: Child,
+    address: SocketAddr,
+    log: Receiver<String>,
+    pub discovery: Scripted,
+}
+
+/// Starts the program with a configuration and hands over its log.
+pub fn launch(config: &str) -> (Child, Receiver<String>) {
+    static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("cottonnotch-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, config).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cottonnotch"));
+    let command = command.env_remove("RUST_LOG").env("GW_CONFIG", &path).stderr(Stdio::piped());
+    let mut child = command.spawn().unwrap();
+    let (send, log) = channel();
+    let lines = BufReader::new(child.stderr.take().unwrap());
+    std::thread::spawn(move || lines.lines().map_while(Result::ok).all(|line| send.send(line).is_ok()));
+    (child, log)
+}
+
+impl Proxy {
+    /// A proxy that knows these render nodes as `s0`, `s1` ...
+    pub fn start(nodes: &[&Scripted]) -> Self {
+        Self::with(nodes, 1024, SETTINGS)
+    }
+
+    pub fn with(nodes: &[&Scripted], sockets: u32, settings: &str) -> Self {
+        let discovery = Scripted::new();
+        let known: Vec<String> =
+            nodes.iter().enumerate().map(|(i, node)| member(&format!("s{i}"), node, "up")).collect();
+        let (found, known) = (discovery.address(), list(1, true, &known));
+        let (child, log) = launch(&format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{found}","seed":"7f","limits":{{"sockets":{sockets}}},
+            "known":{known},"settings":{settings}}}"#
+        ));
+        let mut proxy = Proxy { child, address: found, log, discovery };
+        let line = proxy.logged("listens on ");
+        proxy.address = line.rsplit(' ').next().unwrap().parse().unwrap();
+        proxy
+    }
+
+    /// The next log line with this text in it.
+    pub fn logged(&self, text: &str) -> String {
+        within(PATIENCE, text, || self.log.try_recv().ok().filter(|line| line.contains(text)))
+    }
+
+    pub fn connect(&self) -> Peer {
+        Peer::new(TcpStream::connect(self.address).unwrap())
+    }
+
+    /// A client that has sent its first line.
+    pub fn open(&self) -> Peer {
+        let mut client = self.connect();
+        client.say(OPEN);
+        client
+    }
+
+    pub fn terminate(&self) {
+        let killed = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        assert!(killed.unwrap().success());
+    }
+
+    pub fn exited(&mut self) -> ExitStatus {
+        within(PATIENCE, "the proxy to exit", || self.child.try_wait().unwrap())
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        // It may have exited already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/tests/sockets.rs
@@ -0,0 +1,280 @@
+//! Stories over loopback sockets: the real program between scripted clients, render nodes and discovery.
+
+mod peers;
+use peers::*;
+use std::io::ErrorKind;
+use std::time::{Duration, Instant};
+
+#[test]
+fn lines_pass_unchanged_and_an_end_passes_as_an_end() {
+    let node = Scripted::new();
+    let proxy = Proxy::start(&[&node]);
+    let mut client = proxy.connect();
+    let (head, tail) = OPEN.split_at(9);
+    client.say(head);
+    std::thread::sleep(Duration::from_millis(20));
+    client.say(tail);
+    let (mut far, line) = node.called();
+    let (before, after) = line.split_once(",d=").unwrap();
+    let (wait, after) = after.split_once(',').unwrap();
+    assert_eq!((before, after), ("OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=look", "g=5c0f\r\n"));
+    assert!((200..=300).contains(&wait.parse::<u32>().unwrap()), "the attempt's own time is told: {wait}");
+    far.say("UP 77\r\nLOAD 1");
+    assert_eq!(client.hear(), "UP 77\r\n");
+    far.say("2.5\r\n");
+    assert_eq!(client.hear(), "LOAD 12.5\r\n");
+    client.say("M 1 abc\r\nM 2 def\r\n");
+    assert_eq!((far.hear(), far.hear()), ("M 1 abc\r\n".to_owned(), "M 2 def\r\n".to_owned()));
+    far.say("M 1 abc\r\nBYE\r\n");
+    drop(far);
+    assert_eq!(client.rest().unwrap(), "M 1 abc\r\nBYE\r\n");
+}
+
+#[test]
+fn a_clients_end_reaches_the_render_node_and_its_last_lines_still_come_back() {
+    let node = Scripted::new();
+    let proxy = Proxy::start(&[&node]);
+    let mut client = proxy.open();
+    let mut far = node.called().0;
+    far.say("UP 1\r\n");
+    client.hear();
+    client.say("M 9 x\r\n");
+    client.finish();
+    assert_eq!(far.rest().unwrap(), "M 9 x\r\n");
+    far.say("M 9 x\r\nBYE\r\n");
+    drop(far);
+    assert_eq!(client.rest().unwrap(), "M 9 x\r\nBYE\r\n");
+}
+
+#[test]
+fn a_reset_passes_as_a_reset_both_ways() {
+    let node = Scripted::new();
+    let proxy = Proxy::start(&[&node]);
+    let up = || {
+        let mut client = proxy.open();
+        let mut far = node.called().0;
+        far.say("UP 1\r\n");
+        assert_eq!(client.hear(), "UP 1\r\n");
+        (client, far)
+    };
+    let (client, mut far) = up();
+    client.reset();
+    assert_eq!(far.rest().unwrap_err().kind(), ErrorKind::ConnectionReset);
+    let (mut client, far) = up();
+    far.reset();
+    assert_eq!(client.rest().unwrap_err().kind(), ErrorKind::ConnectionReset);
+}
+
+#[test]
+fn a_full_render_node_is_left_before_the_next_is_tried() {
+    let nodes = [Scripted::new(), Scripted::new()];
+    let proxy = Proxy::start(&[&nodes[0], &nodes[1]]);
+    let mut client = proxy.open();
+    let (first, mut far) =
+        within(PATIENCE, "an attempt", || (0..2).find_map(|i| nodes[i].poll().map(|peer| (i, peer))));
+    far.hear();
+    assert!(nodes[1 - first].poll().is_none(), "never two attempts out");
+    far.say("BUSY\r\n");
+    let mut second = nodes[1 - first].called().0;
+    assert_eq!(far.rest().unwrap(), "", "the first attempt is closed");
+    second.say("UP 2\r\n");
+    assert_eq!(client.hear(), "UP 2\r\n");
+}
+
+#[test]
+fn a_silent_render_node_is_given_up_for_another_one() {
+    let nodes = [Scripted::new(), Scripted::new()];
+    let proxy = Proxy::start(&[&nodes[0], &nodes[1]]);
+    let mut client = proxy.open();
+    let (first, mut far) =
+        within(PATIENCE, "an attempt", || (0..2).find_map(|i| nodes[i].poll().map(|peer| (i, peer))));
+    far.hear();
+    let mut second = nodes[1 - first].called().0;
+    assert_eq!(far.rest().unwrap(), "", "closed when its time was up");
+    second.say("UP 2\r\n");
+    assert_eq!(client.hear(), "UP 2\r\n");
+}
+
+#[test]
+fn what_cannot_be_placed_is_refused_once_with_a_time() {
+    let node = Scripted::new();
+    let proxy = Proxy::start(&[&node]);
+    let mut client = proxy.connect();
+    client.say(&OPEN.replace("d=2000", "d=300"));
+    let mut far = node.called().0;
+    let begun = Instant::now();
+    far.say("BUSY\r\n");
+    let answer = client.rest().unwrap();
+    let wait = answer.strip_prefix("BUSY ").and_then(|w| w.strip_suffix("\r\n"));
+    assert!(wait.is_some_and(|w| (1..=1000).contains(&w.parse::<u32>().unwrap())), "{answer}");
+    assert!(begun.elapsed() < Duration::from_millis(350), "by the deadline");
+}
+
+#[test]
+fn rubbish_costs_one_line_and_nothing_else() {
+    let node = Scripted::new();
+    let proxy = Proxy::start(&[&node]);
+    let long = format!("OPEN {}\r\n", "x".repeat(5000));
+    for rubbish in ["\r\n", "GET / HTTP/1.1\r\n", "OPEN a b c=look,d=-1\r\n", "OPEN a b d=5\r\n", &long] {
+        let mut client = proxy.connect();
+        client.say(rubbish);
+        let answer = client.rest().unwrap();
+        assert!(answer.starts_with("ERR ") && answer.ends_with("\r\n"), "{rubbish:?}: {answer}");
+        assert_eq!(answer.lines().count(), 1, "{rubbish:?}: {answer}");
+    }
+    let mut front = proxy.connect();
+    front.say("PING\r\nPING\r\n");
+    assert_eq!((front.hear(), front.hear()), ("PONG\r\n".to_owned(), "PONG\r\n".to_owned()));
+    assert!(node.poll().is_none(), "no rubbish is passed on");
+}
+
+#[test]
+fn a_connection_from_before_the_start_goes_back_to_its_render_node() {
+    let nodes = [Scripted::new(), Scripted::new()];
+    let proxy = Proxy::start(&[&nodes[0], &nodes[1]]);
+    for _ in 0..3 {
+        let mut client = proxy.connect();
+        client.say(&OPEN.replace("g=5c0f", "at=s1"));
+        nodes[1].called().0.say("BUSY\r\n");
+        let mut far = nodes[1].called().0;
+        far.say("UP 5\r\n");
+        assert_eq!(client.hear(), "UP 5\r\n", "tried there until it is up");
+    }
+    assert!(nodes[0].poll().is_none());
+}
+
+#[test]
+fn a_change_in_pieces_drains_a_render_node_and_moves_its_client() {
+    let nodes = [Scripted::new(), Scripted::new()];
+    let proxy = Proxy::start(&[&nodes[0]]);
+    let mut client = proxy.open();
+    let mut far = nodes[0].called().0;
+    far.say("UP 1\r\n");
+    client.hear();
+    let (mut watch, asked) = proxy.discovery.watched();
+    assert_eq!(asked, "GET /registry/instances?watch=1&from=1 HTTP/1.1\r\n");
+    let members = [member("s0", &nodes[0], "draining"), member("s1", &nodes[1], "up")];
+    for piece in chunk(&list(2, false, &members)).as_bytes().chunks(7) {
+        watch.say(std::str::from_utf8(piece).unwrap());
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    assert_eq!(client.rest().unwrap(), "MOVE\r\n", "the client is told before its render node leaves");
+    assert_eq!(far.rest().unwrap(), "");
+    let _held: Vec<(Peer, Peer)> = (0..3).map(|_| (proxy.open(), nodes[1].called().0)).collect();
+    assert!(nodes[0].poll().is_none(), "nothing new to it");
+}
+
+#[test]
+fn a_bad_list_is_dropped_whole_and_asked_for_again() {
+    let nodes = [Scripted::new(), Scripted::new()];
+    let proxy = Proxy::start(&[&nodes[0]]);
+    let (mut watch, _) = proxy.discovery.watched();
+    let half = list(9, true, &[member("s1", &nodes[1], "up"), member("s2", &nodes[1], "asleep")]);
+    watch.say(&chunk(&half));
+    assert!(proxy.logged("watch on discovery lost").contains("'phase'"));
+    let (_, asked) = proxy.discovery.watched();
+    assert!(asked.contains("from=1 "), "from the last good revision: {asked}");
+    let _client = proxy.open();
+    nodes[0].called();
+    assert!(nodes[1].poll().is_none(), "nothing of the bad list was taken");
+}
+
+#[test]
+fn a_silent_watch_is_lost_and_begun_anew() {
+    let node = Scripted::new();
+    let proxy = Proxy::start(&[&node]);
+    let (mut watch, _) = proxy.discovery.watched();
+    watch.say(&chunk(&list(4, false, &[])));
+    let again = proxy.discovery.watched().1;
+    assert!(again.contains("from=4 "), "{again}");
+}
+
+#[test]
+fn a_render_node_that_hangs_loses_its_client_within_seven_seconds() {
+    let node = Scripted::new();
+    // With no aim for messages, no delay is noted, and the module moves nobody by itself.
+    let proxy = Proxy::with(&[&node], 1024, &SETTINGS.replace("[150000.0]", "[]"));
+    let mut client = proxy.open();
+    let mut far = node.called().0;
+    far.say("UP 1\r\n");
+    client.hear();
+    client.say("M 1 a\r\n");
+    let begun = Instant::now();
+    assert_eq!(client.rest().unwrap(), "MOVE\r\n");
+    assert!((4..7).contains(&begun.elapsed().as_secs()), "{:?}", begun.elapsed());
+    assert_eq!(far.hear(), "M 1 a\r\n");
+    assert_eq!(far.hear(), "", "its connection is closed");
+}
+
+#[test]
+fn at_the_descriptor_bound_clients_are_turned_away_at_once() {
+    let node = Scripted::new();
+    let proxy = Proxy::with(&[&node], 64, SETTINGS);
+    let held: Vec<(Peer, Peer)> = (0..10).map(|_| (proxy.open(), node.called().0)).collect();
+    let mut late: Vec<Peer> = (0..10).map(|_| proxy.open()).collect();
+    let last = late.last_mut().unwrap();
+    assert_eq!(last.hear(), "BUSY 1000\r\n");
+    drop((held, late));
+    let mut client = within(PATIENCE, "room again", || {
+        let mut client = proxy.connect();
+        client.say("PING\r\n");
+        (client.hear() == "PONG\r\n").then_some(client)
+    });
+    client.say(OPEN);
+    node.called();
+}
+
+#[test]
+fn a_planned_restart_moves_every_client_and_still_serves() {
+    let node = Scripted::new();
+    let mut proxy = Proxy::start(&[&node]);
+    let mut pairs: Vec<(Peer, Peer)> = (0..8)
+        .map(|_| {
+            let mut client = proxy.open();
+            let mut far = node.called().0;
+            far.say("UP 1\r\n");
+            client.hear();
+            (client, far)
+        })
+        .collect();
+    let begun = Instant::now();
+    proxy.terminate();
+    proxy.logged("asked to stop");
+    let mut late = proxy.open();
+    let mut far = node.called().0;
+    far.say("UP 2\r\n");
+    assert_eq!(late.hear(), "UP 2\r\n", "what arrives is placed");
+    let first = pairs[0].0.rest().unwrap();
+    assert_eq!(first, "MOVE\r\n");
+    let moved = begun.elapsed();
+    for (client, _) in &mut pairs[1..] {
+        assert_eq!(client.rest().unwrap(), "MOVE\r\n");
+    }
+    assert_eq!(late.rest().unwrap(), "MOVE\r\n");
+    assert!(begun.elapsed() - moved > Duration::from_secs(1), "spread over the time there is");
+    assert!(proxy.exited().success());
+    assert!(begun.elapsed() < Duration::from_millis(2700), "gone before SIGKILL may come");
+}
+
+#[test]
+fn a_faulty_configuration_is_named_by_its_key() {
+    let base = format!(r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{SETTINGS}}}"#);
+    for (from, to, named) in [
+        (r#""listen":"127.0.0.1:0","#, "", "listen is missing"),
+        ("127.0.0.1:1", "nowhere", "discovery is not an address"),
+        (r#""settings""#, r#""seed":"xyz","settings""#, "seed is not a hexadecimal"),
+        (r#""settings""#, r#""limits":{"sockets":8},"settings""#, "limits.sockets is not"),
+        (r#""settings""#, r#""known":{"revision":1},"settings""#, "known: 'complete'"),
+        (r#""mostTries":3"#, r#""mostTries":"many""#, "settings.policyLimits.mostTries is not a number"),
+        (r#""requestClasses""#, r#""classes""#, "settings.requestClasses is missing"),
+        ("}}", "}", "is not JSON"),
+    ] {
+        let config = base.replacen(from, to, 1);
+        assert_ne!(config, base);
+        let (mut child, log) = launch(&config);
+        let code = within(PATIENCE, "the proxy to give up", || child.try_wait().unwrap());
+        assert_eq!(code.code(), Some(2), "{named}");
+        let line = log.iter().next().unwrap();
+        assert!(line.contains("cannot start: ") && line.contains(named), "{named}: {line}");
+    }
+}
