--- a/src/net/message_delay.rs
+++ b/src/net/message_delay.rs
@@ -32,8 +32,8 @@
 /// ratio. It is large because most of a set-up's time is the session store's, the same everywhere.
 const SETUP_POWER: f64 = 4.0;
 /// Utilisation at which messages take a third and a half of the shortest aim.
-const BUSY: f64 = 0.5;
-const CROWDED: f64 = 1.2;
+const BUSY: f64 = 0.6;
+const CROWDED: f64 = 1.0;
 /// Beyond, each such part of utilisation adds five aims: work piles up.
 const PILE: f64 = 0.7;
 
