Guard buffers against floods; log events, actions and lines at debug and trace; three stories

Read through for what could grow: a client that sends on before it is answered filled its input without bound (Rpc::watch_client never takes lines), and unanswered lines were all remembered (Relay::waiting). Both are bounded now. New stories: a refused connection needs no time-out; a heavy render node's turns are skipped on loads told alone; a system short of descriptors (24) delays clients and stops nothing.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -221,6 +221,7 @@
         };
         self.keys.insert(id, key);
         let call = Call { id, at: None, attempts: 0, group: wish.group, stage: Stage::Owed };
+        // One that names a subchannel which is not known is a new connection like any other.
         let at = wish.at.and_then(|at| self.names.find(&at));
         match at {
             None => {
@@ -434,8 +435,10 @@
         let mut actions = Vec::new();
         while let Some(event) = self.pending.pop_front() {
             let now = self.reactor.io.now();
+            log::debug!("event {event:?}");
             self.balancer.handle(now, event, &mut actions);
             for action in actions.drain(..) {
+                log::debug!("action {action:?}");
                 self.act(now, action);
             }
         }
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -80,6 +80,11 @@
         let mut chunk = [0; MAX_LINE];
         let mut taken = 0;
         while taken < MAX_TURN {
+            // Guards against a client that sends on and on before it is answered: what it sends then is
+            // read by whoever takes over the buffer, and the rest waits in its own socket.
+            if self.input.len() >= MAX_UNSENT {
+                return Fill::Blocked;
+            }
             match self.stream.read(&mut chunk) {
                 Ok(0) => return Fill::Ended,
                 Ok(n) => {
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -4,6 +4,9 @@
 use cottonnotch::{Micros, Outcome};
 use std::collections::VecDeque;
 
+/// Unanswered lines that are remembered: a client that floods is relayed, but costs no more memory.
+const MAX_WAITING: usize = 1024;
+
 /// What the relay noticed in the subchannel's lines.
 #[derive(Debug, PartialEq)]
 pub enum Seen {
@@ -57,8 +60,11 @@
         loop {
             match client.take_line() {
                 Ok(Some(line)) => {
+                    log::trace!("client says '{}'", line.escape_ascii());
                     self.link.push(&line);
-                    self.waiting.push_back(now);
+                    if self.waiting.len() < MAX_WAITING {
+                        self.waiting.push_back(now);
+                    }
                 }
                 Ok(None) => break,
                 Err(TooLong) => return self.over(Outcome::Cancelled, false),
@@ -96,6 +102,7 @@
         loop {
             match self.link.take_line() {
                 Ok(Some(line)) => {
+                    log::trace!("subchannel says '{}'", line.escape_ascii());
                     self.note(trim_end(&line), now, seen);
                     client.push(&line);
                 }
--- a/src/net/rpc.rs
+++ b/src/net/rpc.rs
@@ -220,11 +220,15 @@
             (State::Held | State::Attempting(_), Leg::Near) => self.watch_client(io),
             (State::Attempting(_), Leg::Far) => self.advance(io),
             (State::Up(_), leg) => self.relay(io, leg),
-            (State::Answered, Leg::Near) => match self.client.fill() {
-                Fill::Ended | Fill::Broken(_) => self.state = State::Closed,
-                Fill::More => io.call_again(self.key, Leg::Near),
-                Fill::Blocked => drop(self.client.take_rest()),
-            },
+            (State::Answered, Leg::Near) => {
+                let fill = self.client.fill();
+                self.client.take_rest();
+                match fill {
+                    Fill::Ended | Fill::Broken(_) => self.state = State::Closed,
+                    Fill::More => io.call_again(self.key, Leg::Near),
+                    Fill::Blocked => {}
+                }
+            }
             // Left over from an attempt that is closed.
             (_, _) => {}
         }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -135,11 +135,22 @@
 
 /// Starts the program with a configuration and hands over its log.
 pub fn launch(config: &str) -> (Child, Receiver<String>) {
+    launch_by(Command::new(env!("CARGO_BIN_EXE_cottonnotch")), config)
+}
+
+/// The program, once the system lets it have only so many descriptors.
+pub fn short_of_descriptors(descriptors: u32) -> Command {
+    let mut command = Command::new("/bin/sh");
+    let program = env!("CARGO_BIN_EXE_cottonnotch");
+    command.args(["-c", &format!("ulimit -n {descriptors}; exec '{program}'")]);
+    command
+}
+
+fn launch_by(mut command: Command, config: &str) -> (Child, Receiver<String>) {
     static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("cottonnotch-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_cottonnotch"));
     let command = command.env_remove("RUST_LOG").env("GW_CONFIG", &path).stderr(Stdio::piped());
     let mut child = command.spawn().unwrap();
     let (send, log) = channel();
@@ -155,14 +166,20 @@
     }
 
     pub fn with(nodes: &[&Scripted], sockets: u32, settings: &str) -> Self {
+        Self::by(Command::new(env!("CARGO_BIN_EXE_cottonnotch")), nodes, sockets, settings)
+    }
+
+    /// One that is started by this command.
+    pub fn by(command: Command, nodes: &[&Scripted], sockets: u32, settings: &str) -> Self {
         let discovery = Scripted::new();
         let known: Vec<String> =
             nodes.iter().enumerate().map(|(i, node)| member(&format!("s{i}"), node, "up")).collect();
         let (found, known) = (discovery.address(), list(1, true, &known));
-        let (child, log) = launch(&format!(
+        let config = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{found}","seed":"7f","limits":{{"sockets":{sockets}}},
             "known":{known},"settings":{settings}}}"#
-        ));
+        );
+        let (child, log) = launch_by(command, &config);
         let mut proxy = Proxy { child, address: found, log, discovery };
         let line = proxy.logged("listens on ");
         proxy.address = line.rsplit(' ').next().unwrap().parse().unwrap();
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -278,3 +278,52 @@
         assert!(line.contains("cannot start: ") && line.contains(named), "{named}: {line}");
     }
 }
+
+#[test]
+fn a_dead_render_node_is_left_for_another_at_once() {
+    let (dead, node) = (Scripted::new(), Scripted::new());
+    let proxy = Proxy::start(&[&dead, &node]);
+    drop(dead);
+    let begun = Instant::now();
+    let _held: Vec<(Peer, Peer)> = (0..4).map(|_| (proxy.open(), node.called().0)).collect();
+    assert!(begun.elapsed() < Duration::from_millis(250), "a refused connection needs no time-out");
+}
+
+/// Loads told are all that shows a crowd: render nodes return lines at once however much is piled up.
+#[test]
+fn a_render_node_whose_connections_are_heavy_gets_no_more() {
+    let nodes = [Scripted::new(), Scripted::new(), Scripted::new()];
+    let settings = SETTINGS.replace(r#""balancers""#, r#""weights":"nominal","balancers""#);
+    let proxy = Proxy::with(&[&nodes[0], &nodes[1], &nodes[2]], 1024, &settings);
+    let open = || {
+        let mut client = proxy.connect();
+        client.say(&OPEN.replace(",g=5c0f", ""));
+        let called =
+            within(PATIENCE, "an attempt", || (0..3).find_map(|i| nodes[i].poll().map(|peer| (i, peer))));
+        (client, called.0, called.1)
+    };
+    let _held: Vec<(Peer, usize, Peer)> = (0..3)
+        .map(|_| {
+            let (mut client, at, mut far) = open();
+            far.hear();
+            far.say(if at == 0 { "UP 1\r\nLOAD 800000\r\n" } else { "UP 1\r\nLOAD 1000\r\n" });
+            assert_eq!((client.hear(), client.hear().starts_with("LOAD")), ("UP 1\r\n".to_owned(), true));
+            (client, at, far)
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(1300));
+    let later: Vec<(Peer, usize, Peer)> = (0..4).map(|_| open()).collect();
+    assert!(later.iter().all(|(_, at, _)| *at != 0), "its turns are skipped");
+}
+
+#[test]
+fn a_system_short_of_descriptors_delays_clients_and_stops_nothing() {
+    let node = Scripted::new();
+    let proxy = Proxy::by(short_of_descriptors(24), &[&node], 1024, SETTINGS);
+    let crowd: Vec<Peer> = (0..40).map(|_| proxy.connect()).collect();
+    proxy.logged("cannot accept");
+    drop(crowd);
+    let mut late = proxy.connect();
+    late.say("PING\r\n");
+    assert_eq!(late.hear(), "PONG\r\n");
+}
