--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -23,7 +23,7 @@
 use std::net::SocketAddr;
 
 /// Descriptors kept for what is no RPC: the listener, the watch, the poll, standard streams, signals, and
-/// connections that are being turned away.
+/// connections for which there is no room.
 const RESERVED_SOCKETS: usize = 32;
 /// An RPC needs two: the client's and the subchannel's.
 const SOCKETS_PER_RPC: usize = 2;
@@ -191,8 +191,8 @@
         } else if self.reactor.io.sockets() + RESERVED_SOCKETS / 2 <= self.config.sockets {
             // Guards against running out of descriptors: a client let in now could not be served, and one
             // that waits unaccepted would not know to come again.
-            log::warn!("out of sockets, a client is turned away");
-            self.reactor.insert(|key, io| Rpc::turned_away(stream, key, io, FULL_RETRY_AFTER))
+            log::warn!("out of sockets, a client gets the unavailable status");
+            self.reactor.insert(|key, io| Rpc::no_room(stream, key, io, FULL_RETRY_AFTER))
         } else {
             log::error!("out of sockets, a client is dropped");
             return;
@@ -449,7 +449,7 @@
             Action::Send { request, server, timeout } => self.send(request, server, timeout),
             Action::Refuse { request, retry_after } => {
                 if let Some(key) = self.answerable(request) {
-                    self.reactor.with_front(key, |front, io| front.refuse(io, retry_after));
+                    self.reactor.with_front(key, |front, io| front.unavailable(io, retry_after));
                 }
             }
             Action::Fail(request) => {
--- a/src/net/happening.rs
+++ b/src/net/happening.rs
@@ -66,13 +66,13 @@
     /// Makes a call attempt. How it ends is reported; false: it could not even be begun, for want of
     /// something on this machine.
     fn attempt(&mut self, io: &mut Io, order: AttemptOrder) -> bool;
-    /// Final answer: turned away, to come again after this; 0: nothing said.
-    fn refuse(&mut self, io: &mut Io, retry_after: Micros);
+    /// Final answer: the unavailable status. Trying again is harmless, after this; 0: nothing said.
+    fn unavailable(&mut self, io: &mut Io, retry_after: Micros);
     /// Final answer: failed.
     fn fail(&mut self, io: &mut Io, why: &str);
     /// Ends a connection that is up politely; the client comes again. False if it is not up.
     fn move_away(&mut self, io: &mut Io) -> bool;
-    /// The proxy leaves: an RPC that is up is moved, one that is owed an answer is refused.
+    /// The proxy leaves: an RPC that is up is moved, one that is owed an answer gets the unavailable status.
     fn abandon(&mut self, io: &mut Io);
     /// For how long the oldest unanswered line of the client's has waited.
     fn waiting_for(&self, now: Micros) -> Option<Micros>;
--- a/src/net/rpc.rs
+++ b/src/net/rpc.rs
@@ -63,8 +63,8 @@
         Ok(Rpc { key, client, state: State::Reading { since }, line: None, deadline: None })
     }
 
-    /// Takes over an accepted connection for which there is no room: it is turned away at once.
-    pub fn turned_away(stream: TcpStream, key: Key, io: &mut Io, retry_after: Micros) -> io::Result<Self> {
+    /// Takes over an accepted connection for which there is no room: it gets the unavailable status at once.
+    pub fn no_room(stream: TcpStream, key: Key, io: &mut Io, retry_after: Micros) -> io::Result<Self> {
         let mut rpc = Self::accepted(stream, key, io)?;
         rpc.answer(io, &busy(retry_after));
         Ok(rpc)
@@ -206,6 +206,7 @@
     }
 }
 
+/// The unavailable status on the wire.
 fn busy(retry_after: Micros) -> String {
     match retry_after {
         0 => "BUSY\r\n".to_owned(),
@@ -329,8 +330,8 @@
         }
     }
 
-    fn refuse(&mut self, io: &mut Io, retry_after: Micros) {
-        if invariant!(matches!(self.state, State::Held), "a refusal is the only answer") {
+    fn unavailable(&mut self, io: &mut Io, retry_after: Micros) {
+        if invariant!(matches!(self.state, State::Held), "an unavailable status is the only answer") {
             self.answer(io, &busy(retry_after));
         }
     }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -99,6 +99,12 @@
     }
 }
 
+/// Which of these gets the next connection, and its end there.
+pub fn called_at(nodes: &[Scripted]) -> (usize, Peer) {
+    let poll = |(i, node): (usize, &Scripted)| node.poll().map(|peer| (i, peer));
+    within(PATIENCE, "an attempt", || nodes.iter().enumerate().find_map(poll))
+}
+
 /// The member of a list that a scripted render node is.
 pub fn member(id: &str, node: &Scripted, phase: &str) -> String {
     let address = node.address();
@@ -202,6 +208,15 @@
         client
     }
 
+    /// A client that is up at this render node, and the render node's end.
+    pub fn up(&self, node: &Scripted) -> (Peer, Peer) {
+        let mut client = self.open();
+        let mut far = node.called().0;
+        far.say("UP 1\r\n");
+        assert_eq!(client.hear(), "UP 1\r\n");
+        (client, far)
+    }
+
     pub fn terminate(&self) {
         let killed = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
         assert!(killed.unwrap().success());
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -34,10 +34,7 @@
 fn a_clients_end_reaches_the_render_node_and_its_last_lines_still_come_back() {
     let node = Scripted::new();
     let proxy = Proxy::start(&[&node]);
-    let mut client = proxy.open();
-    let mut far = node.called().0;
-    far.say("UP 1\r\n");
-    client.hear();
+    let (mut client, mut far) = proxy.up(&node);
     client.say("M 9 x\r\n");
     client.finish();
     assert_eq!(far.rest().unwrap(), "M 9 x\r\n");
@@ -50,17 +47,10 @@
 fn a_reset_passes_as_a_reset_both_ways() {
     let node = Scripted::new();
     let proxy = Proxy::start(&[&node]);
-    let up = || {
-        let mut client = proxy.open();
-        let mut far = node.called().0;
-        far.say("UP 1\r\n");
-        assert_eq!(client.hear(), "UP 1\r\n");
-        (client, far)
-    };
-    let (client, mut far) = up();
+    let (client, mut far) = proxy.up(&node);
     client.reset();
     assert_eq!(far.rest().unwrap_err().kind(), ErrorKind::ConnectionReset);
-    let (mut client, far) = up();
+    let (mut client, far) = proxy.up(&node);
     far.reset();
     assert_eq!(client.rest().unwrap_err().kind(), ErrorKind::ConnectionReset);
 }
@@ -70,8 +60,7 @@
     let nodes = [Scripted::new(), Scripted::new()];
     let proxy = Proxy::start(&[&nodes[0], &nodes[1]]);
     let mut client = proxy.open();
-    let (first, mut far) =
-        within(PATIENCE, "an attempt", || (0..2).find_map(|i| nodes[i].poll().map(|peer| (i, peer))));
+    let (first, mut far) = called_at(&nodes);
     far.hear();
     assert!(nodes[1 - first].poll().is_none(), "never two attempts out");
     far.say("BUSY\r\n");
@@ -86,8 +75,7 @@
     let nodes = [Scripted::new(), Scripted::new()];
     let proxy = Proxy::start(&[&nodes[0], &nodes[1]]);
     let mut client = proxy.open();
-    let (first, mut far) =
-        within(PATIENCE, "an attempt", || (0..2).find_map(|i| nodes[i].poll().map(|peer| (i, peer))));
+    let (first, mut far) = called_at(&nodes);
     far.hear();
     let mut second = nodes[1 - first].called().0;
     assert_eq!(far.rest().unwrap(), "", "closed when its time was up");
@@ -147,10 +135,7 @@
 fn a_change_in_pieces_drains_a_render_node_and_moves_its_client() {
     let nodes = [Scripted::new(), Scripted::new()];
     let proxy = Proxy::start(&[&nodes[0]]);
-    let mut client = proxy.open();
-    let mut far = nodes[0].called().0;
-    far.say("UP 1\r\n");
-    client.hear();
+    let (mut client, mut far) = proxy.up(&nodes[0]);
     let (mut watch, asked) = proxy.discovery.watched();
     assert_eq!(asked, "GET /registry/instances?watch=1&from=1 HTTP/1.1\r\n");
     let members = [member("s0", &nodes[0], "draining"), member("s1", &nodes[1], "up")];
@@ -194,10 +179,7 @@
     let node = Scripted::new();
     // With no aim for messages, no delay is noted, and the module moves nobody by itself.
     let proxy = Proxy::with(&[&node], 1024, &SETTINGS.replace("[150000.0]", "[]"));
-    let mut client = proxy.open();
-    let mut far = node.called().0;
-    far.say("UP 1\r\n");
-    client.hear();
+    let (mut client, mut far) = proxy.up(&node);
     client.say("M 1 a\r\n");
     let begun = Instant::now();
     assert_eq!(client.rest().unwrap(), "MOVE\r\n");
@@ -228,15 +210,7 @@
 fn a_planned_restart_moves_every_client_and_still_serves() {
     let node = Scripted::new();
     let mut proxy = Proxy::start(&[&node]);
-    let mut pairs: Vec<(Peer, Peer)> = (0..8)
-        .map(|_| {
-            let mut client = proxy.open();
-            let mut far = node.called().0;
-            far.say("UP 1\r\n");
-            client.hear();
-            (client, far)
-        })
-        .collect();
+    let mut pairs: Vec<(Peer, Peer)> = (0..8).map(|_| proxy.up(&node)).collect();
     let begun = Instant::now();
     proxy.terminate();
     proxy.logged("asked to stop");
@@ -298,9 +272,8 @@
     let open = || {
         let mut client = proxy.connect();
         client.say(&OPEN.replace(",g=5c0f", ""));
-        let called =
-            within(PATIENCE, "an attempt", || (0..3).find_map(|i| nodes[i].poll().map(|peer| (i, peer))));
-        (client, called.0, called.1)
+        let (at, far) = called_at(&nodes);
+        (client, at, far)
     };
     let _held: Vec<(Peer, usize, Peer)> = (0..3)
         .map(|_| {
