--- a/src/net/message_delay.rs
+++ b/src/net/message_delay.rs
@@ -24,7 +24,7 @@
 /// A group's spread over its subchannels is taken from this many imagined connections by size, besides ours.
 const IMAGINED: f64 = 5.0;
 /// Weight of the past at each set-up of a subchannel, and of the whole fleet.
-const SETUP_MEMORY: f64 = 0.9;
+const SETUP_MEMORY: f64 = 0.85;
 const FLEET_MEMORY: f64 = 0.98;
 /// So many usual set-ups are imagined beside those seen, since a single one tells little.
 const USUAL_SETUPS: f64 = 3.0;
