Estimate: a group's cost counts only where the settings say that groups share work

Read through: GROUP_COST was added at any site, though familyInfo.groups may be false. No change here, where it is true. Comments say where the two figures come from.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -270,6 +270,7 @@
             Stage::Reopening(request) => (Event::Open { request: *request, server }, None),
             _ => (Event::Established { request, attempt, server, elapsed }, Some(elapsed)),
         };
+        let group = group.filter(|_| self.config.profile.settings.groups);
         self.delays.opened(request, server, group, setup);
         self.tell(event);
     }
--- a/src/net/message_delay.rs
+++ b/src/net/message_delay.rs
@@ -16,7 +16,8 @@
 const BELIEVED: Micros = 4_000_000;
 /// What a core of standard speed, a listed size of 1, does: work in microseconds a second.
 const WORK_OF_A_CORE: f64 = 1e6;
-/// Load that each group adds to each subchannel which holds any of it, in mean connection loads.
+/// Load that each group adds to each subchannel which holds any of it, in mean connection loads: the
+/// platform's figure, which no setting carries.
 const GROUP_COST: f64 = 3.0;
 /// How far the other proxies' connections are taken to be as heavy as this one's there, and not as the mean:
 /// its few are a small sample.
@@ -29,7 +30,7 @@
 /// So many usual set-ups are imagined beside those seen, since a single one tells little.
 const USUAL_SETUPS: f64 = 3.0;
 /// How much smaller a subchannel is taken to be for set-ups that are longer than usual: the power of their
-/// ratio. It is large because most of a set-up's time is the session store's, the same everywhere.
+/// ratio, found by play. A set-up also waits for the session store, which is the same everywhere.
 const SETUP_POWER: f64 = 4.0;
 /// Utilisation at which messages take a third and a half of the shortest aim.
 const BUSY: f64 = 0.6;
