SIGHUP reads the configuration again and moves the watch without dropping anyone

Cause: src/net/listener.rs registered SIGTERM only, so the system's own answer to SIGHUP ended the process. Checked: the configuration was read at the start only, and a happening of an old watch could not be told from one of the new (driver.rs, resolved without a key).

Now a file is taken whole or not at all (the faulty key is logged), the file wins over the environment on SIGHUP, classes, tenants and zones keep their numbers, and the watch moves at once from the last revision. The module gets one more event for its settings.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,7 @@
 //! The one place where configuration is read, checked and given defaults: the environment, then the JSON
-//! file that `GW_CONFIG` names. A variable of the environment wins over the same thing in the file. Unknown
-//! keys are ignored: the platform may add some.
+//! file that `GW_CONFIG` names. At the start a variable of the environment wins over the same thing in the
+//! file; on SIGHUP the file wins, since it is all that can have changed. Unknown keys are ignored: the
+//! platform may add some.
 
 use crate::net::{BadResult, ResolverResult};
 use cottonnotch::settings::{self, BadSetting, Pairs, Profile};
@@ -58,6 +59,15 @@
 impl Config {
     /// Reads the environment and the file it names.
     pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Self, BadConfig> {
+        Self::read(variable, false)
+    }
+
+    /// Reads the file again. Guards against an environment that still names what the file has replaced.
+    pub fn reload(variable: impl Fn(&str) -> Option<String>) -> Result<Self, BadConfig> {
+        Self::read(variable, true)
+    }
+
+    fn read(variable: impl Fn(&str) -> Option<String>, file_wins: bool) -> Result<Self, BadConfig> {
         let json = match variable("GW_CONFIG") {
             None => OwnedValue::object(),
             Some(path) => {
@@ -66,19 +76,22 @@
                 simd_json::to_owned_value(&mut text).map_err(|error| BadConfig::NotJson { path, error })?
             }
         };
-        Self::from_parts(&variable, &json)
+        Self::from_parts(&variable, &json, file_wins)
     }
 
-    fn from_parts(variable: &dyn Fn(&str) -> Option<String>, json: &OwnedValue) -> Result<Self, BadConfig> {
-        let text = |name: &str, key: &'static str| match variable(name) {
-            Some(value) => Ok(Some(value)),
-            None => match json.get(key) {
-                None => Ok(None),
-                Some(value) => match value.as_str() {
-                    Some(value) => Ok(Some(value.to_owned())),
-                    None => wrong(key, "is not a text", value),
-                },
-            },
+    fn from_parts(
+        variable: &dyn Fn(&str) -> Option<String>,
+        json: &OwnedValue,
+        file_wins: bool,
+    ) -> Result<Self, BadConfig> {
+        let text = |name: &str, key: &'static str| {
+            let inherited = variable(name);
+            let written = json.get(key).filter(|_| file_wins || inherited.is_none());
+            match written.map(|value| (value, value.as_str())) {
+                Some((_, Some(text))) => Ok(Some(text.to_owned())),
+                Some((value, None)) => wrong(key, "is not a text", value),
+                None => Ok(inherited),
+            }
         };
         let address = |name: &str, key: &'static str| {
             let value = text(name, key)?.ok_or(BadConfig::Missing { key })?;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -253,6 +253,8 @@
 /// What an instance is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
+    /// The settings have changed. What is numbered keeps its number.
+    Settings(Box<Settings>),
     /// The server list: all of it (`full`), or what changed.
     List {
         /// Servers absent from a full list are gone.
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,7 +18,8 @@
         }
     };
     let name = config.name.clone();
-    let served = Driver::start(config).and_then(|mut driver| {
+    let reread = || Config::reload(|name| std::env::var(name).ok());
+    let served = Driver::start(config, reread).and_then(|mut driver| {
         log::info!("{name} listens on {}", driver.address());
         driver.run()
     });
--- a/src/names.rs
+++ b/src/names.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 /// Names and the small numbers that stand for them.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Names {
     numbers: HashMap<String, u32>,
     names: Vec<String>,
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -11,7 +11,7 @@
 use super::resolver::Watch;
 use super::resolver_result::ResolverResult;
 use super::rpc::Rpc;
-use crate::config::Config;
+use crate::config::{BadConfig, Config};
 use cottonnotch::names::{Names, digest};
 use cottonnotch::{
     Action, Balancer, ClassId, Entry, Event, Listed, Micros, Notice, Outcome, Request, RequestId, ServerId,
@@ -74,6 +74,7 @@
     reactor: Reactor,
     balancer: Balancer,
     config: Config,
+    reread: fn() -> Result<Config, BadConfig>,
     /// Ids of the subchannels: their numbers are the module's servers.
     names: Names,
     subchannels: Vec<Subchannel>,
@@ -90,8 +91,8 @@
 }
 
 impl Driver {
-    /// Opens the sockets and starts the module.
-    pub fn start(config: Config) -> io::Result<Self> {
+    /// Opens the sockets and starts the module. `reread` gets the configuration anew on SIGHUP.
+    pub fn start(config: Config, reread: fn() -> Result<Config, BadConfig>) -> io::Result<Self> {
         let mut reactor = Reactor::new()?;
         let mut address = config.listen;
         reactor.insert(|key, io| {
@@ -99,7 +100,8 @@
             address = listener.address()?;
             Ok(listener)
         })?;
-        reactor.insert(Signals::register)?;
+        reactor.insert(Signals::terminate)?;
+        reactor.insert(Signals::reload)?;
         let now = reactor.io.now();
         let settings = config.profile.settings.clone();
         let shortest = settings.shortest_aim();
@@ -121,6 +123,7 @@
             delays,
             holding_logged: 0,
             config,
+            reread,
         };
         let known = driver.config.known.clone();
         driver.resolved(known, true);
@@ -162,7 +165,11 @@
                 }
             }
             Happening::Message { rpc, delay } => self.message(rpc, delay),
-            Happening::Resolved(result) => self.resolved(result, false),
+            // What a watch said that is no longer the current one is old.
+            Happening::Resolved { watch, result } if self.watch == Some(watch) => {
+                self.resolved(result, false);
+            }
+            Happening::Resolved { .. } => {}
             Happening::ResolverLost { watch, why } => {
                 if self.watch == Some(watch) {
                     log::warn!("watch on discovery lost: {why}");
@@ -171,6 +178,7 @@
                 }
             }
             Happening::Terminate => self.terminate(),
+            Happening::Reload => self.reload(),
             Happening::Timer(TICK) => self.tick(),
             Happening::Timer(ROUND) => self.round(),
             Happening::Timer(REOPEN) => {
@@ -203,7 +211,7 @@
     }
 
     fn asked(&mut self, key: Key, wish: Wish) {
-        let Some(class) = self.config.profile.classes.find(&wish.class) else {
+        let Some(class) = self.config.profile.class(&wish.class) else {
             log::warn!("a client asked for an unknown class");
             return self.fail(key, "the class is unknown");
         };
@@ -392,6 +400,33 @@
         }
     }
 
+    // ---- the configuration ----
+
+    /// Takes a new configuration as a whole, or keeps the old one. No connection is touched.
+    fn reload(&mut self) {
+        let new = match (self.reread)() {
+            Ok(new) => new,
+            Err(error) => return log::error!("configuration kept, the new one is faulty: {error}"),
+        };
+        if new.listen != self.config.listen {
+            log::warn!("listen cannot change while clients are served, still at {}", self.address);
+        }
+        log::info!("configuration read again, discovery at {}", new.discovery);
+        let old = &self.config;
+        let moved = new.discovery != old.discovery;
+        let profile = new.profile.succeed(&old.profile);
+        let settings = profile.settings.clone();
+        self.delays.set(settings.nodes, settings.shortest_aim(), settings.weighted);
+        self.config = Config { listen: old.listen, seed: old.seed, known: old.known.clone(), profile, ..new };
+        self.tell(Event::Settings(Box::new(settings)));
+        if moved {
+            // At once, and from the last revision taken: the old address may have told its last already.
+            // That its watch ends is no failure; the module hears only of the new one's.
+            self.watch();
+            self.settle();
+        }
+    }
+
     // ---- shutdown ----
 
     fn terminate(&mut self) {
--- a/src/net/happening.rs
+++ b/src/net/happening.rs
@@ -52,11 +52,13 @@
     /// A client's line was answered after this long, or is unanswered for that long by now.
     Message { rpc: Key, delay: Micros },
     /// The resolver's list, or changes of it.
-    Resolved(ResolverResult),
+    Resolved { watch: Key, result: ResolverResult },
     /// The resolver's call failed or its watch is lost.
     ResolverLost { watch: Key, why: String },
     /// The process was asked to stop.
     Terminate,
+    /// The configuration is to be read again.
+    Reload,
     /// A timer of the driver's.
     Timer(u32),
 }
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -1,9 +1,10 @@
-//! The listening socket, and the pipe through which a signal reaches the loop.
+//! The listening socket, and the pipes through which signals reach the loop.
 
 use super::happening::Happening;
 use super::reactor::{Connection, Io, Key, Leg};
 use cottonnotch::Micros;
 use mio::net::{TcpListener, UnixStream};
+use signal_hook::consts::{SIGHUP, SIGTERM};
 use std::io::{self, Read};
 use std::net::SocketAddr;
 
@@ -67,20 +68,32 @@
     }
 }
 
-/// The reading end of the pipe that SIGTERM writes to.
+/// The reading end of the pipe that a signal writes to, and what the signal means.
 #[derive(Debug)]
 pub struct Signals {
     pipe: UnixStream,
+    happening: fn() -> Happening,
 }
 
 impl Signals {
-    pub fn register(key: Key, io: &mut Io) -> io::Result<Self> {
+    /// SIGTERM: the process is asked to stop.
+    pub fn terminate(key: Key, io: &mut Io) -> io::Result<Self> {
+        Self::register(SIGTERM, || Happening::Terminate, key, io)
+    }
+
+    /// SIGHUP: the configuration is to be read again. Guards against the system's own answer to it, which
+    /// is to end the process.
+    pub fn reload(key: Key, io: &mut Io) -> io::Result<Self> {
+        Self::register(SIGHUP, || Happening::Reload, key, io)
+    }
+
+    fn register(signal: i32, happening: fn() -> Happening, key: Key, io: &mut Io) -> io::Result<Self> {
         let (read, write) = std::os::unix::net::UnixStream::pair()?;
-        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, write)?;
+        signal_hook::low_level::pipe::register(signal, write)?;
         read.set_nonblocking(true)?;
         let mut pipe = UnixStream::from_std(read);
         io.register_reader(&mut pipe, key)?;
-        Ok(Signals { pipe })
+        Ok(Signals { pipe, happening })
     }
 }
 
@@ -88,7 +101,7 @@
     fn readable(&mut self, io: &mut Io, _: Leg) {
         let mut bytes = [0; 16];
         while matches!(self.pipe.read(&mut bytes), Ok(n) if n > 0) {
-            io.tell(Happening::Terminate);
+            io.tell((self.happening)());
         }
     }
 
--- a/src/net/message_delay.rs
+++ b/src/net/message_delay.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// The settings have changed.
+    pub fn set(&mut self, nodes: u32, aim: Option<Micros>, sized: bool) {
+        (self.nodes, self.aim, self.sized) = (f64::from(nodes.max(1)), aim.map(|aim| aim as f64), sized);
+    }
+
     /// A subchannel is listed; one that is a new life of its process is no longer known.
     pub fn listed(&mut self, server: ServerId, weight: f64, anew: bool) {
         let fresh = Known { weight, setups: Average::default(), measured: None, over: false };
--- a/src/net/resolver.rs
+++ b/src/net/resolver.rs
@@ -51,7 +51,7 @@
         let result = self.response.feed(bytes, &mut lines);
         for mut line in lines.into_iter().filter(|line| !line.is_empty()) {
             match ResolverResult::parse(&mut line) {
-                Ok(result) => io.tell(Happening::Resolved(result)),
+                Ok(result) => io.tell(Happening::Resolved { watch: self.key, result }),
                 // A bad list is dropped whole and counts as a failed call: the next watch begins at the
                 // last revision that was taken.
                 Err(error) => return self.lose(io, format!("a bad list: {error}")),
--- a/src/net/rpc.rs
+++ b/src/net/rpc.rs
@@ -115,6 +115,7 @@
     }
 
     fn opened(&mut self, io: &mut Io, line: &[u8]) {
+        log::trace!("client {:?} opens with '{}'", self.key, line.escape_ascii());
         match OpenLine::parse(line) {
             Ok((line, wish)) => {
                 self.deadline = wish.left.map(|left| io.now() + left);
@@ -149,6 +150,7 @@
             Progress::Ended(outcome) => self.attempt_ended(io, outcome),
             Progress::Up(line) => {
                 let elapsed = attempt.elapsed(io.now());
+                log::trace!("client {:?} is up after {elapsed} us", self.key);
                 self.client.push(&line);
                 let State::Attempting(attempt) = std::mem::replace(&mut self.state, State::Closed) else {
                     return;
@@ -164,6 +166,7 @@
 
     fn attempt_ended(&mut self, io: &mut Io, outcome: Outcome) {
         // Dropping the attempt closes its connection: never two attempts out.
+        log::trace!("client {:?}: call attempt ended as {outcome:?}", self.key);
         self.state = State::Held;
         io.tell(Happening::AttemptEnded { rpc: self.key, outcome });
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -175,6 +175,7 @@
                 self.ask_list_in(now, LIST_SILENCE, out);
             }
             Event::Timer(DRAIN) if self.drain_due.is_some_and(|at| at <= now) => self.drain(now, out),
+            Event::Settings(settings) => self.settings = *settings,
             Event::Probed { .. } | Event::Peer { .. } | Event::Timer(_) => {}
         }
     }
@@ -521,8 +522,7 @@
             return;
         }
         // Load lasts: what is there would earn nothing for minutes. Each node moves a part of its own
-        // connections, least worth for their load first, however many nodes there are. A pile that drains
-        // already is left to drain (ie5ddb3).
+        // connections, least worth for their load first. A pile that drains is left to (ie5ddb3).
         let value = |id: &RequestId| jobs.get(id).map_or(0.0, |job| job.value(settings));
         let part = (MOVED_PER_NOTE + delay as f64 / CLEAR_WITHIN).min(MOST_MOVED);
         for _ in 0..(s.open.len() as f64 * part + chance) as usize {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,7 +3,7 @@
 
 use crate::interface::{Class, Effect, Micros, Scope, Settings, Tenant, ZoneId};
 use crate::names::Names;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 /// The module's settings, and the names that the wire uses.
 #[derive(Debug)]
@@ -14,12 +14,50 @@
     pub classes: Names,
     /// Tenants, numbered as in the settings.
     pub tenants: Names,
+    /// Classes that were withdrawn: connections that are open still have them, new ones may not.
+    pub withdrawn: BTreeSet<u32>,
     /// Zones, numbered as in the settings; a list may name more.
     pub zones: Names,
     /// A connection that is not up after this long could not be made.
     pub connect_timeout: Micros,
 }
 
+impl Profile {
+    /// The number of a class that may be asked for.
+    pub fn class(&self, name: &str) -> Option<u32> {
+        self.classes.find(name).filter(|class| !self.withdrawn.contains(class))
+    }
+
+    /// These settings in place of `old` ones, under the numbers that those gave. Guards against connections
+    /// that are open: they carry a class, a tenant and a zone by number, and a new file may have another
+    /// order, or leave some out.
+    pub fn succeed(mut self, old: &Profile) -> Profile {
+        let (mut classes, mut class_list) = (old.classes.clone(), old.settings.classes.clone());
+        let offered: BTreeSet<u32> = (self.settings.classes.drain(..).enumerate())
+            .map(|(i, class)| place(&mut classes, &mut class_list, self.classes.name(i as u32), class))
+            .collect();
+        self.withdrawn = (0..class_list.len() as u32).filter(|class| !offered.contains(class)).collect();
+        let (mut tenants, mut tenant_list) = (old.tenants.clone(), old.settings.tenants.clone());
+        for (i, tenant) in self.settings.tenants.drain(..).enumerate() {
+            place(&mut tenants, &mut tenant_list, self.tenants.name(i as u32), tenant);
+        }
+        let mut zones = old.zones.clone();
+        self.settings.zone = ZoneId(zones.intern(self.zones.name(u32::from(self.settings.zone.0))) as u16);
+        (self.settings.classes, self.settings.tenants) = (class_list, tenant_list);
+        Profile { classes, tenants, zones, ..self }
+    }
+}
+
+/// Puts an item under the number of its name.
+fn place<T>(names: &mut Names, list: &mut Vec<T>, name: &str, item: T) -> u32 {
+    let number = names.intern(name);
+    match list.get_mut(number as usize) {
+        Some(there) => *there = item,
+        None => list.push(item),
+    }
+    number
+}
+
 /// A setting that cannot be used: its key, and the trouble with its value.
 #[derive(Debug, PartialEq, Eq)]
 pub struct BadSetting {
@@ -139,5 +177,5 @@
         move_price: pairs.figure("prices.moves", 0.0)?,
     };
     let connect_timeout = pairs.time("policyLimits.connectTimeout", 250_000)?;
-    Ok(Profile { settings, classes, tenants, zones, connect_timeout })
+    Ok(Profile { settings, classes, withdrawn: BTreeSet::new(), tenants, zones, connect_timeout })
 }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
@@ -136,12 +137,15 @@
     child: Child,
     address: SocketAddr,
     log: Receiver<String>,
+    config: String,
+    path: PathBuf,
     pub discovery: Scripted,
 }
 
 /// Starts the program with a configuration and hands over its log.
 pub fn launch(config: &str) -> (Child, Receiver<String>) {
-    launch_by(Command::new(env!("CARGO_BIN_EXE_cottonnotch")), config)
+    let (child, log, _) = launch_by(Command::new(env!("CARGO_BIN_EXE_cottonnotch")), config);
+    (child, log)
 }
 
 /// The program, once the system lets it have only so many descriptors.
@@ -152,7 +156,7 @@
     command
 }
 
-fn launch_by(mut command: Command, config: &str) -> (Child, Receiver<String>) {
+fn launch_by(mut command: Command, config: &str) -> (Child, Receiver<String>, PathBuf) {
     static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("cottonnotch-{}-{number}.json", std::process::id()));
@@ -162,7 +166,7 @@
     let (send, log) = channel();
     let lines = BufReader::new(child.stderr.take().unwrap());
     std::thread::spawn(move || lines.lines().map_while(Result::ok).all(|line| send.send(line).is_ok()));
-    (child, log)
+    (child, log, path)
 }
 
 impl Proxy {
@@ -185,8 +189,8 @@
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{found}","seed":"7f","limits":{{"sockets":{sockets}}},
             "known":{known},"settings":{settings}}}"#
         );
-        let (child, log) = launch_by(command, &config);
-        let mut proxy = Proxy { child, address: found, log, discovery };
+        let (child, log, path) = launch_by(command, &config);
+        let mut proxy = Proxy { child, address: found, log, config, path, discovery };
         let line = proxy.logged("listens on ");
         proxy.address = line.rsplit(' ').next().unwrap().parse().unwrap();
         proxy
@@ -218,7 +222,20 @@
     }
 
     pub fn terminate(&self) {
-        let killed = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration file, with these parts of the first one changed, and sends SIGHUP.
+    pub fn reconfigure(&self, changes: &[(&str, &str)]) {
+        let changed = changes.iter().fold(self.config.clone(), |text, (from, to)| text.replace(from, to));
+        assert_ne!(changed, self.config);
+        let new = self.path.with_extension("new");
+        std::fs::write(&new, changed).and_then(|()| std::fs::rename(&new, &self.path)).unwrap();
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
+        let killed = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(killed.unwrap().success());
     }
 
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -3,6 +3,7 @@
 mod peers;
 use peers::*;
 use std::io::ErrorKind;
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 #[test]
@@ -230,6 +231,36 @@
     assert!(begun.elapsed() < Duration::from_millis(2700), "gone before SIGKILL may come");
 }
 
+#[test]
+fn a_new_configuration_moves_the_watch_and_drops_nobody() {
+    let (nodes, elsewhere) = ([Scripted::new(), Scripted::new()], Scripted::new());
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cottonnotch"));
+    let old = Scripted::new();
+    command.env("GW_DISCOVERY", old.address().to_string());
+    let proxy = Proxy::by(command, &[&nodes[0]], 1024, SETTINGS);
+    let (mut client, mut far) = proxy.up(&nodes[0]);
+    let (mut watch, _) = old.watched();
+    watch.say(&chunk(&list(7, false, &[])));
+    let (here, there) = (proxy.discovery.address().to_string(), elsewhere.address().to_string());
+    proxy.reconfigure(&[(&here, &there), (r#""mostTries":3"#, r#""mostTries":"many""#)]);
+    assert!(proxy.logged("configuration kept").contains("settings.policyLimits.mostTries"));
+    let begun = Instant::now();
+    for _ in 0..3 {
+        proxy.reconfigure(&[(&here, &there), (r#""name":"look""#, r#""name":"edit""#)]);
+    }
+    let (mut watch, asked) = elsewhere.watched();
+    assert!(begun.elapsed() < Duration::from_millis(500), "at once");
+    assert!(asked.contains("from=7 "), "no change is missed: {asked}");
+    let members = [member("s0", &nodes[0], "draining"), member("s1", &nodes[1], "up")];
+    watch.say(&chunk(&list(8, false, &members)));
+    assert_eq!(client.rest().unwrap(), "MOVE\r\n", "not cut off, and the new list counts");
+    assert_eq!(far.rest().unwrap(), "");
+    assert_eq!(proxy.open().hear(), "ERR the class is unknown\r\n", "the new settings count too");
+    let mut edit = proxy.connect();
+    edit.say(&OPEN.replace("look", "edit"));
+    nodes[1].called();
+}
+
 #[test]
 fn a_faulty_configuration_is_named_by_its_key() {
     let base = format!(r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{SETTINGS}}}"#);
