Refuse open ids, answer silent clients, and let go those that only hold a descriptor

Traced: bad clients sent the id of another client's open connection; every render node answers that ERR, each was sent on to three (46 lines), and the module paused all five. driver.rs checked no id. Silent clients waited 30 s for nothing (rpc.rs FIRST_LINE_WITHIN), each took two of the descriptors, so 700 clients a proxy got BUSY.

The check on the first line also covers names given twice and unknown tenants; buffers follow limits.memory_mb.

--- a/src/config.rs
+++ b/src/config.rs
@@ -11,6 +11,12 @@
 
 /// Descriptors, where no limit is told.
 const DEFAULT_SOCKETS: u64 = 1024;
+/// Megabytes of memory, where no limit is told.
+const DEFAULT_MEMORY: u64 = 192;
+/// Each direction of a connection may hold this much at least ...
+const LEAST_BUFFER: u64 = 8 * 1024;
+/// ... and at most; in between, all buffers together keep to a quarter of the memory.
+const MOST_BUFFER: u64 = 64 * 1024;
 /// Fewer leave no room for a single client beside the proxy's own.
 const LEAST_SOCKETS: u64 = 64;
 
@@ -27,6 +33,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes that each direction of a connection may hold, from the memory limit.
+    pub buffer_bound: usize,
     /// The list as the proxy last had it.
     pub known: ResolverResult,
     /// The settings, in the module's terms.
@@ -110,13 +118,22 @@
                 }
             },
         };
-        let sockets = match json.get("limits").and_then(|limits| limits.get("sockets")) {
+        let limit = |name: &str| json.get("limits").and_then(|limits| limits.get(name));
+        let sockets = match limit("sockets") {
             None => DEFAULT_SOCKETS,
             Some(value) => match value.as_u64().filter(|sockets| *sockets >= LEAST_SOCKETS) {
                 Some(sockets) => sockets,
                 None => return wrong("limits.sockets", "is not a whole number of 64 or more", value),
             },
         };
+        let memory = match limit("memory_mb") {
+            None => DEFAULT_MEMORY,
+            Some(value) => match value.cast_f64().filter(|mb| *mb >= 1.0) {
+                Some(mb) => mb as u64,
+                None => return wrong("limits.memory_mb", "is not a number of 1 or more", value),
+            },
+        };
+        let buffer_bound = (memory.saturating_mul(1 << 20) / 4 / sockets).clamp(LEAST_BUFFER, MOST_BUFFER);
         let known = match json.get("known") {
             None => ResolverResult { revision: 0, complete: true, members: Vec::new() },
             Some(known) => ResolverResult::from_json(known)?,
@@ -136,6 +153,7 @@
             discovery: address("GW_DISCOVERY", "discovery")?,
             seed,
             sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
+            buffer_bound: buffer_bound as usize,
             known,
             profile,
         })
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -11,39 +11,50 @@
 use super::resolver::Watch;
 use super::resolver_result::ResolverResult;
 use super::rpc::Rpc;
+use super::seldom::Seldom;
 use crate::config::{BadConfig, Config};
 use cottonnotch::names::{Names, digest};
+use cottonnotch::settings::Profile;
 use cottonnotch::{
     Action, Balancer, ClassId, Entry, Event, Listed, Micros, Notice, Outcome, Request, RequestId, ServerId,
     TenantId, ZoneId,
 };
-use mio::net::TcpStream;
-use std::collections::{BTreeMap, VecDeque};
+use mio::net::TcpListener;
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// Descriptors kept for what is no RPC: the listener, the watch, the poll, standard streams, signals, and
-/// connections for which there is no room.
+/// clients that are told that there is no room.
 const RESERVED_SOCKETS: usize = 32;
-/// An RPC needs two: the client's and the subchannel's.
-const SOCKETS_PER_RPC: usize = 2;
+/// A quarter of the descriptors is not given to clients that have not asked yet ...
+const KEPT_FOR_CALLS: usize = 4;
+/// ... but so many are always let in, the proxy's own few objects included.
+const TOLD_AT_ONCE: usize = 14;
+/// Accepted in one turn before others have theirs.
+const ACCEPTED_AT_ONCE: usize = 32;
+/// Wait before accepting again when there is no descriptor left.
+const ACCEPT_AFTER: Micros = 20_000;
+/// No client is let go for want of room sooner than this after it connected: a usual one has sent its line.
+const DISMISSED_AFTER: Micros = 100_000;
 /// What a client is told when there is no descriptor for it.
 const FULL_RETRY_AFTER: Micros = 1_000_000;
 /// A connection that was open before the start is tried again after this, until its client gives up.
 const REOPEN_AFTER: Micros = 200_000;
 
-/// The module's word that it holds RPCs is logged at most this often.
-const HOLDING_EVERY: Micros = 10_000_000;
-
 /// Timers: the module's tokens are below these.
 const TICK: u32 = 1 << 16;
 const ROUND: u32 = TICK + 1;
 const REOPEN: u32 = TICK + 2;
+const ACCEPT: u32 = TICK + 3;
 
 /// A client's RPC as the driver knows it.
 #[derive(Debug)]
 struct Call {
     id: RequestId,
+    /// Its id on the wire.
+    wire_id: u64,
     /// Where its latest attempt went, and that attempt's number.
     at: Option<(ServerId, u32)>,
     attempts: u32,
@@ -72,6 +83,10 @@
 pub struct Driver {
     address: SocketAddr,
     reactor: Reactor,
+    listener: Rc<TcpListener>,
+    accept_due: bool,
+    /// Clients in the order in which they connected, until they are let go or are gone.
+    arrived: VecDeque<(Micros, Key)>,
     balancer: Balancer,
     config: Config,
     reread: fn() -> Result<Config, BadConfig>,
@@ -80,6 +95,7 @@
     subchannels: Vec<Subchannel>,
     calls: BTreeMap<Key, Call>,
     keys: BTreeMap<RequestId, Key>,
+    wire_ids: HashSet<u64>,
     next_id: u64,
     watch: Option<Key>,
     revision: u64,
@@ -87,19 +103,24 @@
     pending: VecDeque<Event>,
     shutdown: Option<Shutdown>,
     delays: MessageDelays,
-    holding_logged: Micros,
+    holding: Seldom,
+    crowded: Seldom,
 }
 
 impl Driver {
     /// Opens the sockets and starts the module. `reread` gets the configuration anew on SIGHUP.
     pub fn start(config: Config, reread: fn() -> Result<Config, BadConfig>) -> io::Result<Self> {
         let mut reactor = Reactor::new()?;
-        let mut address = config.listen;
+        reactor.io.buffer_bound = config.buffer_bound;
+        let mut shared = None;
         reactor.insert(|key, io| {
-            let listener = Listener::bind(config.listen, key, io)?;
-            address = listener.address()?;
+            let (listener, socket) = Listener::bind(config.listen, key, io)?;
+            shared = Some(socket);
             Ok(listener)
         })?;
+        let listener = shared.ok_or(io::ErrorKind::NotConnected)?;
+        // Also where the system chose the port.
+        let address = listener.local_addr()?;
         reactor.insert(Signals::terminate)?;
         reactor.insert(Signals::reload)?;
         let now = reactor.io.now();
@@ -110,6 +131,10 @@
             address,
             balancer: Balancer::new(settings, config.seed, now),
             reactor,
+            listener,
+            accept_due: false,
+            arrived: VecDeque::new(),
+            wire_ids: HashSet::new(),
             names: Names::default(),
             subchannels: Vec::new(),
             calls: BTreeMap::new(),
@@ -121,7 +146,8 @@
             pending: VecDeque::new(),
             shutdown: None,
             delays,
-            holding_logged: 0,
+            holding: Seldom::default(),
+            crowded: Seldom::default(),
             config,
             reread,
         };
@@ -152,7 +178,12 @@
 
     fn take(&mut self, happening: Happening) {
         match happening {
-            Happening::Accepted(stream) => self.accepted(stream),
+            Happening::Acceptable if self.accept_due => {}
+            Happening::Acceptable => self.accept(),
+            Happening::Timer(ACCEPT) => {
+                self.accept_due = false;
+                self.accept();
+            }
             Happening::Asked(key, wish) => self.asked(key, wish),
             Happening::Up { rpc, elapsed } => self.up(rpc, elapsed),
             Happening::AttemptEnded { rpc, outcome } => self.attempt_ended(rpc, outcome),
@@ -192,29 +223,106 @@
 
     // ---- clients ----
 
-    fn accepted(&mut self, stream: TcpStream) {
-        let used = self.reactor.connections() * SOCKETS_PER_RPC;
-        let result = if used + SOCKETS_PER_RPC + RESERVED_SOCKETS <= self.config.sockets {
-            self.reactor.insert(|key, io| Rpc::accepted(stream, key, io))
-        } else if self.reactor.io.sockets() + RESERVED_SOCKETS / 2 <= self.config.sockets {
-            // Guards against running out of descriptors: a client let in now could not be served, and one
-            // that waits unaccepted would not know to come again.
-            log::warn!("out of sockets, a client gets the unavailable status");
-            self.reactor.insert(|key, io| Rpc::no_room(stream, key, io, FULL_RETRY_AFTER))
+    fn accept(&mut self) {
+        let now = self.reactor.io.now();
+        if self.arrived.len() > 2 * self.config.sockets {
+            let reactor = &self.reactor;
+            self.arrived.retain(|(_, key)| reactor.contains(*key));
+        }
+        for _ in 0..ACCEPTED_AT_ONCE {
+            if !self.make_room(Self::may_accept) {
+                return self.accept_after(ACCEPT_AFTER);
+            }
+            match self.listener.accept() {
+                Ok((stream, _)) => match self.reactor.insert(|key, io| Rpc::accepted(stream, key, io)) {
+                    Ok(key) => self.arrived.push_back((now, key)),
+                    Err(error) => log::warn!("client lost while it was accepted: {error}"),
+                },
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if is_passing(&error) => {}
+                Err(error) => {
+                    // Guards against EMFILE: the edge is told once, so without this timer the waiting
+                    // clients would never be accepted.
+                    log::error!("cannot accept: {error}");
+                    return self.accept_after(ACCEPT_AFTER);
+                }
+            }
+        }
+        self.accept_after(0);
+    }
+
+    /// Goes on accepting later; a new client meanwhile is no reason to try sooner, nor for a second timer.
+    fn accept_after(&mut self, wait: Micros) {
+        let now = self.reactor.io.now();
+        self.accept_due = true;
+        self.reactor.io.driver_timer(now + wait, ACCEPT);
+    }
+
+    /// Descriptors that are free for RPCs. Each counts two: the client's and the subchannel's.
+    fn room(&self) -> usize {
+        let used = self.reactor.connections() + self.calls.len();
+        self.config.sockets.saturating_sub(RESERVED_SOCKETS + used)
+    }
+
+    /// There is room for the subchannel's side of one more RPC.
+    fn may_call(&self) -> bool {
+        self.room() > 0
+    }
+
+    /// One more client may be let in: a part is kept for the subchannels of those that ask, and if RPCs have
+    /// all of it, a few are let in to be told so.
+    fn may_accept(&self) -> bool {
+        let others = self.reactor.connections() - self.calls.len();
+        self.room() > self.config.sockets / KEPT_FOR_CALLS || others < TOLD_AT_ONCE
+    }
+
+    /// Lets clients go that have asked nothing until there is room. Guards against those that connect by
+    /// hundreds and say nothing, or stay when they were answered: they would hold the descriptors of others.
+    fn make_room(&mut self, enough: fn(&Self) -> bool) -> bool {
+        while !enough(self) {
+            let now = self.reactor.io.now();
+            let Some((at, key)) = self.arrived.front().copied() else { return false };
+            if at + DISMISSED_AFTER > now {
+                return false;
+            }
+            self.arrived.pop_front();
+            self.reactor.with_front(key, |front, io| front.dismiss(io, FULL_RETRY_AFTER));
+        }
+        true
+    }
+
+    /// Says why a client is answered without an attempt, if a line of it must not reach a subchannel.
+    fn objection(&self, wish: &Wish) -> Option<&'static str> {
+        let Profile { tenants, settings, .. } = &self.config.profile;
+        let stranger = |tenant: &String| !settings.tenants.is_empty() && tenants.find(tenant).is_none();
+        if self.config.profile.class(&wish.class).is_none() {
+            Some("the class is unknown")
+        } else if wish.tenant.as_ref().is_some_and(stranger) {
+            Some("the tenant is unknown")
+        } else if self.wire_ids.contains(&wish.id) {
+            // Guards against the id of another client's open connection: every subchannel answers it with an
+            // error, and one such client would have them all paused.
+            Some("the id is open already")
         } else {
-            log::error!("out of sockets, a client is dropped");
-            return;
-        };
-        if let Err(error) = result {
-            log::warn!("client lost while it was accepted: {error}");
+            None
         }
     }
 
     fn asked(&mut self, key: Key, wish: Wish) {
-        let Some(class) = self.config.profile.class(&wish.class) else {
-            log::warn!("a client asked for an unknown class");
-            return self.fail(key, "the class is unknown");
-        };
+        if let Some(why) = self.objection(&wish) {
+            self.reactor.io.rejected(&why);
+            return self.fail(key, why);
+        }
+        if !self.make_room(Self::may_call) {
+            // Guards against running out of descriptors: one that waited unanswered would not come again.
+            let now = self.reactor.io.now();
+            if let Some(more) = self.crowded.due(now) {
+                log::warn!("out of sockets, a client gets the unavailable status ({more} more since)");
+            }
+            self.reactor.with_front(key, |front, io| front.unavailable(io, FULL_RETRY_AFTER));
+            return;
+        }
+        let Some(class) = self.config.profile.class(&wish.class) else { return };
         let tenants = &self.config.profile.tenants;
         let id = RequestId(self.next_id);
         self.next_id += 1;
@@ -228,7 +336,9 @@
             again: wish.again,
         };
         self.keys.insert(id, key);
-        let call = Call { id, at: None, attempts: 0, group: wish.group, stage: Stage::Owed };
+        self.wire_ids.insert(wish.id);
+        let wire_id = wish.id;
+        let call = Call { id, wire_id, at: None, attempts: 0, group: wish.group, stage: Stage::Owed };
         // One that names a subchannel which is not known is a new connection like any other.
         let at = wish.at.and_then(|at| self.names.find(&at));
         match at {
@@ -318,6 +428,7 @@
     fn forget(&mut self, key: Key) -> Option<Call> {
         let call = self.calls.remove(&key)?;
         self.keys.remove(&call.id);
+        self.wire_ids.remove(&call.wire_id);
         self.delays.ended(call.id);
         Some(call)
     }
@@ -417,6 +528,7 @@
         let profile = new.profile.succeed(&old.profile);
         let settings = profile.settings.clone();
         self.delays.set(settings.nodes, settings.shortest_aim(), settings.weighted);
+        self.reactor.io.buffer_bound = new.buffer_bound;
         self.config = Config { listen: old.listen, seed: old.seed, known: old.known.clone(), profile, ..new };
         self.tell(Event::Settings(Box::new(settings)));
         if moved {
@@ -539,12 +651,10 @@
 
     fn log(&mut self, notice: Notice, server: Option<ServerId>) {
         if notice == Notice::Holding {
-            // Guards against a log that fills up in overload, when this comes many times a second.
             let now = self.reactor.io.now();
-            if now < self.holding_logged + HOLDING_EVERY {
+            if self.holding.due(now).is_none() {
                 return;
             }
-            self.holding_logged = now;
         }
         let name = server.map_or("-", |server| self.names.name(server.0));
         match notice {
@@ -557,3 +667,8 @@
         }
     }
 }
+
+/// The client was gone before it was accepted, or a signal came.
+fn is_passing(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted)
+}
--- a/src/net/happening.rs
+++ b/src/net/happening.rs
@@ -5,12 +5,13 @@
 use super::reactor::{Io, Key};
 use super::resolver_result::ResolverResult;
 use cottonnotch::{Micros, Outcome};
-use mio::net::TcpStream;
 use std::net::SocketAddr;
 
 /// A client's wish for a connection, in the terms of the settings.
 #[derive(Debug)]
 pub struct Wish {
+    /// The connection's id, which no other open one has.
+    pub id: u64,
     pub class: String,
     pub tenant: Option<String>,
     /// How long the client waits, from now.
@@ -35,8 +36,8 @@
 /// What has happened.
 #[derive(Debug)]
 pub enum Happening {
-    /// A client has connected.
-    Accepted(TcpStream),
+    /// Clients wait to be accepted.
+    Acceptable,
     /// A client wishes for a connection; it is owed one final answer.
     Asked(Key, Wish),
     /// The call attempt's subchannel took it; `elapsed` since the attempt began.
@@ -76,6 +77,9 @@
     fn move_away(&mut self, io: &mut Io) -> bool;
     /// The proxy leaves: an RPC that is up is moved, one that is owed an answer gets the unavailable status.
     fn abandon(&mut self, io: &mut Io);
+    /// Room is needed: a client that has not said what it wants, or that was answered, is let go. False if
+    /// it is neither.
+    fn dismiss(&mut self, io: &mut Io, retry_after: Micros) -> bool;
     /// For how long the oldest unanswered line of the client's has waited.
     fn waiting_for(&self, now: Micros) -> Option<Micros>;
 }
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -1,6 +1,6 @@
 //! Lines on a non-blocking socket: CRLF framing with a bound, partial reads and writes, bounded buffers.
 
-use super::reactor::{Counted, Io, Key, Leg};
+use super::reactor::{Io, Key, Leg};
 use mio::net::TcpStream;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr};
@@ -8,8 +8,6 @@
 
 /// No line is longer, its end included.
 pub const MAX_LINE: usize = 4096;
-/// While more than this waits to be written, the other side is not read.
-pub const MAX_UNSENT: usize = 64 * 1024;
 /// Read in one callback before other connections have their turn.
 const MAX_TURN: usize = 16 * 1024;
 
@@ -37,10 +35,12 @@
     stream: TcpStream,
     input: Vec<u8>,
     output: Vec<u8>,
+    /// While more than this waits to be written, the other side is not read; nor is more than this read and
+    /// not yet taken.
+    bound: usize,
     /// End our sending once all is written.
     finish: bool,
     finished: bool,
-    _counted: Counted,
 }
 
 impl LineStream {
@@ -60,7 +60,7 @@
 
     fn new(stream: TcpStream, io: &Io) -> Self {
         let (input, output) = (Vec::new(), Vec::new());
-        LineStream { stream, input, output, finish: false, finished: false, _counted: io.count_socket() }
+        LineStream { stream, input, output, bound: io.buffer_bound, finish: false, finished: false }
     }
 
     /// After `writable`: whether the connection stands by now.
@@ -79,10 +79,10 @@
     pub fn fill(&mut self) -> Fill {
         let mut chunk = [0; MAX_LINE];
         let mut taken = 0;
-        while taken < MAX_TURN {
+        while taken < MAX_TURN.min(self.bound) {
             // Guards against a client that sends on and on before it is answered: what it sends then is
             // read by whoever takes over the buffer, and the rest waits in its own socket.
-            if self.input.len() >= MAX_UNSENT {
+            if self.input.len() >= self.bound {
                 return Fill::Blocked;
             }
             match self.stream.read(&mut chunk) {
@@ -109,6 +109,19 @@
         }
     }
 
+    /// Reads what has come and forgets it.
+    pub fn discard(&mut self) -> Fill {
+        self.input.clear();
+        let fill = self.fill();
+        self.input.clear();
+        fill
+    }
+
+    /// Something has come that was not taken.
+    pub fn has_input(&self) -> bool {
+        !self.input.is_empty()
+    }
+
     /// What has come and is no whole line.
     pub fn take_rest(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.input)
@@ -150,7 +163,7 @@
 
     /// Too much waits to be written for more to be read from the other side.
     pub fn is_full(&self) -> bool {
-        self.output.len() >= MAX_UNSENT
+        self.output.len() >= self.bound
     }
 
     /// Makes the coming close a reset, as the other side's was.
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -2,66 +2,47 @@
 
 use super::happening::Happening;
 use super::reactor::{Connection, Io, Key, Leg};
-use cottonnotch::Micros;
 use mio::net::{TcpListener, UnixStream};
 use signal_hook::consts::{SIGHUP, SIGTERM};
+use socket2::{Domain, Socket, Type};
 use std::io::{self, Read};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
-/// Accepted in one callback before others have their turn.
-const MAX_TURN: usize = 64;
-/// Wait before accepting again when the machine has no descriptor left.
-const SHORT_OF_DESCRIPTORS: Micros = 50_000;
+/// Clients that the system lets wait to be accepted, if its own bound allows. Guards against a flood: past the
+/// usual 128, a client's first packet is dropped, and it tries again after a second.
+const BACKLOG: i32 = 4096;
 
-/// Where clients connect.
+/// Where clients connect. The driver accepts them, one by one, as it has room.
 #[derive(Debug)]
 pub struct Listener {
-    key: Key,
-    listener: TcpListener,
+    _socket: Rc<TcpListener>,
 }
 
 impl Listener {
-    pub fn bind(address: SocketAddr, key: Key, io: &mut Io) -> io::Result<Self> {
-        let mut listener = TcpListener::bind(address)?;
+    /// Listens; the driver shares the socket.
+    pub fn bind(address: SocketAddr, key: Key, io: &mut Io) -> io::Result<(Self, Rc<TcpListener>)> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        // As the plain way to listen does: a restart must not wait for the old connections' ends.
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        let mut listener = TcpListener::from_std(socket.into());
         io.register_reader(&mut listener, key)?;
-        Ok(Listener { key, listener })
-    }
-
-    /// Where it listens, also where the system chose the port.
-    pub fn address(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
+        let listener = Rc::new(listener);
+        Ok((Listener { _socket: Rc::clone(&listener) }, listener))
     }
 }
 
 impl Connection for Listener {
     fn readable(&mut self, io: &mut Io, _: Leg) {
-        for _ in 0..MAX_TURN {
-            match self.listener.accept() {
-                Ok((stream, _)) => io.tell(Happening::Accepted(stream)),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
-                // The client was gone before it was accepted, or a signal came.
-                Err(error)
-                    if matches!(
-                        error.kind(),
-                        io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted
-                    ) => {}
-                Err(error) => {
-                    // Guards against EMFILE: the edge is told once, so without this timer the waiting
-                    // clients would never be accepted.
-                    log::error!("cannot accept: {error}");
-                    io.timer(io.now() + SHORT_OF_DESCRIPTORS, self.key, 0);
-                    return;
-                }
-            }
-        }
-        io.call_again(self.key, Leg::Near);
+        io.tell(Happening::Acceptable);
     }
 
     fn writable(&mut self, _: &mut Io, _: Leg) {}
 
-    fn timer(&mut self, io: &mut Io, _: u32) {
-        self.readable(io, Leg::Near);
-    }
+    fn timer(&mut self, _: &mut Io, _: u32) {}
 
     fn done(&self) -> bool {
         false
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,5 +15,6 @@
 mod resolver;
 mod resolver_result;
 mod rpc;
+mod seldom;
 
 pub use resolver_result::{BadResult, ResolverResult};
--- a/src/net/open_line.rs
+++ b/src/net/open_line.rs
@@ -15,6 +15,8 @@
     NoClass,
     #[error("the figure of '{0}' cannot be read")]
     BadFigure(&'static str),
+    #[error("a name is given twice")]
+    Twice,
 }
 
 /// A first line, kept as it came so that it can go on unchanged.
@@ -29,13 +31,18 @@
     /// Reads a line without its end.
     pub fn parse(line: &[u8]) -> Result<(OpenLine, Wish), BadLine> {
         let text = std::str::from_utf8(line).map_err(|_| BadLine::NotText)?;
+        if !text.bytes().all(|b| b == b' ' || b.is_ascii_graphic()) {
+            return Err(BadLine::NotText);
+        }
         let mut words = text.split(' ');
         let (verb, id, key, names) = (words.next(), words.next(), words.next(), words.next());
         let given = |word: Option<&str>| word.is_some_and(|w| !w.is_empty());
         let names =
             names.filter(|_| verb == Some("OPEN") && given(id) && given(key) && words.next().is_none());
         let names = names.ok_or(BadLine::NotOpen)?;
+        let id = id.and_then(number).ok_or(BadLine::BadFigure("id"))?;
         let mut wish = Wish {
+            id,
             class: String::new(),
             tenant: None,
             left: None,
@@ -46,13 +53,19 @@
         };
         let mut wait = None;
         let mut start = text.len() - names.len();
+        let mut seen = Vec::new();
         for pair in names.split(',') {
             let (name, value) = pair.split_once('=').ok_or(BadLine::NotOpen)?;
+            if name.is_empty() || seen.contains(&name) {
+                return Err(BadLine::Twice);
+            }
+            seen.push(name);
             match name {
                 "c" => wish.class = value.to_owned(),
                 "t" => wish.tenant = Some(value.to_owned()).filter(|t| !t.is_empty() && t != "-"),
                 "d" => {
-                    let left: u32 = value.parse().map_err(|_| BadLine::BadFigure("d"))?;
+                    let figure = value.bytes().all(|b| b.is_ascii_digit()).then(|| value.parse().ok());
+                    let left: u32 = figure.flatten().filter(|d| *d > 0).ok_or(BadLine::BadFigure("d"))?;
                     wish.left = Some(Micros::from(left) * 1000);
                     wait = Some((start + 2, start + pair.len()));
                 }
@@ -63,7 +76,8 @@
                     let hint = value.parse().ok().filter(|h: &f64| h.is_finite());
                     wish.load_hint = Some(hint.ok_or(BadLine::BadFigure("h"))?);
                 }
-                "r" | "again" => wish.again |= value == "1",
+                "r" => wish.again |= flag(value).ok_or(BadLine::BadFigure("r"))?,
+                "again" => wish.again |= flag(value).ok_or(BadLine::BadFigure("again"))?,
                 "at" => wish.at = Some(value.to_owned()),
                 _ => {}
             }
@@ -87,3 +101,17 @@
         text.into_bytes()
     }
 }
+
+/// An id: hexadecimal digits, 64 bits at most.
+fn number(word: &str) -> Option<u64> {
+    let digits = word.bytes().all(|b| b.is_ascii_hexdigit());
+    digits.then(|| u64::from_str_radix(word, 16).ok()).flatten()
+}
+
+fn flag(value: &str) -> Option<bool> {
+    match value {
+        "0" => Some(false),
+        "1" => Some(true),
+        _ => None,
+    }
+}
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -5,15 +5,15 @@
 //! driver takes up after each round of callbacks.
 
 use super::happening::{Front, Happening};
+use super::seldom::Seldom;
 use cottonnotch::Micros;
 use mio::event::Source;
 use mio::{Events, Interest, Poll, Registry, Token};
 use slab::Slab;
-use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
+use std::fmt::Display;
 use std::io;
-use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Which of an object's sockets: most have one, a relayed RPC has two.
@@ -90,16 +90,6 @@
     Connection(Key),
 }
 
-/// One open socket in the count of descriptors; leaves the count when dropped.
-#[derive(Debug)]
-pub struct Counted(Rc<Cell<usize>>);
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// What a callback may use.
 #[derive(Debug)]
 pub struct Io {
@@ -110,7 +100,10 @@
     again: VecDeque<(Key, Leg)>,
     /// What objects have to tell, for the driver.
     pub happenings: VecDeque<Happening>,
-    sockets: Rc<Cell<usize>>,
+    /// Bytes that each direction of a connection may hold.
+    pub buffer_bound: usize,
+    /// Lines about clients that are turned away.
+    pub rejections: Seldom,
 }
 
 impl Io {
@@ -150,21 +143,17 @@
         self.again.push_back((key, leg));
     }
 
+    /// Logs that a client was turned away with an error.
+    pub fn rejected(&mut self, why: &dyn Display) {
+        if let Some(more) = self.rejections.due(self.now()) {
+            log::warn!("client turned away: {why} ({more} more since the last such line)");
+        }
+    }
+
     /// Reports to the driver.
     pub fn tell(&mut self, happening: Happening) {
         self.happenings.push_back(happening);
     }
-
-    /// Counts a socket as open until the returned value is dropped.
-    pub fn count_socket(&self) -> Counted {
-        self.sockets.set(self.sockets.get() + 1);
-        Counted(Rc::clone(&self.sockets))
-    }
-
-    /// Sockets open now.
-    pub fn sockets(&self) -> usize {
-        self.sockets.get()
-    }
 }
 
 struct Slot {
@@ -192,7 +181,8 @@
             timer_number: 0,
             again: VecDeque::new(),
             happenings: VecDeque::new(),
-            sockets: Rc::new(Cell::new(0)),
+            buffer_bound: 16 * 1024,
+            rejections: Seldom::default(),
         };
         Ok(Reactor { poll, events: Events::with_capacity(1024), slots: Slab::new(), generation: 0, io })
     }
@@ -231,6 +221,11 @@
         self.with(key, |connection, io| connection.front().map(|front| use_it(front, io))).flatten()
     }
 
+    /// The object still exists.
+    pub fn contains(&self, key: Key) -> bool {
+        self.slots.get(key.index as usize).is_some_and(|slot| slot.generation == key.generation)
+    }
+
     /// Objects there are.
     pub fn connections(&self) -> usize {
         self.slots.len()
--- a/src/net/rpc.rs
+++ b/src/net/rpc.rs
@@ -9,10 +9,14 @@
 use super::relay::{Pass, Relay, Seen};
 use cottonnotch::{Micros, Outcome};
 use mio::net::TcpStream;
+use std::fmt::Display;
 use std::io;
 
-/// A connection that says nothing for this long before its first line is closed.
-const FIRST_LINE_WITHIN: Micros = 30_000_000;
+/// A connection whose first line is not there after this gets an error. Guards against clients that connect
+/// and say nothing: they are owed a word within 3 s, and the descriptor is for others.
+const FIRST_LINE_WITHIN: Micros = 1_500_000;
+/// The front, which asks by PING whether the proxy serves, may be silent for longer.
+const PING_WITHIN: Micros = 30_000_000;
 /// A client that was answered is given this long to close first: a close with its bytes unread would reset
 /// the connection and could take the answer with it.
 const LINGER: Micros = 1_000_000;
@@ -22,6 +26,8 @@
 /// After the client's end, the subchannel is given this long to end too.
 const FAR_END_WITHIN: Micros = 2_000_000;
 
+const TOO_MUCH: &str = "more than one line before the answer";
+
 /// The timers of an RPC.
 const IDLE: u32 = 0;
 const ATTEMPT: u32 = 1;
@@ -31,7 +37,7 @@
 #[derive(Debug)]
 enum State {
     /// The first line is not there yet.
-    Reading { since: Micros },
+    Reading { until: Micros, pinged: bool },
     /// A final answer is owed, and no attempt is out.
     Held,
     /// A call attempt is out.
@@ -58,16 +64,9 @@
     /// Takes over an accepted connection.
     pub fn accepted(stream: TcpStream, key: Key, io: &mut Io) -> io::Result<Self> {
         let client = LineStream::accepted(stream, io, key)?;
-        let since = io.now();
-        io.timer(since + FIRST_LINE_WITHIN, key, IDLE);
-        Ok(Rpc { key, client, state: State::Reading { since }, line: None, deadline: None })
-    }
-
-    /// Takes over an accepted connection for which there is no room: it gets the unavailable status at once.
-    pub fn no_room(stream: TcpStream, key: Key, io: &mut Io, retry_after: Micros) -> io::Result<Self> {
-        let mut rpc = Self::accepted(stream, key, io)?;
-        rpc.answer(io, &busy(retry_after));
-        Ok(rpc)
+        let until = io.now() + FIRST_LINE_WITHIN;
+        io.timer(until, key, IDLE);
+        Ok(Rpc { key, client, state: State::Reading { until, pinged: false }, line: None, deadline: None })
     }
 
     /// Writes the client's last line and ends our sending.
@@ -78,12 +77,22 @@
 
     fn end_client(&mut self, io: &mut Io) {
         self.client.finish();
+        self.client.take_rest();
         // Dropping the state closes the call attempt or the relay's far side.
         self.state = match self.client.flush() {
             Ok(_) => State::Answered,
             Err(_) => State::Closed,
         };
         io.timer(io.now() + LINGER, self.key, CLOSE);
+        // What came with the line is read away, and more that comes: an edge is told once.
+        io.call_again(self.key, Leg::Near);
+    }
+
+    /// Turns a client away with an error. Guards against rubbish: it costs one line and is never passed on,
+    /// where a subchannel would answer SYNTAX, or an error that looks like the subchannel's own trouble.
+    fn reject(&mut self, io: &mut Io, why: &dyn Display) {
+        io.rejected(why);
+        self.answer(io, &format!("ERR {why}\r\n"));
     }
 
     fn first_line(&mut self, io: &mut Io) {
@@ -97,11 +106,11 @@
                             self.state = State::Closed;
                             return;
                         }
-                        self.state = State::Reading { since: io.now() };
+                        self.state = State::Reading { until: io.now() + PING_WITHIN, pinged: true };
                     }
                     line => return self.opened(io, line),
                 },
-                Err(error) => return self.answer(io, &format!("ERR {error}\r\n")),
+                Err(error) => return self.reject(io, &error),
                 Ok(None) => match fill {
                     Fill::Blocked => return,
                     Fill::More => return io.call_again(self.key, Leg::Near),
@@ -117,6 +126,7 @@
     fn opened(&mut self, io: &mut Io, line: &[u8]) {
         log::trace!("client {:?} opens with '{}'", self.key, line.escape_ascii());
         match OpenLine::parse(line) {
+            Ok(_) if self.client.has_input() => self.reject(io, &TOO_MUCH),
             Ok((line, wish)) => {
                 self.deadline = wish.left.map(|left| io.now() + left);
                 self.line = Some(line);
@@ -125,21 +135,23 @@
                 // The client's end may have come with the line; an edge is told once.
                 io.call_again(self.key, Leg::Near);
             }
-            Err(error) => {
-                // Guards against a client's rubbish: it costs one line and is never passed on, where a
-                // subchannel would answer SYNTAX.
-                log::warn!("malformed first line: {error}");
-                self.answer(io, &format!("ERR {error}\r\n"));
-            }
+            Err(error) => self.reject(io, &error),
         }
     }
 
-    /// While no answer is given, the client's side is read only to see whether it left.
+    /// While no answer is given, the client's side is read only to see whether it left. Guards against one
+    /// that sends many commands at once: a client waits for its answer, and what it sends before would have
+    /// to be kept, or be lost with the attempt.
     fn watch_client(&mut self, io: &mut Io) {
-        if let Fill::Ended | Fill::Broken(_) = self.client.fill() {
+        let fill = self.client.fill();
+        if let Fill::Ended | Fill::Broken(_) = fill {
             self.state = State::Closed;
-            io.tell(Happening::ClientGone { rpc: self.key });
+        } else if self.client.has_input() {
+            self.reject(io, &TOO_MUCH);
+        } else {
+            return;
         }
+        io.tell(Happening::ClientGone { rpc: self.key });
     }
 
     fn advance(&mut self, io: &mut Io) {
@@ -224,15 +236,11 @@
             (State::Held | State::Attempting(_), Leg::Near) => self.watch_client(io),
             (State::Attempting(_), Leg::Far) => self.advance(io),
             (State::Up(_), leg) => self.relay(io, leg),
-            (State::Answered, Leg::Near) => {
-                let fill = self.client.fill();
-                self.client.take_rest();
-                match fill {
-                    Fill::Ended | Fill::Broken(_) => self.state = State::Closed,
-                    Fill::More => io.call_again(self.key, Leg::Near),
-                    Fill::Blocked => {}
-                }
-            }
+            (State::Answered, Leg::Near) => match self.client.discard() {
+                Fill::Ended | Fill::Broken(_) => self.state = State::Closed,
+                Fill::More => io.call_again(self.key, Leg::Near),
+                Fill::Blocked => {}
+            },
             // Left over from an attempt that is closed.
             (_, _) => {}
         }
@@ -263,12 +271,11 @@
     fn timer(&mut self, io: &mut Io, timer: u32) {
         let now = io.now();
         match (timer, &self.state) {
-            (IDLE, State::Reading { since }) => {
-                let due = since + FIRST_LINE_WITHIN;
-                if due <= now {
-                    self.state = State::Closed;
+            (IDLE, State::Reading { until, .. }) => {
+                if *until <= now {
+                    self.reject(io, &"no first line came");
                 } else {
-                    io.timer(due, self.key, IDLE);
+                    io.timer(*until, self.key, IDLE);
                 }
             }
             (ATTEMPT, State::Attempting(attempt)) => match attempt.overdue(now) {
@@ -365,6 +372,25 @@
         }
     }
 
+    fn dismiss(&mut self, io: &mut Io, retry_after: Micros) -> bool {
+        if let State::Reading { .. } = self.state {
+            // A usual client's line may be there already and only not read yet.
+            self.first_line(io);
+        }
+        match self.state {
+            State::Reading { pinged: false, .. } => self.answer(io, &busy(retry_after)),
+            // It has had its PONG, and would take a BUSY for another one's. Guards against those that ask once
+            // and stay: by hundreds, they kept every other client from being accepted.
+            State::Reading { pinged: true, .. } => self.end_client(io),
+            _ => {}
+        }
+        let idle = matches!(self.state, State::Answered);
+        if idle {
+            self.state = State::Closed;
+        }
+        idle
+    }
+
     fn waiting_for(&self, now: Micros) -> Option<Micros> {
         match &self.state {
             State::Up(relay) => relay.waiting_for(now),
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
@@ -132,6 +133,12 @@
 /// A line that opens a connection of class `look`.
 pub const OPEN: &str = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=look,d=2000,g=5c0f\r\n";
 
+/// The line with an id of its own.
+pub fn fresh(line: &str) -> String {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    line.replace("9b1f03aa5c7e2d41", &format!("{:016x}", NUMBER.fetch_add(1, Ordering::Relaxed)))
+}
+
 /// A running proxy; killed when dropped.
 pub struct Proxy {
     child: Child,
@@ -157,8 +164,8 @@
 }
 
 fn launch_by(mut command: Command, config: &str) -> (Child, Receiver<String>, PathBuf) {
-    static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
-    let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("cottonnotch-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).unwrap();
     let command = command.env_remove("RUST_LOG").env("GW_CONFIG", &path).stderr(Stdio::piped());
@@ -208,7 +215,7 @@
     /// A client that has sent its first line.
     pub fn open(&self) -> Peer {
         let mut client = self.connect();
-        client.say(OPEN);
+        client.say(&fresh(OPEN));
         client
     }
 
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -123,7 +123,7 @@
     let proxy = Proxy::start(&[&nodes[0], &nodes[1]]);
     for _ in 0..3 {
         let mut client = proxy.connect();
-        client.say(&OPEN.replace("g=5c0f", "at=s1"));
+        client.say(&fresh(&OPEN.replace("g=5c0f", "at=s1")));
         nodes[1].called().0.say("BUSY\r\n");
         let mut far = nodes[1].called().0;
         far.say("UP 5\r\n");
@@ -207,6 +207,70 @@
     node.called();
 }
 
+#[test]
+fn the_id_of_an_open_connection_is_turned_away_and_pauses_nobody() {
+    let node = Scripted::new();
+    let proxy = Proxy::start(&[&node]);
+    let mut first = proxy.connect();
+    first.say(OPEN);
+    let mut far = node.called().0;
+    for _ in 0..3 {
+        let mut other = proxy.connect();
+        other.say(&OPEN.replace("7f3a", "beef"));
+        assert_eq!(other.rest().unwrap(), "ERR the id is open already\r\n");
+    }
+    far.say("UP 1\r\n");
+    assert_eq!(first.hear(), "UP 1\r\n");
+    assert!(node.poll().is_none(), "no render node saw it");
+    far.say("BYE\r\n");
+    drop(far);
+    assert_eq!(first.rest().unwrap(), "BYE\r\n");
+    let mut again = proxy.connect();
+    again.say(OPEN);
+    node.called();
+}
+
+#[test]
+fn commands_at_once_are_an_error_and_their_attempt_is_closed() {
+    let node = Scripted::new();
+    let proxy = Proxy::start(&[&node]);
+    let mut client = proxy.connect();
+    client.say(&fresh(OPEN).repeat(300));
+    assert_eq!(client.rest().unwrap(), "ERR more than one line before the answer\r\n");
+    let mut client = proxy.open();
+    let mut far = node.called().0;
+    client.say("M 1 a\r\n");
+    assert_eq!(client.rest().unwrap(), "ERR more than one line before the answer\r\n");
+    assert_eq!(far.rest().unwrap(), "");
+    proxy.up(&node);
+}
+
+#[test]
+fn a_line_without_end_gets_its_error_though_more_is_sent() {
+    let proxy = Proxy::start(&[]);
+    let mut client = proxy.connect();
+    for _ in 0..2000 {
+        client.say(&"x".repeat(4000));
+    }
+    assert_eq!(client.hear(), "ERR a line of over 4096 bytes\r\n");
+}
+
+#[test]
+fn silent_clients_get_a_word_and_make_room_for_those_that_ask() {
+    let node = Scripted::new();
+    let proxy = Proxy::with(&[&node], 128, SETTINGS);
+    let begun = Instant::now();
+    // Those that ask once and stay are no better.
+    let mut asking: Vec<Peer> = (0..100).map(|_| proxy.connect()).collect();
+    asking.iter_mut().for_each(|peer| peer.say("PING\r\n"));
+    let mut silent: Vec<Peer> = (0..200).map(|_| proxy.connect()).collect();
+    let pairs: Vec<(Peer, Peer)> = (0..5).map(|_| proxy.up(&node)).collect();
+    let told: Vec<String> = silent.iter_mut().map(|peer| peer.rest().unwrap()).collect();
+    assert!(begun.elapsed() < Duration::from_millis(2500), "{:?}", begun.elapsed());
+    assert!(told.iter().all(|word| ["BUSY 1000\r\n", "ERR no first line came\r\n"].contains(&&word[..])));
+    drop(pairs);
+}
+
 #[test]
 fn a_planned_restart_moves_every_client_and_still_serves() {
     let node = Scripted::new();
@@ -302,7 +366,7 @@
     let proxy = Proxy::with(&[&nodes[0], &nodes[1], &nodes[2]], 1024, &settings);
     let open = || {
         let mut client = proxy.connect();
-        client.say(&OPEN.replace(",g=5c0f", ""));
+        client.say(&fresh(&OPEN.replace(",g=5c0f", "")));
         let (at, far) = called_at(&nodes);
         (client, at, far)
     };
