Split the crate into a workspace: decision, simhost, cottonnotch

The kit, records and later fronts need the event loop and framing, and nothing in a binary's private modules can be shared.

--- a/src/config.rs
+++ b/crates/cottonnotch/src/config.rs
@@ -4,7 +4,7 @@
 //! platform may add some.
 
 use crate::net::{BadResult, ResolverResult};
-use cottonnotch::settings::{self, BadSetting, Pairs, Profile};
+use cottonnotch_decision::settings::{self, BadSetting, Pairs, Profile};
 use simd_json::OwnedValue;
 use simd_json::prelude::*;
 use std::net::SocketAddr;
--- a/src/main.rs
+++ b/crates/cottonnotch/src/main.rs
@@ -1,5 +1,4 @@
 //! The proxy: real sockets around the decision module. See the README for how the parts fit.
-#![forbid(unsafe_code)]
 
 mod config;
 mod net;
--- a/src/net/call_attempt.rs
+++ b/crates/cottonnotch/src/net/call_attempt.rs
@@ -3,7 +3,7 @@
 use super::happening::AttemptOrder;
 use super::line::{Fill, LineStream, trim_end};
 use super::reactor::{Io, Key, Leg};
-use cottonnotch::{Micros, Outcome};
+use cottonnotch_decision::{Micros, Outcome};
 use std::io;
 
 /// Until the last byte of the first line is written, the attempt can't have run; from then on it may have.
--- a/src/net/driver.rs
+++ b/crates/cottonnotch/src/net/driver.rs
@@ -13,9 +13,9 @@
 use super::rpc::Rpc;
 use super::seldom::Seldom;
 use crate::config::{BadConfig, Config};
-use cottonnotch::names::{Names, digest};
-use cottonnotch::settings::Profile;
-use cottonnotch::{
+use cottonnotch_decision::names::{Names, digest};
+use cottonnotch_decision::settings::Profile;
+use cottonnotch_decision::{
     Action, Balancer, ClassId, Entry, Event, Listed, Micros, Notice, Outcome, Request, RequestId, ServerId,
     TenantId, ZoneId,
 };
--- a/src/net/happening.rs
+++ b/crates/cottonnotch/src/net/happening.rs
@@ -4,7 +4,7 @@
 
 use super::reactor::{Io, Key};
 use super::resolver_result::ResolverResult;
-use cottonnotch::{Micros, Outcome};
+use cottonnotch_decision::{Micros, Outcome};
 use std::net::SocketAddr;
 
 /// A client's wish for a connection, in the terms of the settings.
--- a/src/net/lifecycle.rs
+++ b/crates/cottonnotch/src/net/lifecycle.rs
@@ -1,7 +1,7 @@
 //! Shutdown after SIGTERM: clients go on being served, and those that are up are moved, spread over the time
 //! there is, so that the other proxies do not get them as a storm.
 
-use cottonnotch::Micros;
+use cottonnotch_decision::Micros;
 
 /// SIGKILL comes no earlier than the longest deadline (this much, where it is longer) ...
 const LONGEST_DEADLINE: Micros = 3_000_000;
--- a/src/net/message_delay.rs
+++ b/crates/cottonnotch/src/net/message_delay.rs
@@ -7,7 +7,7 @@
 //! figures), so the time is estimated as well, from what a proxy does see: the loads of its own connections,
 //! the groups they belong to, and how long set-ups take. The larger of the two is noted.
 
-use cottonnotch::{Micros, RequestId, ServerId};
+use cottonnotch_decision::{Micros, RequestId, ServerId};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Between two rounds of notes.
--- a/src/net/open_line.rs
+++ b/crates/cottonnotch/src/net/open_line.rs
@@ -1,8 +1,8 @@
 //! The first line of a client's connection: `OPEN ID KEY name=value,...`.
 
 use super::happening::Wish;
-use cottonnotch::Micros;
-use cottonnotch::names::digest;
+use cottonnotch_decision::Micros;
+use cottonnotch_decision::names::digest;
 
 /// What is wrong with a first line; the text is what the client is answered.
 #[derive(Debug, thiserror::Error, PartialEq, Eq)]
--- a/src/net/reactor.rs
+++ b/crates/cottonnotch/src/net/reactor.rs
@@ -6,7 +6,7 @@
 
 use super::happening::{Front, Happening};
 use super::seldom::Seldom;
-use cottonnotch::Micros;
+use cottonnotch_decision::Micros;
 use mio::event::Source;
 use mio::{Events, Interest, Poll, Registry, Token};
 use slab::Slab;
--- a/src/net/resolver.rs
+++ b/crates/cottonnotch/src/net/resolver.rs
@@ -6,7 +6,7 @@
 use super::line::{Fill, LineStream};
 use super::reactor::{Connection, Io, Key, Leg};
 use super::resolver_result::ResolverResult;
-use cottonnotch::Micros;
+use cottonnotch_decision::Micros;
 use std::io;
 use std::net::SocketAddr;
 
--- a/src/net/resolver_result.rs
+++ b/crates/cottonnotch/src/net/resolver_result.rs
@@ -1,6 +1,6 @@
 //! A resolver result: the list of subchannels, or what changed of it, in discovery's JSON form.
 
-use cottonnotch::{Listed, Micros};
+use cottonnotch_decision::{Listed, Micros};
 use simd_json::OwnedValue;
 use simd_json::prelude::*;
 use std::net::SocketAddr;
--- a/src/net/rpc.rs
+++ b/crates/cottonnotch/src/net/rpc.rs
@@ -7,7 +7,7 @@
 use super::open_line::OpenLine;
 use super::reactor::{Connection, Io, Key, Leg};
 use super::relay::{Pass, Relay, Seen};
-use cottonnotch::{Micros, Outcome};
+use cottonnotch_decision::{Micros, Outcome};
 use mio::net::TcpStream;
 use std::fmt::Display;
 use std::io;
--- /dev/null
+++ b/crates/decision/src/lib.rs
@@ -0,0 +1,10 @@
+//! The decisions of one proxy, without sockets and without a clock: events in, actions out. The proxy and the
+//! simulator's adapter both embed it. See `docs/design.md`.
+
+pub mod interface;
+pub mod names;
+pub mod policy;
+pub mod settings;
+
+pub use interface::*;
+pub use policy::Balancer;
--- a/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small harness: one balancer, a clock, and what it did.
 #![allow(dead_code)]
 
-use cottonnotch::*;
+use cottonnotch_decision::*;
 
 pub const MS: Micros = 1_000;
 pub const S: Micros = 1_000_000;
--- a/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use cottonnotch::*;
+use cottonnotch_decision::*;
 
 #[test]
 fn turns_rotate_over_all_servers() {
--- a/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use cottonnotch::*;
+use cottonnotch_decision::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 struct Rng(u64);
--- a/src/bin/cottonnotch-simhost/main.rs
+++ b/crates/simhost/src/main.rs
@@ -3,9 +3,9 @@
 
 mod wire;
 
-use cottonnotch::names::{Names, digest};
-use cottonnotch::settings::{self, Pairs, Profile};
-use cottonnotch::{
+use cottonnotch_decision::names::{Names, digest};
+use cottonnotch_decision::settings::{self, Pairs, Profile};
+use cottonnotch_decision::{
     Action, Balancer, ClassId, Entry, Event, Listed, Micros, Notice, Outcome, Request, RequestId, ServerId,
     TenantId, ZoneId,
 };
