--- /dev/null
+++ b/crates/kit/src/observation.rs
@@ -0,0 +1,238 @@
+//! What the stand-ins saw: clients, render nodes, discovery, the front, and the kit's own hand on the processes.
+//!
+//! The judge is fed these and nothing else, in the order of their times; no word of a proxy's is among them.
+//! A stand-in notes what it did or saw at the moment at which it did or saw it, on the one clock of the run.
+
+use crate::plan::{NodeId, ProxyId, SessionId};
+use crate::time::Micros;
+use std::fmt;
+
+/// One thing seen.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Observation {
+    /// When, on the run's clock.
+    pub at: Micros,
+    /// What.
+    pub seen: Seen,
+}
+
+/// The id that a client put into its first line; fresh for each try, so it names one request for good, and the
+/// proxy that it was put to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RequestId(pub u64);
+
+/// One attempt at one render node: the render node's own count of the first lines that it was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Attempt {
+    /// Where.
+    pub node: NodeId,
+    /// Which; never given twice by a render node, restarts included.
+    pub serial: u32,
+}
+
+/// A final answer, as a client read it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// `UP RECEIPT`.
+    Up(u64),
+    /// `BUSY` or `BUSY MS`; the time to wait, 0 if none was told.
+    Busy(Micros),
+    /// Any other line.
+    Failed(String),
+}
+
+/// How a client's connection ended, when the proxy ended it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// In order.
+    Closed,
+    /// By a reset.
+    Reset,
+}
+
+/// Why a client ended its connection itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Left {
+    /// Its time was up (and a little more, in which a late answer would have been seen) without an answer.
+    GaveUp,
+    /// It lost patience before its time was up.
+    Impatient,
+    /// It was made to drop its connection by a fault of the scenario.
+    Dropped,
+    /// Its session is over; it ended its sending and the rest was awaited.
+    Done,
+}
+
+/// What a render node answered an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NodeAnswer {
+    /// `UP` with this receipt, which no other attempt gets.
+    Up(u64),
+    /// `BUSY`: never ran.
+    Busy,
+    /// `ERR`, or rubbish.
+    Error,
+}
+
+/// Who ended an attempt (or the connection that came of it), and how.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Over {
+    /// The proxy closed it or ended its sending.
+    ByProxy,
+    /// The render node, with `BYE`.
+    Bye,
+    /// The render node, with `MOVE`.
+    Move,
+    /// The render node without a word: it died, shed the connection, or closed after `BUSY` or `ERR`.
+    Cut,
+}
+
+/// What a render node is able to do from now on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    /// Accepts, answers and returns lines.
+    Sound,
+    /// Accepts and never replies; lines are not returned.
+    Hung,
+    /// Its machine is gone or cut off: silence, and new connections never come up.
+    Vanished,
+    /// Answers rubbish to new connections; those that stand are sound.
+    Rubbish,
+    /// No process: connections were reset, new ones are refused.
+    Down,
+}
+
+/// How a cold render node warms up, and what it bears meanwhile.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// New connections a second that a warm one like it bears: those that fill it within `warm_up`.
+    pub joins_per_s: f64,
+    /// Part of its capacity with which it begins; rises evenly to 1.
+    pub from: f64,
+    /// After which it is warm.
+    pub warm_up: Micros,
+}
+
+/// What the list says of a render node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// Takes new connections.
+    Up,
+    /// Completes what it holds, accepts nothing new.
+    Draining,
+    /// Gone.
+    Removed,
+}
+
+/// What the kit did to a proxy's process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// SIGKILL.
+    Kill,
+    /// SIGTERM.
+    Terminate,
+    /// SIGHUP, after its files were replaced.
+    Reload,
+}
+
+/// How a rude client was dealt with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RudeEnd {
+    /// `ERR` or `BUSY`.
+    Error,
+    /// Closed without a word.
+    Closed,
+    /// Served, as if its request had run.
+    Served,
+}
+
+/// What was seen.
+#[derive(Clone, Debug, PartialEq)]
+#[allow(missing_docs)] // Each variant's sentence names its fields.
+pub enum Seen {
+    // -- clients --
+    /// A session wants a connection from now until `until`, whoever serves it.
+    Wanted { session: SessionId, class: u8, tenant: u8, until: Micros },
+    /// The last byte of a first line was written to a connection that the proxy's machine had accepted: the
+    /// proxy has taken the request. The client waits for the answer until `deadline`.
+    Asked { request: RequestId, session: SessionId, proxy: ProxyId, deadline: Micros },
+    /// The proxy could not be reached, or broke the connection before the last byte was written.
+    Unreached { session: SessionId, proxy: ProxyId },
+    /// An answer line was read. A second one is noted like the first.
+    Answered { request: RequestId, answer: Answer },
+    /// A `MOVE` line was read.
+    Moved { request: RequestId },
+    /// The proxy ended the connection.
+    Ended { request: RequestId, how: End },
+    /// The client ended it.
+    Left { request: RequestId, why: Left },
+    /// The client sent its line number `line` (from 0).
+    LineSent { request: RequestId, line: u32 },
+    /// Its line came back.
+    LineBack { request: RequestId, line: u32 },
+    /// Connection seconds of a session from `from` until now, and whether they were well served: the connection
+    /// stood and its message came back within the class's aim. What no such span covers was not served.
+    Served { session: SessionId, from: Micros, well: bool },
+    /// A message came back this long after the client was due to send it.
+    MessageTook { class: u8, took: Micros },
+    /// A session was up this long after the try was due.
+    SetupTook { class: u8, took: Micros },
+    /// A rude client has connected; it is owed an error or a close until `by`.
+    RudeCame { rude: u32, proxy: ProxyId, by: Micros },
+    /// It was dealt with.
+    RudeOver { rude: u32, how: RudeEnd },
+
+    // -- render nodes --
+    /// The process runs (again); `cold` unless it was warm from the start.
+    Started { node: NodeId, cold: Option<Cold> },
+    /// What it can do from now on.
+    Condition { node: NodeId, condition: Condition },
+    /// It was pushed over: too much came while it was cold. It stays down.
+    Fell { node: NodeId },
+    /// A first line's last byte has arrived; its first one arrived at `first_byte`.
+    Attempt { attempt: Attempt, request: RequestId, proxy: ProxyId, first_byte: Micros },
+    /// A first line that no client sent in this form (but for `d`).
+    BadFirstLine { node: NodeId, proxy: ProxyId, line: String },
+    /// The attempt was answered.
+    AttemptAnswered { attempt: Attempt, answer: NodeAnswer },
+    /// The attempt, or the connection that came of it, is over.
+    AttemptOver { attempt: Attempt, over: Over },
+    /// A client's line has arrived.
+    LineAtNode { attempt: Attempt, line: u32 },
+    /// It was returned.
+    LineReturned { attempt: Attempt, line: u32 },
+
+    // -- discovery --
+    /// The list has changed.
+    Listed { node: NodeId, phase: Phase },
+    /// The change was written to the proxy's watch.
+    Told { proxy: ProxyId, node: NodeId, phase: Phase },
+    /// A proxy's watch was answered, or has ended.
+    Watching { proxy: ProxyId, on: bool },
+    /// Discovery can be reached by all, or by none.
+    DiscoveryUp { up: bool },
+
+    // -- the front, and the kit's own hand --
+    /// The front gives the proxy new clients, or no more.
+    Admitted { proxy: ProxyId, on: bool },
+    /// The process was started; `pid` names it.
+    ProxyStarted { proxy: ProxyId, pid: u32 },
+    /// About to be sent.
+    ProxySignalled { proxy: ProxyId, signal: Signal },
+    /// The process is gone; its exit code, if it had one.
+    ProxyExited { proxy: ProxyId, code: Option<i32> },
+    /// A proxy sent a datagram of so many bytes to another one.
+    Datagram { from: ProxyId, to: ProxyId, bytes: u32 },
+    /// Something of the scenario's timeline, in words.
+    Mark { text: String },
+    /// A stand-in ran this late.
+    Lag { late: Micros },
+}
+
+impl fmt::Display for Observation {
+    /// For a person: the time in seconds and what was seen.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:>10.6} s  {:?}", self.at as f64 / 1e6, self.seen)
+    }
+}
--- /dev/null
+++ b/crates/kit/src/plan.rs
@@ -0,0 +1,410 @@
+//! A run as it was drawn: everything that a scenario and a seed decide before anything starts.
+//!
+//! The same scenario and seed give the same plan to the microsecond; nothing that happens in a run changes it.
+//! Stand-ins share it by reference and look up what concerns them.
+
+use crate::observation::Phase;
+use crate::time::Micros;
+
+/// A render node, by its place in [`Plan::nodes`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct NodeId(pub u16);
+
+/// A proxy, by its place in [`Plan::proxies`]; its `ordinal` in the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ProxyId(pub u16);
+
+/// A session, by its place in [`Plan::sessions`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct SessionId(pub u32);
+
+/// A run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The scenario's name.
+    pub name: String,
+    /// From which everything was drawn.
+    pub seed: u64,
+    /// Service is measured from here on: before, the standing sessions come up.
+    pub measured_from: Micros,
+    /// No session is wanted, and nothing is judged, after this.
+    pub ends: Micros,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// Classes of requests.
+    pub classes: Vec<Class>,
+    /// Tenants.
+    pub tenants: Vec<Tenant>,
+    /// Render nodes.
+    pub nodes: Vec<Node>,
+    /// Proxies.
+    pub proxies: Vec<Proxy>,
+    /// Sessions, in the order of their arrival.
+    pub sessions: Vec<Session>,
+    /// Rude clients, in the order of their arrival.
+    pub rude: Vec<Rude>,
+    /// What happens, in order.
+    pub timeline: Vec<Happening>,
+    /// How clients behave.
+    pub habits: Habits,
+    /// How the front behaves.
+    pub front: Front,
+    /// What holds between the parties.
+    pub network: Network,
+    /// The figures of the rules, for the settings and the judge.
+    pub rules: Rules,
+    /// What the run must reach, beside keeping every rule.
+    pub demands: Demands,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// A set-up within this time is wanted.
+    pub setup_aim: Micros,
+    /// How long a client waits for `UP`.
+    pub deadline: Micros,
+    /// A message within this time is well served.
+    pub message_aim: Micros,
+    /// Worth of a well-served second.
+    pub worth: f64,
+}
+
+/// A tenant.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tenant {
+    /// Its name.
+    pub name: String,
+    /// Its part of the service.
+    pub share: f64,
+    /// Open connections within its share, over all proxies.
+    pub quota_connections: f64,
+    /// New connections a second within its share, over all proxies.
+    pub quota_per_s: f64,
+}
+
+/// A render node. Work is counted in seconds of a core of standard speed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Node {
+    /// Its id on the list.
+    pub name: String,
+    /// Its zone, by place.
+    pub zone: u16,
+    /// Its cell.
+    pub cell: u32,
+    /// Its kind's name.
+    pub kind: String,
+    /// Its registered size: cores times the kind's usual speed.
+    pub size: f64,
+    /// What it really does: work a second, warm and alone.
+    pub capacity: f64,
+    /// Connections whose mean load fills one unit of capacity.
+    pub connections_per_unit: f64,
+    /// Established connections that it bears at most; beyond, new ones are turned away.
+    pub connections_max: u32,
+    /// Set-ups that it takes in at once; beyond, new ones are turned away.
+    pub setups_max: u32,
+    /// Work of one set-up.
+    pub setup_work: f64,
+    /// Time that a set-up takes beside its work: the call to the session store.
+    pub setup_wait: Micros,
+    /// Each group of which it holds any costs so many mean connection loads.
+    pub group_cost: f64,
+    /// Time of a message on an idle render node.
+    pub message: Micros,
+    /// How unevenly messages come: the factor by which waiting grows with use.
+    pub bursty: f64,
+    /// It sheds connections when more than this is piled up.
+    pub buffer: Micros,
+    /// Cold, it begins at this part of its capacity ...
+    pub cold_from: f64,
+    /// ... and is warm after this.
+    pub warm_up: Micros,
+    /// It is on the list from the start, and warm.
+    pub from_start: bool,
+    /// For what it draws itself (lengths of messages).
+    pub seed: u64,
+}
+
+/// A proxy.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Proxy {
+    /// Its name.
+    pub name: String,
+    /// Its zone, by place.
+    pub zone: u16,
+    /// Its `limits.sockets`.
+    pub sockets: u32,
+    /// Its `limits.memory_mb`.
+    pub memory_mb: u32,
+    /// Its seed.
+    pub seed: u64,
+}
+
+/// A session: what one client wants, however many connections it takes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Session {
+    /// When it comes.
+    pub arrives: Micros,
+    /// How long it wants a connection.
+    pub life: Micros,
+    /// Its class, by place.
+    pub class: u8,
+    /// Its tenant, by place.
+    pub tenant: u8,
+    /// Its zone, by place: the front keeps clients to the proxies of their zone where it can.
+    pub zone: u16,
+    /// The key that its first lines carry; no other session's.
+    pub key: u64,
+    /// The group that it shares work with.
+    pub group: u64,
+    /// Its load over time: from each moment since its arrival, work a second. Never empty, begins at 0.
+    pub loads: Vec<(Micros, f64)>,
+    /// It gives up a try after this part of the deadline (1 for most).
+    pub patience: f64,
+    /// For what it draws itself (waits, phases of its lines, ids).
+    pub seed: u64,
+}
+
+impl Session {
+    /// Its load this long after it came.
+    pub fn load_at(&self, since: Micros) -> f64 {
+        let i = self.loads.partition_point(|(from, _)| *from <= since);
+        self.loads.get(i.saturating_sub(1)).map_or(0.0, |(_, load)| *load)
+    }
+
+    /// When its load changes next.
+    pub fn next_change(&self, since: Micros) -> Option<Micros> {
+        let i = self.loads.partition_point(|(from, _)| *from <= since);
+        self.loads.get(i).map(|(from, _)| *from)
+    }
+}
+
+/// A client that goes beyond the usual.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rude {
+    /// When it connects.
+    pub arrives: Micros,
+    /// What it does.
+    pub kind: RudeKind,
+    /// For what it draws itself.
+    pub seed: u64,
+}
+
+/// What a rude client does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RudeKind {
+    /// Bytes that are no text.
+    Garbage,
+    /// A line without end.
+    Endless,
+    /// A first line with a value of 60 MB.
+    Huge,
+    /// A class that does not exist.
+    NoSuchClass,
+    /// A deadline that is no number, negative, or beyond all numbers.
+    BadDeadline,
+    /// No id.
+    NoId,
+    /// The id of another client's open request.
+    StolenId,
+    /// Half a command and a close.
+    Half,
+    /// Hundreds of commands at once.
+    ManyCommands,
+    /// The same again as soon as it is turned away.
+    AgainAtOnce,
+    /// Connects and says nothing.
+    Silent,
+}
+
+/// Something of the timeline.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Happening {
+    /// When.
+    pub at: Micros,
+    /// What.
+    pub what: What,
+}
+
+/// What happens.
+#[derive(Clone, Debug, PartialEq)]
+#[allow(missing_docs)] // Each variant's sentence names its fields.
+pub enum What {
+    /// To a render node.
+    Node(NodeId, NodeChange),
+    /// Discovery learns this of a render node.
+    Listed(NodeId, Phase),
+    /// To discovery.
+    Discovery(DiscoveryChange),
+    /// To a proxy.
+    Proxy(ProxyId, ProxyChange),
+    /// Each session that stands drops its connection with this chance (decided by the session's own seed and this
+    /// one), and comes again after a wait of up to `back_within`.
+    Drop { share: f64, back_within: Micros, seed: u64 },
+    /// To the network.
+    Network(NetworkChange),
+    /// Words for the log and the judge's report.
+    Mark(String),
+}
+
+/// What happens to a render node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum NodeChange {
+    /// It takes nothing new and sends its clients away bit by bit within this time.
+    Drain { within: Micros },
+    /// Its process ends at once: connections are reset, new ones refused.
+    Kill,
+    /// Its machine is gone without a word.
+    Vanish,
+    /// It accepts and never replies.
+    Hang,
+    /// It answers rubbish to new connections.
+    Rubbish,
+    /// It does everything so many times slower; 1 for as usual.
+    Slow(f64),
+    /// Its process starts, cold. After `Vanish`, its old connections are reset.
+    Start,
+    /// It does as usual again, without having been restarted (after `Hang`, `Rubbish`, or a short `Vanish`).
+    Recover,
+}
+
+/// What happens to discovery.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum DiscoveryChange {
+    /// Gone: connections end, new ones are refused.
+    Down,
+    /// Each call is answered 503.
+    Unavailable,
+    /// Each call, and each open watch, is reset.
+    Resetting,
+    /// Calls and watches are kept open and nothing is said, not even beats.
+    Silent,
+    /// The next change is written in pieces of a few bytes with pauses between.
+    InPieces,
+    /// The next watch gets the whole list, as if its version were too old.
+    Gap,
+    /// The next change comes as a list that cannot be read, once, to each watch.
+    BadList,
+    /// It listens at another address; the old one takes nothing new and closes what is open after 1.5 s. The
+    /// proxies' files are replaced and each gets SIGHUP.
+    MoveAway,
+    /// As usual.
+    Restore,
+}
+
+/// What happens to a proxy.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ProxyChange {
+    /// SIGKILL.
+    Kill,
+    /// SIGTERM; SIGKILL when the time for leaving is over.
+    Terminate,
+    /// Started again, under its name and addresses.
+    Start,
+    /// Its files are written anew, without a change that counts, and it gets SIGHUP.
+    Reload,
+}
+
+/// What happens to the network.
+#[derive(Clone, Debug, PartialEq)]
+pub enum NetworkChange {
+    /// This part of the datagrams between proxies is lost.
+    Loss(f64),
+    /// No datagram passes between a proxy of the one set and one outside it.
+    Part(Vec<ProxyId>),
+    /// All pass again.
+    Join,
+    /// The proxy can't reach these render nodes: what is open is silent, what is new never comes up.
+    CutOff(ProxyId, Vec<NodeId>),
+    /// It can again.
+    Reach(ProxyId),
+}
+
+/// How clients behave.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Habits {
+    /// Between two lines of a client.
+    pub line_every: Micros,
+    /// Tries for one wish, the first one included, before a long wait.
+    pub tries: u32,
+    /// Wait before a further try.
+    pub backoff: Micros,
+    /// Wait after all tries of a wish failed, before the next wish; doubles up to 2^4 times this.
+    pub sulk: Micros,
+    /// This part of the clients follows the time in `BUSY MS`.
+    pub honour: f64,
+    /// After a break or a move, a client comes again within these bounds.
+    pub rejoin: (Micros, Micros),
+    /// Clients mark repeats with `r=1`.
+    pub marks_retry: bool,
+}
+
+/// How the front behaves.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Front {
+    /// Between two `PING`s to each proxy.
+    pub every: Micros,
+    /// A proxy that has not answered for this long gets no more clients.
+    pub notice: Micros,
+    /// After SIGTERM, clients keep arriving for this long.
+    pub leaves_after: Micros,
+}
+
+/// What holds between the parties.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Network {
+    /// One way between proxies and render nodes of one zone, and of two; added by the render node's stand-in.
+    pub node_ms: (f64, f64),
+    /// One way of a datagram between proxies: least and most.
+    pub datagram: (Micros, Micros),
+    /// Part of the datagrams that is lost.
+    pub loss: f64,
+    /// Datagrams are allowed at all.
+    pub datagrams: bool,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rules {
+    /// A final answer may come this long after the client's time is up.
+    pub answer_slack: Micros,
+    /// New work to a render node that drains or is gone ends within this time of being told.
+    pub stop_within: Micros,
+    /// A proxy without a watch counts as told after this (four times this after a failed call).
+    pub ask_within: Micros,
+    /// What discovery has to tell counts as told after this while it can be reached, whether it arrived or not.
+    pub told_within: Micros,
+    /// A cold render node bears this multiple of what it can do at that moment ...
+    pub fall_multiple: f64,
+    /// ... within any window of this length.
+    pub fall_window: Micros,
+    /// No line may be held back for longer.
+    pub line_held: Micros,
+    /// A connection that its render node has ended is ended or moved within this.
+    pub ended_within: Micros,
+    /// One that returns nothing from a running render node, within this.
+    pub silent_within: Micros,
+    /// Most attempts for a request.
+    pub attempts: u32,
+    /// A call attempt that is not connected by then could not connect.
+    pub connect_timeout: Micros,
+    /// The longest wait that a `BUSY` may ask for.
+    pub retry_after_max: Micros,
+    /// On the sockets each time limit is this much longer.
+    pub grace: Micros,
+    /// A proxy told to stop is killed this long afterwards.
+    pub term_to_kill: Micros,
+}
+
+/// What the run must reach, beside keeping every rule. Parts of 1.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Demands {
+    /// Service of the whole run.
+    pub service: f64,
+    /// Service of the worst 10 s.
+    pub worst_window: f64,
+}
--- /dev/null
+++ b/crates/records/src/lib.rs
@@ -0,0 +1,1 @@
+//! The proxy's own records: one JSON object a line.
