--- a/crates/kit/src/plan.rs
+++ b/crates/kit/src/plan.rs
@@ -255,7 +255,10 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum NodeChange {
     /// It takes nothing new and sends its clients away bit by bit within this time.
-    Drain { within: Micros },
+    Drain {
+        /// From now.
+        within: Micros,
+    },
     /// Its process ends at once: connections are reset, new ones refused.
     Kill,
     /// Its machine is gone without a word.
