Split the event loop off as a generic crate; the digest comes from fnv

The loop is now generic over its objects and over what they report; clients' words to the driver stay in the daemon, which alone knows of fronts. A client that is turned away is reported like anything else and logged by the driver. The hand-made FNV-1a is the fnv crate's.

--- a/crates/cottonnotch/src/net/call_attempt.rs
+++ b/crates/cottonnotch/src/net/call_attempt.rs
@@ -1,9 +1,9 @@
 //! One call attempt: connect to the subchannel, write the first line, wait for what comes back.
 
-use super::happening::AttemptOrder;
-use super::line::{Fill, LineStream, trim_end};
-use super::reactor::{Io, Key, Leg};
+use super::happening::{AttemptOrder, Io};
 use cottonnotch_decision::{Micros, Outcome};
+use cottonnotch_reactor::line::{Fill, LineStream, trim_end};
+use cottonnotch_reactor::{Key, Leg};
 use std::io;
 
 /// Until the last byte of the first line is written, the attempt can't have run; from then on it may have.
--- a/crates/cottonnotch/src/net/driver.rs
+++ b/crates/cottonnotch/src/net/driver.rs
@@ -2,16 +2,13 @@
 //! actions in order. Here the network's terms (subchannel, RPC, call attempt) meet the module's (server,
 //! request, send); nothing is decided.
 
-use super::happening::{AttemptOrder, Happening, Wish};
+use super::happening::{AttemptOrder, Front, Happening, Io, Object, Wish};
 use super::invariant::invariant;
 use super::lifecycle::{self, Shutdown};
-use super::listener::{Listener, Signals};
 use super::message_delay::{self, MessageDelays, Note};
-use super::reactor::{Key, Reactor};
 use super::resolver::Watch;
 use super::resolver_result::ResolverResult;
 use super::rpc::Rpc;
-use super::seldom::Seldom;
 use crate::config::{BadConfig, Config};
 use cottonnotch_decision::names::{Names, digest};
 use cottonnotch_decision::settings::Profile;
@@ -19,6 +16,10 @@
     Action, Balancer, ClassId, Entry, Event, Listed, Micros, Notice, Outcome, Request, RequestId, ServerId,
     TenantId, ZoneId,
 };
+use cottonnotch_reactor::listener::Listener;
+use cottonnotch_reactor::seldom::Seldom;
+use cottonnotch_reactor::signals::{SIGHUP, SIGTERM, Signals};
+use cottonnotch_reactor::{Clock, Key, Reactor};
 use mio::net::TcpListener;
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::io;
@@ -82,7 +83,7 @@
 /// Everything that one proxy holds.
 pub struct Driver {
     address: SocketAddr,
-    reactor: Reactor,
+    reactor: Reactor<dyn Object>,
     listener: Rc<TcpListener>,
     accept_due: bool,
     /// Clients in the order in which they connected, until they are let go or are gone.
@@ -105,24 +106,29 @@
     delays: MessageDelays,
     holding: Seldom,
     crowded: Seldom,
+    rejections: Seldom,
 }
 
 impl Driver {
     /// Opens the sockets and starts the module. `reread` gets the configuration anew on SIGHUP.
     pub fn start(config: Config, reread: fn() -> Result<Config, BadConfig>) -> io::Result<Self> {
-        let mut reactor = Reactor::new()?;
+        let mut reactor = Reactor::<dyn Object>::new(Clock::unix())?;
         reactor.io.buffer_bound = config.buffer_bound;
         let mut shared = None;
         reactor.insert(|key, io| {
-            let (listener, socket) = Listener::bind(config.listen, key, io)?;
+            let (listener, socket) = Listener::bind(config.listen, |_| Happening::Acceptable, key, io)?;
             shared = Some(socket);
-            Ok(listener)
+            Ok(Box::new(listener))
         })?;
         let listener = shared.ok_or(io::ErrorKind::NotConnected)?;
         // Also where the system chose the port.
         let address = listener.local_addr()?;
-        reactor.insert(Signals::terminate)?;
-        reactor.insert(Signals::reload)?;
+        // Guards against the system's own answer to a signal, which is to end the process.
+        let signals: [(i32, fn() -> Happening); 2] =
+            [(SIGTERM, || Happening::Terminate), (SIGHUP, || Happening::Reload)];
+        for (signal, happening) in signals {
+            reactor.insert(|key, io| Ok(Box::new(Signals::register(signal, happening, key, io)?)))?;
+        }
         let now = reactor.io.now();
         let settings = config.profile.settings.clone();
         let shortest = settings.shortest_aim();
@@ -148,12 +154,13 @@
             delays,
             holding: Seldom::default(),
             crowded: Seldom::default(),
+            rejections: Seldom::default(),
             config,
             reread,
         };
         let known = driver.config.known.clone();
         driver.resolved(known, true);
-        driver.reactor.io.driver_timer(now + message_delay::EVERY, TICK);
+        driver.reactor.io.owner_timer(now + message_delay::EVERY, TICK);
         Ok(driver)
     }
 
@@ -166,7 +173,7 @@
     pub fn run(&mut self) -> io::Result<()> {
         loop {
             self.reactor.turn()?;
-            while let Some(happening) = self.reactor.io.happenings.pop_front() {
+            while let Some(happening) = self.reactor.io.reports.pop_front() {
                 self.take(happening);
             }
             let now = self.reactor.io.now();
@@ -184,6 +191,7 @@
                 self.accept_due = false;
                 self.accept();
             }
+            Happening::TurnedAway { why } => self.turned_away(&why),
             Happening::Asked(key, wish) => self.asked(key, wish),
             Happening::Up { rpc, elapsed } => self.up(rpc, elapsed),
             Happening::AttemptEnded { rpc, outcome } => self.attempt_ended(rpc, outcome),
@@ -234,10 +242,12 @@
                 return self.accept_after(ACCEPT_AFTER);
             }
             match self.listener.accept() {
-                Ok((stream, _)) => match self.reactor.insert(|key, io| Rpc::accepted(stream, key, io)) {
-                    Ok(key) => self.arrived.push_back((now, key)),
-                    Err(error) => log::warn!("client lost while it was accepted: {error}"),
-                },
+                Ok((stream, _)) => {
+                    match self.reactor.insert(|key, io| Ok(Box::new(Rpc::accepted(stream, key, io)?))) {
+                        Ok(key) => self.arrived.push_back((now, key)),
+                        Err(error) => log::warn!("client lost while it was accepted: {error}"),
+                    }
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) if is_passing(&error) => {}
                 Err(error) => {
@@ -255,7 +265,7 @@
     fn accept_after(&mut self, wait: Micros) {
         let now = self.reactor.io.now();
         self.accept_due = true;
-        self.reactor.io.driver_timer(now + wait, ACCEPT);
+        self.reactor.io.owner_timer(now + wait, ACCEPT);
     }
 
     /// Descriptors that are free for RPCs. Each counts two: the client's and the subchannel's.
@@ -286,7 +296,7 @@
                 return false;
             }
             self.arrived.pop_front();
-            self.reactor.with_front(key, |front, io| front.dismiss(io, FULL_RETRY_AFTER));
+            self.with_front(key, |front, io| front.dismiss(io, FULL_RETRY_AFTER));
         }
         true
     }
@@ -310,7 +320,7 @@
 
     fn asked(&mut self, key: Key, wish: Wish) {
         if let Some(why) = self.objection(&wish) {
-            self.reactor.io.rejected(&why);
+            self.turned_away(why);
             return self.fail(key, why);
         }
         if !self.make_room(Self::may_call) {
@@ -319,7 +329,7 @@
             if let Some(more) = self.crowded.due(now) {
                 log::warn!("out of sockets, a client gets the unavailable status ({more} more since)");
             }
-            self.reactor.with_front(key, |front, io| front.unavailable(io, FULL_RETRY_AFTER));
+            self.with_front(key, |front, io| front.unavailable(io, FULL_RETRY_AFTER));
             return;
         }
         let Some(class) = self.config.profile.class(&wish.class) else { return };
@@ -354,8 +364,21 @@
         }
     }
 
+    /// Calls `use_it` on a client's RPC, if it still exists.
+    fn with_front<T>(&mut self, key: Key, use_it: impl FnOnce(&mut dyn Front, &mut Io) -> T) -> Option<T> {
+        self.reactor.with(key, |object, io| object.front().map(|front| use_it(front, io))).flatten()
+    }
+
+    /// Logs that a client was turned away with an error.
+    fn turned_away(&mut self, why: &str) {
+        let now = self.reactor.io.now();
+        if let Some(more) = self.rejections.due(now) {
+            log::warn!("client turned away: {why} ({more} more since the last such line)");
+        }
+    }
+
     fn fail(&mut self, key: Key, why: &str) {
-        self.reactor.with_front(key, |front, io| front.fail(io, why));
+        self.with_front(key, |front, io| front.fail(io, why));
     }
 
     /// Takes a connection that was open before the start back to its subchannel.
@@ -369,7 +392,7 @@
     fn reopen_later(&mut self, key: Key) {
         let now = self.reactor.io.now();
         self.reopening.push(key);
-        self.reactor.io.driver_timer(now + REOPEN_AFTER, REOPEN);
+        self.reactor.io.owner_timer(now + REOPEN_AFTER, REOPEN);
     }
 
     fn attempt(&mut self, key: Key, server: ServerId, timeout: Micros) -> bool {
@@ -377,7 +400,7 @@
         let Some(address) = address else { return false };
         let connect_timeout = self.config.profile.connect_timeout;
         let order = AttemptOrder { address, timeout, connect_timeout };
-        self.reactor.with_front(key, |front, io| front.attempt(io, order)).unwrap_or(false)
+        self.with_front(key, |front, io| front.attempt(io, order)).unwrap_or(false)
     }
 
     fn up(&mut self, key: Key, elapsed: Micros) {
@@ -443,10 +466,10 @@
 
     fn tick(&mut self) {
         let now = self.reactor.io.now();
-        self.reactor.io.driver_timer(now + message_delay::EVERY, TICK);
+        self.reactor.io.owner_timer(now + message_delay::EVERY, TICK);
         let up: Vec<Key> = self.up_calls().map(|(key, _)| key).collect();
         for key in up {
-            let waited = self.reactor.with_front(key, |front, _| front.waiting_for(now)).flatten();
+            let waited = self.with_front(key, |front, _| front.waiting_for(now)).flatten();
             // A line that is still unanswered shows a delay as well as a late reply does.
             if let Some(waited) = waited {
                 self.message(key, waited);
@@ -502,7 +525,7 @@
             self.reactor.remove(old);
         }
         let (discovery, from) = (self.config.discovery, self.revision);
-        match self.reactor.insert(|key, io| Watch::start(discovery, from, key, io)) {
+        match self.reactor.insert(|key, io| Ok(Box::new(Watch::start(discovery, from, key, io)?))) {
             Ok(key) => self.watch = Some(key),
             Err(error) => {
                 log::warn!("cannot watch discovery: {error}");
@@ -556,7 +579,7 @@
         let now = self.reactor.io.now();
         let up: Vec<RequestId> = self.up_calls().map(|(_, id)| id).collect();
         let Some(shutdown) = &mut self.shutdown else { return };
-        self.reactor.io.driver_timer(now + lifecycle::ROUND, ROUND);
+        self.reactor.io.owner_timer(now + lifecycle::ROUND, ROUND);
         let (quota, is_last) = (shutdown.quota(now, up.len()), shutdown.is_last(now));
         for id in up.iter().take(quota) {
             self.move_away(*id);
@@ -565,7 +588,7 @@
         if is_last {
             let owed: Vec<Key> = self.calls.keys().copied().collect();
             for key in owed {
-                self.reactor.with_front(key, |front, io| front.abandon(io));
+                self.with_front(key, |front, io| front.abandon(io));
                 self.forget(key);
             }
         }
@@ -597,7 +620,7 @@
             Action::Send { request, server, timeout } => self.send(request, server, timeout),
             Action::Refuse { request, retry_after } => {
                 if let Some(key) = self.answerable(request) {
-                    self.reactor.with_front(key, |front, io| front.unavailable(io, retry_after));
+                    self.with_front(key, |front, io| front.unavailable(io, retry_after));
                 }
             }
             Action::Fail(request) => {
@@ -611,7 +634,7 @@
             Action::Probe(server) => {
                 self.pending.push_back(Event::Probed { server, report: None });
             }
-            Action::Timer { after, token } => self.reactor.io.driver_timer(now + after, token),
+            Action::Timer { after, token } => self.reactor.io.owner_timer(now + after, token),
             Action::Log { notice, server } => self.log(notice, server),
         }
     }
@@ -641,7 +664,7 @@
 
     fn move_away(&mut self, request: RequestId) {
         let Some(key) = self.keys.get(&request).copied() else { return };
-        if self.reactor.with_front(key, |front, io| front.move_away(io)) != Some(true) {
+        if self.with_front(key, |front, io| front.move_away(io)) != Some(true) {
             return;
         }
         let Some(Call { at: Some((server, attempt)), .. }) = self.forget(key) else { return };
--- a/crates/cottonnotch/src/net/happening.rs
+++ b/crates/cottonnotch/src/net/happening.rs
@@ -2,9 +2,11 @@
 //! of a client protocol. The line protocol of [`rpc`](super::rpc) is one front; one with several channels on
 //! a connection would be another.
 
-use super::reactor::{Io, Key};
 use super::resolver_result::ResolverResult;
 use cottonnotch_decision::{Micros, Outcome};
+use cottonnotch_reactor::listener::Listener;
+use cottonnotch_reactor::signals::Signals;
+use cottonnotch_reactor::{Connection, Key, Report};
 use std::net::SocketAddr;
 
 /// A client's wish for a connection, in the terms of the settings.
@@ -38,6 +40,8 @@
 pub enum Happening {
     /// Clients wait to be accepted.
     Acceptable,
+    /// A client was turned away with an error before it had asked anything.
+    TurnedAway { why: String },
     /// A client wishes for a connection; it is owed one final answer.
     Asked(Key, Wish),
     /// The call attempt's subchannel took it; `elapsed` since the attempt began.
@@ -64,6 +68,26 @@
     Timer(u32),
 }
 
+impl Report for Happening {
+    fn timer(timer: u32) -> Self {
+        Happening::Timer(timer)
+    }
+}
+
+/// What callbacks may use here.
+pub type Io = cottonnotch_reactor::Io<Happening>;
+
+/// An object on the loop.
+pub trait Object: Connection<Report = Happening> {
+    /// The object as a client's RPC, if it is one.
+    fn front(&mut self) -> Option<&mut dyn Front> {
+        None
+    }
+}
+
+impl Object for Listener<Happening> {}
+impl Object for Signals<Happening> {}
+
 /// What the driver asks of an RPC, whatever protocol its client speaks.
 pub trait Front {
     /// Makes a call attempt. How it ends is reported; false: it could not even be begun, for want of
--- a/crates/cottonnotch/src/net/relay.rs
+++ b/crates/cottonnotch/src/net/relay.rs
@@ -1,7 +1,7 @@
 //! A connection that is up: lines pass unchanged both ways, and an end on one side ends the other alike.
 
-use super::line::{Fill, LineStream, TooLong, trim_end};
 use cottonnotch_decision::{Micros, Outcome};
+use cottonnotch_reactor::line::{Fill, LineStream, TooLong, trim_end};
 use std::collections::VecDeque;
 
 /// Unanswered lines that are remembered: a client that floods is relayed, but costs no more memory.
--- a/crates/cottonnotch/src/net/resolver.rs
+++ b/crates/cottonnotch/src/net/resolver.rs
@@ -1,12 +1,12 @@
 //! The resolver: a watch on discovery over HTTP/1.1. It reports results; when to watch is the module's
 //! decision. Another source of lists would be another connection object that reports the same happenings.
 
-use super::happening::Happening;
-use super::http::LineResponse;
-use super::line::{Fill, LineStream};
-use super::reactor::{Connection, Io, Key, Leg};
+use super::happening::{Happening, Io, Object};
 use super::resolver_result::ResolverResult;
 use cottonnotch_decision::Micros;
+use cottonnotch_reactor::http::LineResponse;
+use cottonnotch_reactor::line::{Fill, LineStream};
+use cottonnotch_reactor::{Connection, Key, Leg};
 use std::io;
 use std::net::SocketAddr;
 
@@ -63,7 +63,11 @@
     }
 }
 
+impl Object for Watch {}
+
 impl Connection for Watch {
+    type Report = Happening;
+
     fn readable(&mut self, io: &mut Io, _: Leg) {
         let fill = self.stream.fill();
         let bytes = self.stream.take_rest();
--- a/crates/cottonnotch/src/net/rpc.rs
+++ b/crates/cottonnotch/src/net/rpc.rs
@@ -1,13 +1,13 @@
 //! A client's RPC: the line protocol in front of the decisions, as an explicit state machine.
 
 use super::call_attempt::{CallAttempt, Progress};
-use super::happening::{AttemptOrder, Front, Happening};
+use super::happening::{AttemptOrder, Front, Happening, Io, Object};
 use super::invariant::invariant;
-use super::line::{Fill, LineStream, trim_end};
 use super::open_line::OpenLine;
-use super::reactor::{Connection, Io, Key, Leg};
 use super::relay::{Pass, Relay, Seen};
 use cottonnotch_decision::{Micros, Outcome};
+use cottonnotch_reactor::line::{Fill, LineStream, trim_end};
+use cottonnotch_reactor::{Connection, Key, Leg};
 use mio::net::TcpStream;
 use std::fmt::Display;
 use std::io;
@@ -91,7 +91,7 @@
     /// Turns a client away with an error. Guards against rubbish: it costs one line and is never passed on,
     /// where a subchannel would answer SYNTAX, or an error that looks like the subchannel's own trouble.
     fn reject(&mut self, io: &mut Io, why: &dyn Display) {
-        io.rejected(why);
+        io.tell(Happening::TurnedAway { why: why.to_string() });
         self.answer(io, &format!("ERR {why}\r\n"));
     }
 
@@ -230,6 +230,8 @@
 }
 
 impl Connection for Rpc {
+    type Report = Happening;
+
     fn readable(&mut self, io: &mut Io, leg: Leg) {
         match (&self.state, leg) {
             (State::Reading { .. }, Leg::Near) => self.first_line(io),
@@ -309,7 +311,9 @@
     fn done(&self) -> bool {
         matches!(self.state, State::Closed)
     }
+}
 
+impl Object for Rpc {
     fn front(&mut self) -> Option<&mut dyn Front> {
         Some(self)
     }
--- a/crates/decision/src/names.rs
+++ b/crates/decision/src/names.rs
@@ -1,6 +1,8 @@
 //! Names and the small numbers that stand for them in the module.
 
+use fnv::FnvHasher;
 use std::collections::HashMap;
+use std::hash::Hasher;
 
 /// Names and the small numbers that stand for them.
 #[derive(Clone, Debug, Default)]
@@ -34,7 +36,9 @@
 
 /// FNV-1a: a digest that is the same at every node.
 pub fn digest(name: &str) -> u64 {
-    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+    let mut hasher = FnvHasher::default();
+    hasher.write(name.as_bytes());
+    hasher.finish()
 }
 
 /// A number from 0 to 1 that looks random, the same for the same `x` at every node.
--- /dev/null
+++ b/crates/reactor/src/clock.rs
@@ -0,0 +1,31 @@
+//! The loop's clock.
+
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// A point in time or a span, in microseconds.
+pub type Micros = i64;
+
+/// A monotonic clock that reads `base` at its start.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    started: Instant,
+    base: Micros,
+}
+
+impl Clock {
+    /// Unix time, taken once and then advanced by the monotonic clock: it never goes back.
+    pub fn unix() -> Self {
+        let base = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros);
+        Clock { started: Instant::now(), base }
+    }
+
+    /// Reads 0 at that moment: loops that share it share their time.
+    pub fn since(started: Instant) -> Self {
+        Clock { started, base: 0 }
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Micros {
+        self.base + self.started.elapsed().as_micros() as Micros
+    }
+}
--- a/crates/cottonnotch/src/net/http.rs
+++ b/crates/reactor/src/http.rs
@@ -9,16 +9,22 @@
 /// Why the response cannot be read on.
 #[derive(Debug, thiserror::Error)]
 pub enum BadResponse {
+    /// The head can't be parsed.
     #[error("the response cannot be read: {0}")]
     Malformed(#[from] httparse::Error),
+    /// The status is not 200.
     #[error("the response is answered {0}")]
     Status(u16),
+    /// The body does not come in chunks.
     #[error("the response is not chunked")]
     NotChunked,
+    /// The chunking is broken.
     #[error("a chunk's size or end cannot be read")]
     BadChunk,
+    /// More came than is kept.
     #[error("the response's head or line is too long")]
     TooLong,
+    /// The last chunk has come.
     #[error("the response has ended")]
     Over,
 }
@@ -39,7 +45,14 @@
     line: Vec<u8>,
 }
 
+impl Default for LineResponse {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl LineResponse {
+    /// Before the first byte.
     pub fn new() -> Self {
         LineResponse { part: Part::Head, raw: Vec::new(), line: Vec::new() }
     }
@@ -117,7 +130,7 @@
     for piece in bytes.split_inclusive(|b| *b == b'\n') {
         partial.extend_from_slice(piece);
         if partial.ends_with(b"\n") {
-            lines.push(super::line::trim_end(partial).to_vec());
+            lines.push(crate::line::trim_end(partial).to_vec());
             partial.clear();
         }
     }
--- /dev/null
+++ b/crates/reactor/src/lib.rs
@@ -0,0 +1,14 @@
+//! An event loop on mio: connections are objects with callbacks, and nothing is started for a single one. Lines and
+//! streamed HTTP responses on non-blocking sockets. It knows nothing of proxies: what its objects have to tell is of
+//! the owner's own type.
+
+pub mod clock;
+pub mod http;
+pub mod line;
+pub mod listener;
+mod reactor;
+pub mod seldom;
+pub mod signals;
+
+pub use clock::{Clock, Micros};
+pub use reactor::{Connection, Io, Key, Leg, Reactor, Report};
--- a/crates/cottonnotch/src/net/line.rs
+++ b/crates/reactor/src/line.rs
@@ -1,6 +1,6 @@
 //! Lines on a non-blocking socket: CRLF framing with a bound, partial reads and writes, bounded buffers.
 
-use super::reactor::{Io, Key, Leg};
+use crate::reactor::{Io, Key, Leg, Report};
 use mio::net::TcpStream;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr};
@@ -45,20 +45,20 @@
 
 impl LineStream {
     /// Takes over an accepted socket.
-    pub fn accepted(mut stream: TcpStream, io: &Io, key: Key) -> io::Result<Self> {
+    pub fn accepted<R: Report>(mut stream: TcpStream, io: &Io<R>, key: Key) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         io.register(&mut stream, key, Leg::Near)?;
         Ok(Self::new(stream, io))
     }
 
     /// Begins to connect.
-    pub fn connect(address: SocketAddr, io: &Io, key: Key, leg: Leg) -> io::Result<Self> {
+    pub fn connect<R: Report>(address: SocketAddr, io: &Io<R>, key: Key, leg: Leg) -> io::Result<Self> {
         let mut stream = TcpStream::connect(address)?;
         io.register(&mut stream, key, leg)?;
         Ok(Self::new(stream, io))
     }
 
-    fn new(stream: TcpStream, io: &Io) -> Self {
+    fn new<R: Report>(stream: TcpStream, io: &Io<R>) -> Self {
         let (input, output) = (Vec::new(), Vec::new());
         LineStream { stream, input, output, bound: io.buffer_bound, finish: false, finished: false }
     }
--- /dev/null
+++ b/crates/reactor/src/listener.rs
@@ -0,0 +1,57 @@
+//! A listening socket. Its owner accepts, one by one, as it has room.
+
+use crate::reactor::{Connection, Io, Key, Leg, Report};
+use mio::net::TcpListener;
+use socket2::{Domain, Socket, Type};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Clients that the system lets wait to be accepted, if its own bound allows. Guards against a flood: past the
+/// usual 128, a client's first packet is dropped, and it tries again after a second.
+const BACKLOG: i32 = 4096;
+
+/// Reports, by its key, that somebody waits to be accepted.
+#[derive(Debug)]
+pub struct Listener<R> {
+    _socket: Rc<TcpListener>,
+    report: fn(Key) -> R,
+    key: Key,
+}
+
+impl<R: Report> Listener<R> {
+    /// Listens; the owner shares the socket. Fails as the system's calls do: address taken, no descriptor.
+    pub fn bind(
+        address: SocketAddr,
+        report: fn(Key) -> R,
+        key: Key,
+        io: &mut Io<R>,
+    ) -> io::Result<(Self, Rc<TcpListener>)> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        // As the plain way to listen does: a restart must not wait for the old connections' ends.
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        let mut listener = TcpListener::from_std(socket.into());
+        io.register_reader(&mut listener, key)?;
+        let listener = Rc::new(listener);
+        Ok((Listener { _socket: Rc::clone(&listener), report, key }, listener))
+    }
+}
+
+impl<R: Report> Connection for Listener<R> {
+    type Report = R;
+
+    fn readable(&mut self, io: &mut Io<R>, _: Leg) {
+        io.tell((self.report)(self.key));
+    }
+
+    fn writable(&mut self, _: &mut Io<R>, _: Leg) {}
+
+    fn timer(&mut self, _: &mut Io<R>, _: u32) {}
+
+    fn done(&self) -> bool {
+        false
+    }
+}
--- a/crates/cottonnotch/src/net/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -1,20 +1,17 @@
 //! The event loop: one mio poll, a slab of connection objects with callbacks, a heap of timers, one clock.
 //!
 //! Readiness is edge-triggered: an object reads and writes until it would block, or asks to be called again
-//! when it has had its part of a turn. Objects never call one another; they report [`Happening`]s, which the
-//! driver takes up after each round of callbacks.
+//! when it has had its part of a turn. Objects never call one another; they report what happens, which the loop's
+//! owner takes up after each round of callbacks.
 
-use super::happening::{Front, Happening};
-use super::seldom::Seldom;
-use cottonnotch_decision::Micros;
+use crate::clock::{Clock, Micros};
 use mio::event::Source;
 use mio::{Events, Interest, Poll, Registry, Token};
 use slab::Slab;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
-use std::fmt::Display;
 use std::io;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 /// Which of an object's sockets: most have one, a relayed RPC has two.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,68 +42,50 @@
     }
 }
 
-/// A connection as the reactor sees it.
+/// What objects have to tell the loop's owner.
+pub trait Report {
+    /// A timer of the owner's own is due.
+    fn timer(timer: u32) -> Self;
+}
+
+/// A connection as the loop sees it.
 pub trait Connection {
+    /// What it has to tell.
+    type Report: Report;
     /// There may be something to read.
-    fn readable(&mut self, io: &mut Io, leg: Leg);
+    fn readable(&mut self, io: &mut Io<Self::Report>, leg: Leg);
     /// There may be room to write, or a connect has ended.
-    fn writable(&mut self, io: &mut Io, leg: Leg);
+    fn writable(&mut self, io: &mut Io<Self::Report>, leg: Leg);
     /// A timer that the object set is due; it may be outdated.
-    fn timer(&mut self, io: &mut Io, timer: u32);
+    fn timer(&mut self, io: &mut Io<Self::Report>, timer: u32);
     /// The object is finished and will be dropped.
     fn done(&self) -> bool;
     /// Last call before the drop.
-    fn closed(&mut self, _io: &mut Io) {}
-    /// The object as a client's RPC, if it is one.
-    fn front(&mut self) -> Option<&mut dyn Front> {
-        None
-    }
-}
-
-/// One monotonic clock, mapped to Unix time once at the start: the list's start times, and the second marks
-/// on which the module's pauses end, are on the clock that every machine reads.
-#[derive(Debug)]
-pub struct Clock {
-    started: Instant,
-    unix: Micros,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros);
-        Clock { started: Instant::now(), unix }
-    }
-
-    /// Microseconds of Unix time, never going back.
-    pub fn now(&self) -> Micros {
-        self.unix + self.started.elapsed().as_micros() as Micros
-    }
+    fn closed(&mut self, _io: &mut Io<Self::Report>) {}
 }
 
 /// Whose timer it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Owner {
-    Driver,
+    Loop,
     Connection(Key),
 }
 
 /// What a callback may use.
 #[derive(Debug)]
-pub struct Io {
+pub struct Io<R> {
     registry: Registry,
     clock: Clock,
     timers: BinaryHeap<Reverse<(Micros, u64, Owner, u32)>>,
     timer_number: u64,
     again: VecDeque<(Key, Leg)>,
-    /// What objects have to tell, for the driver.
-    pub happenings: VecDeque<Happening>,
+    /// What objects have to tell, for the owner.
+    pub reports: VecDeque<R>,
     /// Bytes that each direction of a connection may hold.
     pub buffer_bound: usize,
-    /// Lines about clients that are turned away.
-    pub rejections: Seldom,
 }
 
-impl Io {
+impl<R: Report> Io<R> {
     /// The present time.
     pub fn now(&self) -> Micros {
         self.clock.now()
@@ -127,9 +106,9 @@
         self.set(at, Owner::Connection(key), timer);
     }
 
-    /// Reports [`Happening::Timer`] at that time.
-    pub fn driver_timer(&mut self, at: Micros, timer: u32) {
-        self.set(at, Owner::Driver, timer);
+    /// Reports [`Report::timer`] at that time.
+    pub fn owner_timer(&mut self, at: Micros, timer: u32) {
+        self.set(at, Owner::Loop, timer);
     }
 
     fn set(&mut self, at: Micros, owner: Owner, timer: u32) {
@@ -143,65 +122,58 @@
         self.again.push_back((key, leg));
     }
 
-    /// Logs that a client was turned away with an error.
-    pub fn rejected(&mut self, why: &dyn Display) {
-        if let Some(more) = self.rejections.due(self.now()) {
-            log::warn!("client turned away: {why} ({more} more since the last such line)");
-        }
-    }
-
-    /// Reports to the driver.
-    pub fn tell(&mut self, happening: Happening) {
-        self.happenings.push_back(happening);
+    /// Reports to the owner.
+    pub fn tell(&mut self, report: R) {
+        self.reports.push_back(report);
     }
 }
 
-struct Slot {
+struct Slot<C: ?Sized> {
     generation: u32,
-    connection: Box<dyn Connection>,
+    connection: Box<C>,
 }
 
-/// The loop and its objects.
-pub struct Reactor {
+/// The loop and its objects: of one type, or of any that are a `dyn` trait of the owner's.
+pub struct Reactor<C: Connection + ?Sized> {
     poll: Poll,
     events: Events,
-    slots: Slab<Slot>,
+    slots: Slab<Slot<C>>,
     generation: u32,
-    /// What callbacks and the driver use.
-    pub io: Io,
+    /// What callbacks and the owner use.
+    pub io: Io<C::Report>,
 }
 
-impl Reactor {
-    pub fn new() -> io::Result<Self> {
+impl<C: Connection + ?Sized> Reactor<C> {
+    /// A loop on that clock. Fails if the system has no poll to give.
+    pub fn new(clock: Clock) -> io::Result<Self> {
         let poll = Poll::new()?;
         let io = Io {
             registry: poll.registry().try_clone()?,
-            clock: Clock::new(),
+            clock,
             timers: BinaryHeap::new(),
             timer_number: 0,
             again: VecDeque::new(),
-            happenings: VecDeque::new(),
+            reports: VecDeque::new(),
             buffer_bound: 16 * 1024,
-            rejections: Seldom::default(),
         };
         Ok(Reactor { poll, events: Events::with_capacity(1024), slots: Slab::new(), generation: 0, io })
     }
 
     /// Adds an object; `make` gets the key under which its sockets are to be registered.
-    pub fn insert<C: Connection + 'static>(
+    pub fn insert(
         &mut self,
-        make: impl FnOnce(Key, &mut Io) -> io::Result<C>,
+        make: impl FnOnce(Key, &mut Io<C::Report>) -> io::Result<Box<C>>,
     ) -> io::Result<Key> {
         self.generation = self.generation.wrapping_add(1);
         let entry = self.slots.vacant_entry();
         let key = Key { index: entry.key() as u32, generation: self.generation };
         let connection = make(key, &mut self.io)?;
-        entry.insert(Slot { generation: key.generation, connection: Box::new(connection) });
+        entry.insert(Slot { generation: key.generation, connection });
         Ok(key)
     }
 
     /// Calls `use_it` on the object, if it still exists, and drops the object if that finished it.
-    pub fn with<T>(&mut self, key: Key, use_it: impl FnOnce(&mut dyn Connection, &mut Io) -> T) -> Option<T> {
+    pub fn with<T>(&mut self, key: Key, use_it: impl FnOnce(&mut C, &mut Io<C::Report>) -> T) -> Option<T> {
         // Guards against stale tokens and timers: a place that was given to a later object is not meant.
         let slot = self.slots.get_mut(key.index as usize).filter(|s| s.generation == key.generation)?;
         let result = use_it(slot.connection.as_mut(), &mut self.io);
@@ -212,15 +184,6 @@
         Some(result)
     }
 
-    /// The same for a client's RPC.
-    pub fn with_front<T>(
-        &mut self,
-        key: Key,
-        use_it: impl FnOnce(&mut dyn Front, &mut Io) -> T,
-    ) -> Option<T> {
-        self.with(key, |connection, io| connection.front().map(|front| use_it(front, io))).flatten()
-    }
-
     /// The object still exists.
     pub fn contains(&self, key: Key) -> bool {
         self.slots.get(key.index as usize).is_some_and(|slot| slot.generation == key.generation)
@@ -274,7 +237,7 @@
         while self.io.timers.peek().is_some_and(|Reverse((at, ..))| *at <= now) {
             let Some(Reverse((_, _, owner, timer))) = self.io.timers.pop() else { break };
             match owner {
-                Owner::Driver => self.io.tell(Happening::Timer(timer)),
+                Owner::Loop => self.io.tell(C::Report::timer(timer)),
                 Owner::Connection(key) => {
                     self.with(key, |c, io| c.timer(io, timer));
                 }
--- a/crates/cottonnotch/src/net/seldom.rs
+++ b/crates/reactor/src/seldom.rs
@@ -1,6 +1,6 @@
 //! A log line that may come many times a second, written seldom. Guards against a log that fills up in a flood.
 
-use cottonnotch_decision::Micros;
+use crate::clock::Micros;
 
 /// Between two such lines.
 const EVERY: Micros = 10_000_000;
