--- a/crates/kit/src/board.rs
+++ b/crates/kit/src/board.rs
@@ -2,7 +2,8 @@
 
 use crate::plan::{Plan, ProxyId};
 use crate::time::RunClock;
-use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
+use crate::time::Micros;
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, AtomicUsize, Ordering};
 
 /// Counts that a person may watch while the run goes on; the judge does not use them.
 #[derive(Debug, Default)]
@@ -33,14 +34,21 @@
     /// For the progress line.
     pub live: Live,
     admitted: Vec<AtomicBool>,
+    ready: AtomicUsize,
     stopping: AtomicBool,
 }
 
 impl Board {
-    /// A board for a run that begins now.
-    pub fn new(plan: &Plan) -> Self {
+    /// A board for a run that begins this long from now.
+    pub fn new(plan: &Plan, lead: Micros) -> Self {
         let admitted = plan.proxies.iter().map(|_| AtomicBool::new(false)).collect();
-        Board { clock: RunClock::begin(), live: Live::default(), admitted, stopping: AtomicBool::new(false) }
+        Board {
+            clock: RunClock::begin_in(lead),
+            live: Live::default(),
+            admitted,
+            ready: AtomicUsize::new(0),
+            stopping: AtomicBool::new(false),
+        }
     }
 
     /// The front gives this proxy new clients, or no more.
@@ -55,6 +63,16 @@
         self.admitted.get(usize::from(proxy.0)).is_some_and(|admitted| admitted.load(Ordering::Acquire))
     }
 
+    /// A stand-in's thread has opened its sockets.
+    pub fn ready(&self) {
+        self.ready.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// So many threads have opened their sockets.
+    pub fn are_ready(&self) -> usize {
+        self.ready.load(Ordering::Acquire)
+    }
+
     /// The run is over; threads end as soon as they notice, which they do every few milliseconds.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Release);
--- /dev/null
+++ b/crates/kit/src/emulator/network.rs
@@ -0,0 +1,205 @@
+//! The network between proxies: each datagram passes a relay of the kit's, which delays it, loses it, or holds back
+//! what a parted network would not carry. Every relay belongs to one pair, so a proxy sees the sender as the address
+//! that its configuration has for it.
+
+use crate::addresses::Addresses;
+use crate::board::Board;
+use crate::notes::Notes;
+use crate::observation::{Observation, Seen};
+use crate::plan::{NetworkChange, Plan, ProxyId, What};
+use crate::time::Micros;
+use cottonnotch_reactor::{Connection, Io, Key, Leg, Reactor, Report};
+use mio::net::UdpSocket;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::sync::Arc;
+
+/// Longer datagrams are not carried; they are noted all the same, since the rules allow none over 256 bytes.
+const LONGEST: usize = 2048;
+/// Between two looks at the board.
+const LOOK: Micros = 10_000;
+/// Read from one relay before others have their turn.
+const AT_ONCE: usize = 64;
+
+/// The owner's timers.
+const LOOKS: u32 = 0;
+const DELIVERS: u32 = 1;
+
+#[derive(Debug)]
+enum Told {
+    Timer(u32),
+    Came { from: ProxyId, to: Option<ProxyId>, bytes: Vec<u8> },
+}
+
+impl Report for Told {
+    fn timer(timer: u32) -> Self {
+        Told::Timer(timer)
+    }
+}
+
+/// The socket at which one proxy sees another one, or all of them.
+struct Relay {
+    socket: UdpSocket,
+    key: Key,
+    seen_by: ProxyId,
+    of: Option<ProxyId>,
+}
+
+impl Connection for Relay {
+    type Report = Told;
+
+    fn readable(&mut self, io: &mut Io<Told>, leg: Leg) {
+        let mut bytes = [0; LONGEST];
+        for _ in 0..AT_ONCE {
+            match self.socket.recv_from(&mut bytes) {
+                Ok((n, _)) => {
+                    let bytes = bytes[..n].to_vec();
+                    io.tell(Told::Came { from: self.seen_by, to: self.of, bytes });
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                // A receiver that is down: its port was reported closed. Nothing is owed for a datagram.
+                Err(_) => {}
+            }
+        }
+        io.call_again(self.key, leg);
+    }
+
+    fn writable(&mut self, _: &mut Io<Told>, _: Leg) {}
+
+    fn timer(&mut self, _: &mut Io<Told>, _: u32) {}
+
+    fn done(&self) -> bool {
+        false
+    }
+}
+
+/// A datagram on its way.
+#[derive(Debug)]
+struct OnItsWay {
+    from: ProxyId,
+    to: ProxyId,
+    bytes: Vec<u8>,
+}
+
+struct Network<'a> {
+    plan: &'a Plan,
+    addresses: &'a Addresses,
+    reactor: Reactor<Relay>,
+    relays: BTreeMap<(ProxyId, ProxyId), Key>,
+    chance: ChaCha8Rng,
+    loss: f64,
+    apart: Option<BTreeSet<ProxyId>>,
+    next: usize,
+    on_their_way: BTreeMap<(Micros, u64), OnItsWay>,
+    number: u64,
+    notes: Notes,
+}
+
+/// Carries datagrams until the run is over. Fails if a relay's address can't be had.
+pub fn run(plan: Arc<Plan>, addresses: Arc<Addresses>, board: Arc<Board>) -> io::Result<Vec<Observation>> {
+    let mut network = Network {
+        plan: &plan,
+        addresses: &addresses,
+        reactor: Reactor::new(board.clock.for_loop())?,
+        relays: BTreeMap::new(),
+        chance: ChaCha8Rng::seed_from_u64(plan.seed ^ 0x6e65_7477_6f72_6b00),
+        loss: plan.network.loss,
+        apart: None,
+        next: 0,
+        on_their_way: BTreeMap::new(),
+        number: 0,
+        notes: Notes::default(),
+    };
+    network.bind()?;
+    board.ready();
+    while !board.is_stopping() {
+        network.reactor.turn()?;
+        while let Some(told) = network.reactor.io.reports.pop_front() {
+            match told {
+                Told::Timer(LOOKS) => network.look(),
+                Told::Timer(_) => network.deliver(),
+                Told::Came { from, to, bytes } => network.came(from, to, &bytes),
+            }
+        }
+    }
+    Ok(network.notes.into_inner())
+}
+
+impl Network<'_> {
+    fn bind(&mut self) -> io::Result<()> {
+        let proxies: Vec<ProxyId> = (0..self.plan.proxies.len() as u16).map(ProxyId).collect();
+        for seen_by in &proxies {
+            for of in proxies.iter().copied().map(Some).chain([None]) {
+                let address = match of {
+                    Some(of) => self.addresses.relay(of, *seen_by),
+                    None => self.addresses.relay_to_all(*seen_by),
+                };
+                let seen_by = *seen_by;
+                let key = self.reactor.insert(|key, io| {
+                    let mut socket = UdpSocket::bind(address)?;
+                    io.register_reader(&mut socket, key)?;
+                    Ok(Box::new(Relay { socket, key, seen_by, of }))
+                })?;
+                if let Some(of) = of {
+                    self.relays.insert((of, seen_by), key);
+                }
+            }
+        }
+        let now = self.reactor.io.now();
+        self.reactor.io.owner_timer(now + LOOK, LOOKS);
+        Ok(())
+    }
+
+    /// Carries out what the timeline has for the network by now.
+    fn look(&mut self) {
+        let now = self.reactor.io.now();
+        self.reactor.io.owner_timer(now + LOOK, LOOKS);
+        while let Some(happening) = self.plan.timeline.get(self.next).filter(|h| h.at <= now) {
+            self.next += 1;
+            let What::Network(change) = &happening.what else { continue };
+            match change {
+                NetworkChange::Loss(loss) => self.loss = *loss,
+                NetworkChange::Part(apart) => self.apart = Some(apart.iter().copied().collect()),
+                NetworkChange::Join => self.apart = None,
+                // The render nodes' stand-ins do these.
+                NetworkChange::CutOff(..) | NetworkChange::Reach(_) => {}
+            }
+        }
+    }
+
+    fn came(&mut self, from: ProxyId, to: Option<ProxyId>, bytes: &[u8]) {
+        let now = self.reactor.io.now();
+        let all = (0..self.plan.proxies.len() as u16).map(ProxyId);
+        let receivers: Vec<ProxyId> = match to {
+            Some(to) => vec![to],
+            None => all.filter(|to| *to != from).collect(),
+        };
+        for to in receivers {
+            self.notes.note(now, Seen::Datagram { from, to, bytes: bytes.len() as u32 });
+            let parted = self.apart.as_ref().is_some_and(|set| set.contains(&from) != set.contains(&to));
+            let lost = self.chance.random::<f64>() < self.loss;
+            let (least, most) = self.plan.network.datagram;
+            let delay = self.chance.random_range(least..=most.max(least));
+            if parted || lost || to == from {
+                continue;
+            }
+            self.number += 1;
+            self.on_their_way.insert((now + delay, self.number), OnItsWay { from, to, bytes: bytes.to_vec() });
+            self.reactor.io.owner_timer(now + delay, DELIVERS);
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.reactor.io.now();
+        let later = self.on_their_way.split_off(&(now + 1, 0));
+        for (_, datagram) in std::mem::replace(&mut self.on_their_way, later) {
+            let OnItsWay { from, to, bytes } = datagram;
+            let Some(key) = self.relays.get(&(from, to)).copied() else { continue };
+            let address = self.addresses.peer(to);
+            // Late or never: one that can't be sent now is lost.
+            self.reactor.with(key, |relay, _| relay.socket.send_to(&bytes, address).is_ok());
+        }
+    }
+}
--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -3,7 +3,9 @@
 
 pub mod addresses;
 pub mod board;
+pub mod emulator;
 pub mod notes;
 pub mod observation;
 pub mod plan;
+pub mod processes;
 pub mod time;
--- a/crates/kit/src/time.rs
+++ b/crates/kit/src/time.rs
@@ -1,5 +1,6 @@
 //! The run's clock: microseconds since the run began, one for all stand-ins of a run.
 
+use cottonnotch_reactor::Clock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A point in time or a span, in microseconds.
@@ -14,19 +15,25 @@
 #[derive(Clone, Copy, Debug)]
 pub struct RunClock {
     began: Instant,
+    base: Micros,
     unix: Micros,
 }
 
 impl RunClock {
-    /// Begins now.
-    pub fn begin() -> Self {
+    /// A run that begins this long from now: until then, its time is negative, and its processes come up.
+    pub fn begin_in(lead: Micros) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros);
-        RunClock { began: Instant::now(), unix }
+        RunClock { began: Instant::now(), base: -lead, unix: unix + lead }
     }
 
-    /// Time since the run began.
+    /// Time since the run began; negative before.
     pub fn now(&self) -> Micros {
-        self.began.elapsed().as_micros() as Micros
+        self.base + self.began.elapsed().as_micros() as Micros
+    }
+
+    /// The same clock for an event loop.
+    pub fn for_loop(&self) -> Clock {
+        Clock::at(self.began, self.base)
     }
 
     /// A time of the run as Unix time in milliseconds, as lists have it.
--- a/crates/reactor/src/clock.rs
+++ b/crates/reactor/src/clock.rs
@@ -19,9 +19,9 @@
         Clock { started: Instant::now(), base }
     }
 
-    /// Reads 0 at that moment: loops that share it share their time.
-    pub fn since(started: Instant) -> Self {
-        Clock { started, base: 0 }
+    /// Reads `base` at that moment: loops that are given the same share their time.
+    pub fn at(started: Instant, base: Micros) -> Self {
+        Clock { started, base }
     }
 
     /// The present time.
