Kit: an open load of set-ups and lines, through a proxy and directly

Work is due at fixed times whatever became of the last, and latency counts from then; a step is borne if nearly all is done by its end and the 99th percentile stays under a bound, and the ceiling is the highest step that is. Echoing render nodes answer at once.

--- a/crates/kit/src/board.rs
+++ b/crates/kit/src/board.rs
@@ -1,8 +1,8 @@
 //! What the threads of a run share: the clock, who is admitted, the end, and a few counts for the progress line.
 
 use crate::plan::{Plan, ProxyId};
-use crate::time::RunClock;
 use crate::time::Micros;
+use crate::time::RunClock;
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, AtomicUsize, Ordering};
 
 /// Counts that a person may watch while the run goes on; the judge does not use them.
--- a/crates/kit/src/emulator/network.rs
+++ b/crates/kit/src/emulator/network.rs
@@ -186,7 +186,8 @@
                 continue;
             }
             self.number += 1;
-            self.on_their_way.insert((now + delay, self.number), OnItsWay { from, to, bytes: bytes.to_vec() });
+            self.on_their_way
+                .insert((now + delay, self.number), OnItsWay { from, to, bytes: bytes.to_vec() });
             self.reactor.io.owner_timer(now + delay, DELIVERS);
         }
     }
--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod addresses;
 pub mod board;
 pub mod emulator;
+pub mod load;
 pub mod notes;
 pub mod observation;
 pub mod plan;
--- /dev/null
+++ b/crates/kit/src/load/echo.rs
@@ -0,0 +1,185 @@
+//! Render nodes that do no work: each connection is up at once and everything it sends comes back.
+
+use cottonnotch_reactor::line::{Fill, LineStream};
+use cottonnotch_reactor::listener::Listener;
+use cottonnotch_reactor::{Clock, Connection, Io, Key, Leg, Micros, Reactor, Report};
+use mio::net::TcpListener;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::{Sender, channel};
+use std::thread::{self, JoinHandle};
+
+/// Between two looks at whether to stop.
+const LOOK: Micros = 20_000;
+/// Each direction of a connection holds this much.
+const BUFFER: usize = 256 * 1024;
+
+/// Receipts that no two connections share.
+static RECEIPT: AtomicU64 = AtomicU64::new(1);
+
+enum Told {
+    Timer,
+    Acceptable,
+}
+
+impl Report for Told {
+    fn timer(_: u32) -> Self {
+        Told::Timer
+    }
+}
+
+enum Object {
+    Listener(Listener<Told>),
+    Connection(Echoing),
+}
+
+struct Echoing {
+    key: Key,
+    stream: LineStream,
+    up: bool,
+    over: bool,
+}
+
+impl Echoing {
+    fn readable(&mut self, io: &mut Io<Told>) {
+        if self.stream.is_full() {
+            return;
+        }
+        let fill = self.stream.fill();
+        if !self.up {
+            match self.stream.take_line() {
+                Ok(Some(_)) => {
+                    self.up = true;
+                    let receipt = RECEIPT.fetch_add(1, Ordering::Relaxed);
+                    self.stream.push(format!("UP {receipt:x}\r\n").as_bytes());
+                }
+                Ok(None) => {}
+                Err(_) => self.over = true,
+            }
+        }
+        if self.up {
+            let rest = self.stream.take_rest();
+            self.stream.push(&rest);
+        }
+        if self.stream.flush().is_err() {
+            self.over = true;
+        }
+        match fill {
+            Fill::Blocked => {}
+            Fill::More => io.call_again(self.key, Leg::Near),
+            Fill::Ended | Fill::Broken(_) => self.over = true,
+        }
+    }
+}
+
+impl Connection for Object {
+    type Report = Told;
+
+    fn readable(&mut self, io: &mut Io<Told>, leg: Leg) {
+        match self {
+            Object::Listener(listener) => listener.readable(io, leg),
+            Object::Connection(echoing) => echoing.readable(io),
+        }
+    }
+
+    fn writable(&mut self, io: &mut Io<Told>, _: Leg) {
+        if let Object::Connection(echoing) = self {
+            if echoing.stream.flush().is_err() {
+                echoing.over = true;
+            }
+            // What came while the output was full was left unread.
+            io.call_again(echoing.key, Leg::Near);
+        }
+    }
+
+    fn timer(&mut self, _: &mut Io<Told>, _: u32) {}
+
+    fn done(&self) -> bool {
+        matches!(self, Object::Connection(Echoing { over: true, .. }))
+    }
+}
+
+/// Echoing render nodes, one for each thread.
+pub struct Echo {
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<io::Result<()>>>,
+}
+
+impl Echo {
+    /// Listens at each address. Fails if one can't be had.
+    pub fn start(at: &[SocketAddr]) -> io::Result<Echo> {
+        let stop = Arc::new(AtomicBool::new(false));
+        let (ready, bound) = channel();
+        let threads = at
+            .iter()
+            .map(|address| {
+                let (address, stop, ready) = (*address, Arc::clone(&stop), ready.clone());
+                thread::spawn(move || serve(address, &stop, &ready))
+            })
+            .collect();
+        let echo = Echo { stop, threads };
+        // Each says once how its binding went; a thread that fails before that drops its end.
+        drop(ready);
+        for _ in at {
+            bound.recv().map_err(|_| io::Error::from(io::ErrorKind::BrokenPipe))??;
+        }
+        Ok(echo)
+    }
+
+    /// Ends the threads.
+    pub fn stop(mut self) -> io::Result<()> {
+        self.stop.store(true, Ordering::Release);
+        let mut results = self.threads.drain(..).map(JoinHandle::join);
+        results.try_for_each(|result| result.unwrap_or_else(|_| Err(io::ErrorKind::Other.into())))
+    }
+}
+
+impl Drop for Echo {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Release);
+    }
+}
+
+fn serve(address: SocketAddr, stop: &AtomicBool, ready: &Sender<io::Result<()>>) -> io::Result<()> {
+    let mut reactor: Reactor<Object> = Reactor::new(Clock::unix())?;
+    reactor.io.buffer_bound = BUFFER;
+    let mut listener: Option<Rc<TcpListener>> = None;
+    let bound = reactor.insert(|key, io| {
+        let (object, socket) = Listener::bind(address, |_| Told::Acceptable, key, io)?;
+        listener = Some(socket);
+        Ok(Box::new(Object::Listener(object)))
+    });
+    // Nobody is left to be told if the starter has given up.
+    let _ = ready.send(bound.map(drop));
+    let Some(listener) = listener else { return Ok(()) };
+    let now = reactor.io.now();
+    reactor.io.owner_timer(now + LOOK, 0);
+    while !stop.load(Ordering::Acquire) {
+        reactor.turn()?;
+        while let Some(told) = reactor.io.reports.pop_front() {
+            match told {
+                Told::Timer => {
+                    let now = reactor.io.now();
+                    reactor.io.owner_timer(now + LOOK, 0);
+                }
+                Told::Acceptable => accept(&mut reactor, &listener),
+            }
+        }
+    }
+    Ok(())
+}
+
+fn accept(reactor: &mut Reactor<Object>, listener: &TcpListener) {
+    // An error means that nobody waits, or that one was gone before it was accepted.
+    while let Ok((stream, _)) = listener.accept() {
+        let object = reactor.insert(|key, io| {
+            let stream = LineStream::accepted(stream, io, key)?;
+            Ok(Box::new(Object::Connection(Echoing { key, stream, up: false, over: false })))
+        });
+        // It could not be registered: its client sees the end.
+        drop(object);
+    }
+}
--- /dev/null
+++ b/crates/kit/src/load/generator.rs
@@ -0,0 +1,414 @@
+//! Clients of the load: work that is due at fixed times, whether the last of it is done or not.
+
+use super::{LoadError, system};
+use cottonnotch_reactor::line::{Fill, LineStream};
+use cottonnotch_reactor::{Clock, Connection, Io, Key, Leg, Micros, Reactor, Report};
+use hdrhistogram::Histogram;
+use std::collections::VecDeque;
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
+
+/// Between two looks at what is due. Latency counts from when it was due, so this shows in it.
+const TICK: Micros = 500;
+/// Latencies up to a minute, with three figures.
+const LONGEST: u64 = 60_000_000;
+/// What is under way when a step ends is given this long to be done; it counts as late.
+const AFTER: Micros = 300_000;
+/// Set-ups that are under way at once: beyond, the rate is not borne anyhow.
+const MOST_AT_ONCE: usize = 2000;
+/// Each direction of a connection holds this much.
+const BUFFER: usize = 64 * 1024;
+
+static NUMBER: AtomicU64 = AtomicU64::new(1);
+
+/// A kind of work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Work {
+    /// A connection is opened, is up, and is ended.
+    Setups,
+    /// A line on a connection that stands goes there and comes back.
+    Lines {
+        /// Connections that stand.
+        connections: usize,
+        /// Lines in flight on each at most; what is due beyond waits, and its latency grows.
+        in_flight: usize,
+    },
+}
+
+/// A step to be played.
+#[derive(Clone, Copy, Debug)]
+pub struct Aim {
+    /// Of what.
+    pub work: Work,
+    /// Units a second.
+    pub rate: f64,
+    /// For how long.
+    pub length: Duration,
+    /// Threads.
+    pub shards: usize,
+}
+
+/// What came of a step.
+#[derive(Debug)]
+pub struct Done {
+    /// Units that were due.
+    pub due: u64,
+    /// Units that were done by the end.
+    pub done: u64,
+    /// Of what was done, in microseconds from when it was due.
+    pub latency: Histogram<u64>,
+}
+
+impl Done {
+    fn none() -> Self {
+        let Ok(latency) = Histogram::new_with_bounds(1, LONGEST, 3) else {
+            unreachable!("a microsecond to a minute with three figures are bounds that a histogram has")
+        };
+        Done { due: 0, done: 0, latency }
+    }
+
+    /// Part that was done.
+    pub fn part(&self) -> f64 {
+        self.done as f64 / self.due.max(1) as f64
+    }
+
+    /// The rate was borne: nearly all is done, and 99 of 100 within the bound.
+    pub fn borne(&self, part: f64, slowest: Duration) -> bool {
+        let slow = self.latency.value_at_quantile(0.99);
+        self.part() >= part && u128::from(slow) <= slowest.as_micros()
+    }
+
+    fn record(&mut self, latency: Micros) {
+        self.done += 1;
+        self.latency.saturating_record(latency.max(1) as u64);
+    }
+
+    fn add(&mut self, other: &Done) {
+        self.due += other.due;
+        self.done += other.done;
+        // Both have the same bounds.
+        let _ = self.latency.add(&other.latency);
+    }
+}
+
+/// Plays one step against these addresses, in turn.
+pub fn play(aim: &Aim, to: &[SocketAddr]) -> Result<Done, LoadError> {
+    let shards: Vec<_> = (0..aim.shards)
+        .map(|shard| {
+            let (aim, to) = (*aim, to.to_vec());
+            thread::spawn(move || Shard::play(&aim, &to, shard))
+        })
+        .collect();
+    let mut all = Done::none();
+    for shard in shards {
+        let done = shard.join().map_err(|_| LoadError::Panicked)?;
+        all.add(&done.map_err(system("the load cannot be made"))?);
+    }
+    Ok(all)
+}
+
+enum Told {
+    Timer,
+    /// A unit that was due at that time is done.
+    Done(Micros),
+    /// A connection is up.
+    Up,
+    /// A connection is over.
+    Over,
+}
+
+impl Report for Told {
+    fn timer(_: u32) -> Self {
+        Told::Timer
+    }
+}
+
+/// A client's connection.
+struct Client {
+    key: Key,
+    stream: LineStream,
+    connected: bool,
+    up: bool,
+    over: bool,
+    /// It is ended as soon as it is up: a set-up. When that was due.
+    setup: Option<Micros>,
+    /// When each line that is out was due.
+    out: VecDeque<Micros>,
+    /// Lines that are due and wait for room.
+    waiting: VecDeque<Micros>,
+    in_flight: usize,
+}
+
+/// A first line, with an id of its own.
+fn first_line() -> String {
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    format!("OPEN {number:016x} {number:016x} c=load,d=10000\r\n")
+}
+
+const LINE: &[u8] = b"M 1 0123456789abcdefghijklmnopqrstuv\r\n";
+
+impl Client {
+    fn connect(
+        to: SocketAddr,
+        setup: Option<Micros>,
+        in_flight: usize,
+        key: Key,
+        io: &Io<Told>,
+    ) -> io::Result<Self> {
+        let mut stream = LineStream::connect(to, io, key, Leg::Near)?;
+        stream.push(first_line().as_bytes());
+        let (out, waiting) = (VecDeque::new(), VecDeque::new());
+        Ok(Client { key, stream, connected: false, up: false, over: false, setup, out, waiting, in_flight })
+    }
+
+    /// A line is due.
+    fn due(&mut self, at: Micros) {
+        self.waiting.push_back(at);
+        self.send();
+    }
+
+    fn send(&mut self) {
+        let mut any = false;
+        while self.out.len() < self.in_flight {
+            let Some(due) = self.waiting.pop_front() else { break };
+            self.out.push_back(due);
+            self.stream.push(LINE);
+            any = true;
+        }
+        if any && self.stream.flush().is_err() {
+            self.over = true;
+        }
+    }
+
+    fn read(&mut self, io: &mut Io<Told>) {
+        let fill = self.stream.fill();
+        loop {
+            match self.stream.take_line() {
+                Ok(Some(line)) if !self.up => {
+                    if !line.starts_with(b"UP ") {
+                        self.over = true;
+                        break;
+                    }
+                    self.up = true;
+                    io.tell(Told::Up);
+                    if let Some(due) = self.setup {
+                        io.tell(Told::Done(due));
+                        // No port is left behind waiting: thousands a second would use them up.
+                        self.stream.reset();
+                        self.over = true;
+                        break;
+                    }
+                }
+                Ok(Some(_)) => {
+                    if let Some(due) = self.out.pop_front() {
+                        io.tell(Told::Done(due));
+                    }
+                }
+                Ok(None) => break,
+                Err(_) => {
+                    self.over = true;
+                    break;
+                }
+            }
+        }
+        match fill {
+            Fill::Blocked => {}
+            Fill::More => io.call_again(self.key, Leg::Near),
+            Fill::Ended | Fill::Broken(_) => self.over = true,
+        }
+        if !self.over {
+            self.send();
+        }
+    }
+}
+
+impl Connection for Client {
+    type Report = Told;
+
+    fn readable(&mut self, io: &mut Io<Told>, _: Leg) {
+        if self.connected {
+            self.read(io);
+        }
+    }
+
+    fn writable(&mut self, io: &mut Io<Told>, _: Leg) {
+        if !self.connected {
+            match self.stream.connected() {
+                Ok(true) => self.connected = true,
+                Ok(false) => return,
+                Err(_) => self.over = true,
+            }
+        }
+        if self.stream.flush().is_err() {
+            self.over = true;
+        }
+        // What came with the connect is not told again.
+        io.call_again(self.key, Leg::Near);
+    }
+
+    fn timer(&mut self, _: &mut Io<Told>, _: u32) {}
+
+    fn done(&self) -> bool {
+        self.over
+    }
+
+    fn closed(&mut self, io: &mut Io<Told>) {
+        self.stream.reset();
+        io.tell(Told::Over);
+    }
+}
+
+/// One thread's part of a step.
+struct Shard {
+    reactor: Reactor<Client>,
+    to: Vec<SocketAddr>,
+    done: Done,
+    /// Connections that stand, for lines.
+    standing: Vec<Key>,
+    up: usize,
+    open: usize,
+    turn: usize,
+}
+
+impl Shard {
+    fn play(aim: &Aim, to: &[SocketAddr], shard: usize) -> io::Result<Done> {
+        let mut reactor = Reactor::new(Clock::unix())?;
+        reactor.io.buffer_bound = BUFFER;
+        let mut this = Shard {
+            reactor,
+            to: to.to_vec(),
+            done: Done::none(),
+            standing: Vec::new(),
+            up: 0,
+            open: 0,
+            turn: shard,
+        };
+        if let Work::Lines { connections, in_flight } = aim.work {
+            this.stand(connections / aim.shards, in_flight)?;
+        }
+        this.step(aim, shard)?;
+        Ok(this.done)
+    }
+
+    fn connect(&mut self, setup: Option<Micros>, in_flight: usize) -> io::Result<Key> {
+        self.turn += 1;
+        let to = self.to[self.turn % self.to.len()];
+        let key =
+            self.reactor.insert(|key, io| Client::connect(to, setup, in_flight, key, io).map(Box::new))?;
+        self.open += 1;
+        Ok(key)
+    }
+
+    /// Opens the connections that stand, a few at a time.
+    fn stand(&mut self, connections: usize, in_flight: usize) -> io::Result<()> {
+        let until = self.reactor.io.now() + 20_000_000;
+        while self.up < connections && self.reactor.io.now() < until {
+            while self.standing.len() < connections && self.standing.len() < self.up + 64 {
+                let key = self.connect(None, in_flight)?;
+                self.standing.push(key);
+            }
+            self.turn_once()?;
+        }
+        Ok(())
+    }
+
+    fn turn_once(&mut self) -> io::Result<()> {
+        let now = self.reactor.io.now();
+        self.reactor.io.owner_timer(now + TICK, 0);
+        self.reactor.turn()?;
+        let now = self.reactor.io.now();
+        while let Some(told) = self.reactor.io.reports.pop_front() {
+            match told {
+                Told::Timer => {}
+                Told::Done(due) => self.done.record(now - due),
+                Told::Up => self.up += 1,
+                Told::Over => self.open -= 1,
+            }
+        }
+        Ok(())
+    }
+
+    fn step(&mut self, aim: &Aim, shard: usize) -> io::Result<()> {
+        let each = 1e6 * aim.shards as f64 / aim.rate;
+        // Shards fall due between one another.
+        let began = self.reactor.io.now() + (each * shard as f64 / aim.shards as f64) as Micros;
+        let length = aim.length.as_micros() as Micros;
+        let total = (length as f64 / each) as u64;
+        loop {
+            let now = self.reactor.io.now();
+            while self.done.due < total {
+                let due = began + (self.done.due as f64 * each) as Micros;
+                if due > now {
+                    break;
+                }
+                self.done.due += 1;
+                self.begin(aim.work, due)?;
+            }
+            let over = began + length;
+            let finished = self.done.due == total && self.done.done >= total;
+            if now > over + AFTER || finished && now >= over {
+                return Ok(());
+            }
+            self.turn_once()?;
+        }
+    }
+
+    fn begin(&mut self, work: Work, due: Micros) -> io::Result<()> {
+        match work {
+            Work::Setups if self.open < MOST_AT_ONCE => self.connect(Some(due), 1).map(drop),
+            Work::Setups => Ok(()),
+            Work::Lines { .. } => {
+                self.turn += 1;
+                if let Some(key) = self.standing.get(self.turn % self.standing.len().max(1)).copied() {
+                    self.reactor.with(key, |client, _| client.due(due));
+                }
+                Ok(())
+            }
+        }
+    }
+}
+
+/// Connections that are up and idle, opened one after the other.
+pub struct Standing(Vec<TcpStream>);
+
+impl Standing {
+    /// Opens so many.
+    pub fn open(to: SocketAddr, connections: usize) -> Result<Standing, LoadError> {
+        let mut all = Vec::with_capacity(connections);
+        for _ in 0..connections {
+            all.push(Self::one(to).map_err(system("a standing connection"))?);
+        }
+        Ok(Standing(all))
+    }
+
+    fn one(to: SocketAddr) -> io::Result<TcpStream> {
+        let stream = TcpStream::connect(to)?;
+        stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+        (&stream).write_all(first_line().as_bytes())?;
+        let mut answer = String::new();
+        BufReader::new(&stream).read_line(&mut answer)?;
+        if answer.starts_with("UP ") { Ok(stream) } else { Err(io::ErrorKind::ConnectionRefused.into()) }
+    }
+
+    /// How many.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// None.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl Drop for Standing {
+    fn drop(&mut self) {
+        for stream in &self.0 {
+            // Fails only on a socket that is gone.
+            let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
--- a/crates/kit/src/processes.rs
+++ b/crates/kit/src/processes.rs
@@ -179,7 +179,9 @@
         for (name, value) in environment {
             command.env(name, value);
         }
-        let out = log.try_clone().map_err(|error| ProcessError::Start { program: daemon.program.clone(), error })?;
+        let out = log
+            .try_clone()
+            .map_err(|error| ProcessError::Start { program: daemon.program.clone(), error })?;
         let child = command.stdout(out).stderr(log).spawn();
         let child = child.map_err(|error| ProcessError::Start { program: daemon.program.clone(), error })?;
         Ok(Process { child, exited: None })
