Kit: a small proxy that breaks one rule on demand, to prove the judge

The judge needs something that really breaks each rule, over the same sockets as the daemon, or nobody knows that it can fail. It uses the reactor crate and shares no code with the daemon or the decision module.

--- /dev/null
+++ b/crates/kit/src/bad_proxy/beside.rs
@@ -0,0 +1,51 @@
+//! For the fault: an attempt that is out beside the one that counts, on a connection of its own.
+
+use super::report::{Io, Object, Report};
+use crate::time::{MS, Micros};
+use cottonnotch_reactor::line::LineStream;
+use cottonnotch_reactor::{Connection, Key, Leg};
+use std::io;
+use std::net::SocketAddr;
+
+/// How long it is out.
+const OUT: Micros = 400 * MS;
+
+/// The attempt; what comes back is not looked at.
+#[derive(Debug)]
+pub(super) struct Beside {
+    link: LineStream,
+    over: bool,
+}
+
+impl Beside {
+    /// Begins it; `line` is the whole first line.
+    pub fn start(address: SocketAddr, line: &[u8], key: Key, io: &mut Io) -> io::Result<Self> {
+        let mut link = LineStream::connect(address, io, key, Leg::Near)?;
+        link.push(line);
+        io.timer(io.now() + OUT, key, 0);
+        Ok(Beside { link, over: false })
+    }
+}
+
+impl Object for Beside {}
+
+impl Connection for Beside {
+    type Report = Report;
+
+    fn readable(&mut self, _: &mut Io, _: Leg) {
+        self.link.discard();
+    }
+
+    fn writable(&mut self, _: &mut Io, _: Leg) {
+        let written = self.link.connected().and_then(|up| if up { self.link.flush() } else { Ok(true) });
+        self.over |= written.is_err();
+    }
+
+    fn timer(&mut self, _: &mut Io, _: u32) {
+        self.over = true;
+    }
+
+    fn done(&self) -> bool {
+        self.over
+    }
+}
--- /dev/null
+++ b/crates/kit/src/bad_proxy/first_line.rs
@@ -0,0 +1,113 @@
+//! The first line of a client: `OPEN ID KEY name=value,...`.
+
+use crate::time::{MS, Micros};
+
+/// What is wrong with it; the client reads this after `ERR`.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+pub(super) enum BadLine {
+    #[error("the line is not text")]
+    NotText,
+    #[error("the line is not OPEN ID KEY NAMES")]
+    NotOpen,
+    #[error("'{0}' is missing or no such figure")]
+    Figure(&'static str),
+}
+
+/// A first line that can be served.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) struct FirstLine {
+    pub id: u64,
+    pub class: String,
+    /// The render node on which the connection is open already.
+    pub at: Option<String>,
+    /// How long the client waits.
+    pub wait: Option<Micros>,
+    text: String,
+}
+
+impl FirstLine {
+    /// Reads a line without its end.
+    pub fn parse(line: &[u8]) -> Result<Self, BadLine> {
+        let text = std::str::from_utf8(line).map_err(|_| BadLine::NotText)?;
+        if !text.bytes().all(|b| b == b' ' || b.is_ascii_graphic()) {
+            return Err(BadLine::NotText);
+        }
+        let words: Vec<&str> = text.split(' ').collect();
+        let ["OPEN", id, key, names] = words[..] else { return Err(BadLine::NotOpen) };
+        let hexadecimal = |word: &str| !word.is_empty() && word.bytes().all(|b| b.is_ascii_hexdigit());
+        if !hexadecimal(key) {
+            return Err(BadLine::Figure("key"));
+        }
+        let id = u64::from_str_radix(id, 16).ok().filter(|_| hexadecimal(id)).ok_or(BadLine::Figure("id"))?;
+        let (mut class, mut at, mut wait) = (None, None, None);
+        for pair in names.split(',') {
+            match pair.split_once('=').ok_or(BadLine::NotOpen)? {
+                ("c", value) => class = Some(value.to_owned()),
+                ("at", value) => at = Some(value.to_owned()),
+                ("d", value) => {
+                    let ms = value.parse::<u32>().ok().filter(|ms| *ms > 0 && !value.starts_with('+'));
+                    wait = Some(Micros::from(ms.ok_or(BadLine::Figure("d"))?) * MS);
+                }
+                _ => {}
+            }
+        }
+        let class = class.ok_or(BadLine::Figure("c"))?;
+        Ok(FirstLine { id, class, at, wait, text: text.to_owned() })
+    }
+
+    /// The line for a render node: as it came, but `d` tells how long the proxy waits.
+    pub fn forwarded(&self, wait: Micros) -> Vec<u8> {
+        let (head, names) = self.text.rsplit_once(' ').unwrap_or(("", &self.text));
+        let d = format!("d={}", (wait / MS).max(1));
+        let names: Vec<&str> =
+            names.split(',').map(|pair| if pair.starts_with("d=") { &d } else { pair }).collect();
+        format!("{head} {}\r\n", names.join(",")).into_bytes()
+    }
+
+    /// For the fault: with another key.
+    pub fn falsified(&self, wait: Micros) -> Vec<u8> {
+        let mut line = self.forwarded(wait);
+        // The key ends before the third space.
+        let spaces = line.iter().enumerate().filter(|(_, b)| **b == b' ').map(|(i, _)| i);
+        if let Some(end) = spaces.take(3).last() {
+            line[end - 1] = if line[end - 1] == b'0' { b'1' } else { b'0' };
+        }
+        line
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_d_changes_on_the_way() {
+        let line = FirstLine::parse(b"OPEN 9b1f 7f30 c=chat,t=acme,d=2000,g=5c0f,h=1.5").unwrap();
+        assert_eq!((line.id, line.class.as_str(), line.wait), (0x9b1f, "chat", Some(2_000_000)));
+        assert_eq!(line.forwarded(350_900), b"OPEN 9b1f 7f30 c=chat,t=acme,d=350,g=5c0f,h=1.5\r\n");
+        assert_eq!(line.falsified(350_900), b"OPEN 9b1f 7f31 c=chat,t=acme,d=350,g=5c0f,h=1.5\r\n");
+        let standing = FirstLine::parse(b"OPEN 1 2 c=chat,at=s-5b").unwrap();
+        assert_eq!((standing.at.as_deref(), standing.wait), (Some("s-5b"), None));
+        assert_eq!(standing.forwarded(1), b"OPEN 1 2 c=chat,at=s-5b\r\n");
+    }
+
+    #[test]
+    fn rubbish_is_told_apart() {
+        use BadLine::*;
+        let bad: [(&[u8], BadLine); 10] = [
+            (b"\xff\x00", NotText),
+            (b"", NotOpen),
+            (b"GET / HTTP/1.1", NotOpen),
+            (b"OPEN 1 2 c", NotOpen),
+            (b"OPEN 1 2 c=a d=1", NotOpen),
+            (b"OPEN  2 c=a", Figure("id")),
+            (b"OPEN 1  c=a", Figure("key")),
+            (b"OPEN 11111111111111111 2 c=a", Figure("id")),
+            (b"OPEN 1 2 c=a,d=-1", Figure("d")),
+            (b"OPEN 1 2 d=5", Figure("c")),
+        ];
+        for (line, wrong) in bad {
+            assert_eq!(FirstLine::parse(line), Err(wrong), "{}", line.escape_ascii());
+        }
+    }
+}
--- /dev/null
+++ b/crates/kit/src/bad_proxy/watch.rs
@@ -0,0 +1,94 @@
+//! A watch on discovery.
+
+use super::lists::List;
+use super::report::{Io, Object, Report};
+use crate::time::{Micros, S};
+use cottonnotch_reactor::http::LineResponse;
+use cottonnotch_reactor::line::{Fill, LineStream};
+use cottonnotch_reactor::{Connection, Key, Leg};
+use std::io;
+use std::net::SocketAddr;
+
+/// Discovery says something every 2 s. Guards against one that is silent: what it has to tell counts as told after
+/// 6 s all the same.
+const SILENT: Micros = 4 * S;
+
+/// The watch.
+#[derive(Debug)]
+pub(super) struct Watch {
+    key: Key,
+    stream: LineStream,
+    response: LineResponse,
+    heard: Micros,
+    lost: bool,
+}
+
+impl Watch {
+    /// Asks for the changes after a revision.
+    pub fn start(discovery: SocketAddr, from: u64, key: Key, io: &mut Io) -> io::Result<Self> {
+        let mut stream = LineStream::connect(discovery, io, key, Leg::Near)?;
+        let request =
+            format!("GET /registry/instances?watch=1&from={from} HTTP/1.1\r\nHost: {discovery}\r\n\r\n");
+        stream.push(request.as_bytes());
+        let heard = io.now();
+        io.timer(heard + SILENT, key, 0);
+        Ok(Watch { key, stream, response: LineResponse::new(), heard, lost: false })
+    }
+
+    fn lose(&mut self, io: &mut Io) {
+        if !self.lost {
+            self.lost = true;
+            io.tell(Report::WatchLost(self.key));
+        }
+    }
+}
+
+impl Object for Watch {}
+
+impl Connection for Watch {
+    type Report = Report;
+
+    fn readable(&mut self, io: &mut Io, _: Leg) {
+        let fill = self.stream.fill();
+        let bytes = self.stream.take_rest();
+        if !bytes.is_empty() {
+            self.heard = io.now();
+        }
+        let mut lines = Vec::new();
+        let sound = self.response.feed(&bytes, &mut lines);
+        for mut line in lines.into_iter().filter(|line| !line.is_empty()) {
+            match List::parse(&mut line) {
+                Ok(list) => io.tell(Report::Listed(self.key, list)),
+                // Taken whole or not at all; the next watch begins at the last list that was.
+                Err(_) => return self.lose(io),
+            }
+        }
+        match (sound, fill) {
+            (Ok(()), Fill::Blocked) => {}
+            (Ok(()), Fill::More) => io.call_again(self.key, Leg::Near),
+            // Before the connection stands, `writable` finds out.
+            (Ok(()), Fill::Broken(error)) if error.kind() == io::ErrorKind::NotConnected => {}
+            _ => self.lose(io),
+        }
+    }
+
+    fn writable(&mut self, io: &mut Io, _: Leg) {
+        let written = self.stream.connected().and_then(|up| if up { self.stream.flush() } else { Ok(true) });
+        if written.is_err() {
+            self.lose(io);
+        }
+    }
+
+    fn timer(&mut self, io: &mut Io, _: u32) {
+        let due = self.heard + SILENT;
+        if due <= io.now() {
+            self.lose(io);
+        } else {
+            io.timer(due, self.key, 0);
+        }
+    }
+
+    fn done(&self) -> bool {
+        self.lost
+    }
+}
--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -2,6 +2,7 @@
 //! and a judge that is fed only by what the stand-ins saw. See `docs/design/kit.md`.
 
 pub mod addresses;
+pub mod bad_proxy;
 pub mod board;
 pub mod notes;
 pub mod observation;
