--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -6,4 +6,6 @@
 pub mod notes;
 pub mod observation;
 pub mod plan;
+pub mod scenario;
+pub mod settings;
 pub mod time;
--- a/crates/kit/src/plan.rs
+++ b/crates/kit/src/plan.rs
@@ -5,6 +5,9 @@
 
 use crate::observation::Phase;
 use crate::time::Micros;
+use fnv::FnvHasher;
+use std::fmt::{self, Write};
+use std::hash::Hasher;
 
 /// A render node, by its place in [`Plan::nodes`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -57,6 +60,24 @@
     pub demands: Demands,
 }
 
+impl Plan {
+    /// A number for the whole plan, for a run to print: equal plans have the same. FNV-1a over the plan as text, in
+    /// which each number is written in the shortest form that reads back the same.
+    pub fn digest(&self) -> u64 {
+        struct Sink(FnvHasher);
+        impl Write for Sink {
+            fn write_str(&mut self, text: &str) -> fmt::Result {
+                self.0.write(text.as_bytes());
+                Ok(())
+            }
+        }
+        let mut sink = Sink(FnvHasher::default());
+        // The sink takes everything.
+        let _ = write!(sink, "{self:?}");
+        sink.0.finish()
+    }
+}
+
 /// A class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
@@ -385,6 +406,10 @@
     pub fall_multiple: f64,
     /// ... within any window of this length.
     pub fall_window: Micros,
+    /// What proxies are told of cold render nodes: each begins at this part of its capacity or more ...
+    pub cold_from: f64,
+    /// ... and is warm within this.
+    pub warm_up: Micros,
     /// No line may be held back for longer.
     pub line_held: Micros,
     /// A connection that its render node has ended is ended or moved within this.
--- /dev/null
+++ b/crates/kit/src/scenario/curve.rs
@@ -0,0 +1,58 @@
+//! A factor that changes over time, written as a list of points.
+
+use serde::de::{self, Deserialize, Deserializer};
+
+/// Points of a time in seconds of the measured part and a factor there: even slopes in between, level before
+/// the first and after the last.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Curve(Vec<(f64, f64)>);
+
+impl Curve {
+    /// The factor at a time; 1 without any point.
+    pub fn at(&self, s: f64) -> f64 {
+        let after = self.0.partition_point(|(at, _)| *at <= s);
+        match (after.checked_sub(1).map(|i| self.0[i]), self.0.get(after).copied()) {
+            (None, None) => 1.0,
+            (Some((_, level)), None) | (None, Some((_, level))) => level,
+            (Some((from, low)), Some((to, high))) => low + (high - low) * (s - from) / (to - from),
+        }
+    }
+
+    /// The highest factor.
+    pub fn top(&self) -> f64 {
+        self.0.iter().map(|(_, factor)| *factor).reduce(f64::max).unwrap_or(1.0)
+    }
+
+    /// Nothing was written.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl<'de> Deserialize<'de> for Curve {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let points = Vec::<(f64, f64)>::deserialize(deserializer)?;
+        if points
+            .iter()
+            .any(|(s, factor)| !(s.is_finite() && factor.is_finite() && *s >= 0.0 && *factor >= 0.0))
+        {
+            return Err(de::Error::custom("times and factors must be finite and not negative"));
+        }
+        if !points.windows(2).all(|pair| pair[0].0 < pair[1].0) {
+            return Err(de::Error::custom("the times of the points must rise: [[0, 1.0], [10, 2.0]]"));
+        }
+        Ok(Curve(points))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn slopes_between_points_and_level_beyond() {
+        let curve = Curve(vec![(10.0, 1.0), (20.0, 3.0)]);
+        assert_eq!([0.0, 10.0, 15.0, 20.0, 99.0].map(|s| curve.at(s)), [1.0, 1.0, 2.0, 3.0, 3.0]);
+        assert_eq!((curve.top(), Curve::default().at(4.0)), (3.0, 1.0));
+    }
+}
