--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -10,4 +10,6 @@
 pub mod observation;
 pub mod plan;
 pub mod processes;
+pub mod scenario;
+pub mod settings;
 pub mod time;
