Settings: note which keys were asked for and which defaults were taken

An operator could not see which settings count: unknown keys are ignored, and defaults stand in the reader only. The pairs now note each key that is asked for, with the default where nothing was given, for a check of the configuration to print. What is read is unchanged.

Checked: the module's and the adapter's tests pass.

--- a/crates/decision/src/settings.rs
+++ b/crates/decision/src/settings.rs
@@ -3,7 +3,8 @@
 
 use crate::interface::{Class, Effect, Micros, Scope, Settings, Tenant, ZoneId};
 use crate::names::Names;
-use std::collections::{BTreeSet, HashMap};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// The module's settings, and the names that the wire uses.
 #[derive(Debug)]
@@ -70,15 +71,29 @@
 /// Settings as flat pairs of a path and a value: a list of plain values is joined with commas; a list of
 /// objects has its length under `.count` and its items under `.0`, `.1` ...
 #[derive(Debug, Default)]
-pub struct Pairs(pub HashMap<String, String>);
+pub struct Pairs(pub HashMap<String, String>, RefCell<BTreeMap<String, Option<String>>>);
 
 impl Pairs {
+    /// What [`read`] asked for, by key: the default that it took, or nothing where the pairs had a value. For
+    /// those who check a configuration: what was given and not asked for has no effect.
+    pub fn asked(&self) -> BTreeMap<String, Option<String>> {
+        self.1.borrow().clone()
+    }
+
+    /// The value of a key; `default` is only noted.
+    fn given(&self, key: &str, default: impl ToString) -> Option<&str> {
+        let text = self.0.get(key).map(String::as_str).filter(|v| !v.is_empty() && *v != "-");
+        let default = text.is_none().then(|| default.to_string());
+        self.1.borrow_mut().insert(key.to_owned(), default);
+        text
+    }
+
     fn text(&self, key: &str) -> Option<&str> {
-        self.0.get(key).map(String::as_str).filter(|v| !v.is_empty() && *v != "-")
+        self.given(key, "-")
     }
 
     fn figure(&self, key: &str, default: f64) -> Result<f64, BadSetting> {
-        let Some(text) = self.text(key) else { return Ok(default) };
+        let Some(text) = self.given(key, default) else { return Ok(default) };
         match text.parse::<f64>() {
             Ok(value) if value.is_finite() => Ok(value),
             _ => {
@@ -97,7 +112,7 @@
     }
 
     fn flag(&self, key: &str) -> bool {
-        matches!(self.text(key), Some("true" | "1"))
+        matches!(self.given(key, false), Some("true" | "1"))
     }
 
     fn list(&self, key: &str) -> Vec<&str> {
