Command line with check, an operator's file, and a log whose filter SIGHUP changes

The operator's file is TOML, checked whole, unknown keys refused with what may have been meant; its first section is [log]. SIGHUP takes both files or neither. config.rs became a folder: the platform's values and the operator's are read apart, and each value's source is noted where it is read, so no default stands twice. Log lines are text with key-values, or JSON; the driver's carry subchannel, revision, counts and addresses. Lines of JSON keys come from simd-json's borrowed keys, which are slices of the text; key paths and lines of TOML from toml's spans.

--- /dev/null
+++ b/crates/cottonnotch/src/config/fault.rs
@@ -0,0 +1,73 @@
+//! Why a configuration is refused. Each message begins with the faulty key and ends with where it stands.
+
+use super::operator_file::BadOperator;
+use crate::net::BadResult;
+use cottonnotch_decision::settings::BadSetting;
+
+/// Why the proxy cannot start, or keeps what it has.
+#[derive(Debug, thiserror::Error)]
+pub enum BadConfig {
+    /// The platform's file can't be had.
+    #[error("GW_CONFIG: '{path}' cannot be read: {error}")]
+    Unreadable { path: String, error: std::io::Error },
+    /// It is no JSON.
+    #[error("GW_CONFIG: '{path}'{} is not JSON: {error}", at_line(.line))]
+    NotJson { path: String, line: Option<usize>, error: simd_json::Error },
+    /// A value of the platform's can't be used.
+    #[error("{fault} ({place})")]
+    Platform { fault: Fault, place: String },
+    /// The operator's file is faulty.
+    #[error(transparent)]
+    Operator(#[from] BadOperator),
+}
+
+impl BadConfig {
+    /// The faulty key, by its full path; what names the file if all of it is faulty.
+    pub fn key(&self) -> String {
+        match self {
+            BadConfig::Unreadable { .. } | BadConfig::NotJson { .. } => "GW_CONFIG".to_owned(),
+            BadConfig::Platform { fault, .. } => fault.key(),
+            BadConfig::Operator(error) => error.key().to_owned(),
+        }
+    }
+}
+
+fn at_line(line: &Option<usize>) -> String {
+    line.map_or(String::new(), |line| format!(", line {line},"))
+}
+
+/// What is wrong with a value of the platform's.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// It must be told, and isn't.
+    #[error("{key} is missing")]
+    Missing { key: &'static str },
+    /// It is of the wrong kind, or out of bounds.
+    #[error("{key} {trouble}: '{value}'")]
+    Wrong { key: &'static str, trouble: &'static str, value: String },
+    /// The list that the proxy last had.
+    #[error("known: {0}")]
+    Known(#[from] BadResult),
+    /// A setting.
+    #[error("settings.{key} {trouble}")]
+    Setting { key: String, trouble: String },
+}
+
+impl Fault {
+    /// The faulty key, by its full path.
+    pub fn key(&self) -> String {
+        match self {
+            Fault::Missing { key } | Fault::Wrong { key, .. } => (*key).to_owned(),
+            Fault::Known(BadResult::NotJson(_)) => "known".to_owned(),
+            Fault::Known(BadResult::Field(field)) => format!("known.{field}"),
+            Fault::Known(BadResult::Member(i, field)) => format!("known.members.{i}.{field}"),
+            Fault::Setting { key, .. } => format!("settings.{key}"),
+        }
+    }
+}
+
+impl From<BadSetting> for Fault {
+    fn from(BadSetting { key, trouble }: BadSetting) -> Self {
+        Fault::Setting { key, trouble }
+    }
+}
--- /dev/null
+++ b/crates/cottonnotch/src/config/mod.rs
@@ -0,0 +1,77 @@
+//! The one place where configuration is read, checked and given defaults. There are three sources: the platform's
+//! environment, the JSON file that its `GW_CONFIG` names, and the operator's TOML file. All are read whole before
+//! anything is taken.
+//!
+//! The platform's and the operator's keys never overlap, with one exception: `RUST_LOG` wins over `log.filter`. At
+//! the start a variable of the environment wins over the same thing in the JSON file; on SIGHUP the file wins,
+//! since it is all that can have changed.
+
+mod effective;
+mod fault;
+mod json_file;
+mod operator;
+mod operator_file;
+mod platform;
+
+pub use effective::Effective;
+pub use fault::BadConfig;
+pub use operator::Operator;
+pub use operator_file::near_miss;
+
+use crate::net::ResolverResult;
+use cottonnotch_decision::settings::Profile;
+use simd_json::OwnedValue;
+use simd_json::prelude::*;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// What the proxy is told.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name, for the log.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// Bytes that each direction of a connection may hold, from the memory limit.
+    pub buffer_bound: usize,
+    /// The list as the proxy last had it.
+    pub known: ResolverResult,
+    /// The settings, in the module's terms.
+    pub profile: Profile,
+    /// The operator's file.
+    pub operator: Operator,
+}
+
+impl Config {
+    /// Reads what the environment and the JSON file say, once the operator's file is read.
+    pub fn start(operator: Operator, effective: &mut Effective) -> Result<Self, BadConfig> {
+        platform::read(operator, false, effective)
+    }
+
+    /// Reads both files again. Guards against an environment that still names what the JSON file has replaced.
+    pub fn again(operator: Option<&Path>) -> Result<Self, BadConfig> {
+        let mut effective = Effective::default();
+        let operator = Operator::read(operator, &mut effective)?;
+        platform::read(operator, true, &mut effective)
+    }
+}
+
+/// A variable of the environment; one that is no text counts as unset.
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+/// A value as text: a text without quotes, `-` for nothing.
+fn plain(value: &OwnedValue) -> String {
+    match value.as_str() {
+        Some(text) => text.to_owned(),
+        None if value.is_null() => "-".to_owned(),
+        None => value.encode(),
+    }
+}
--- /dev/null
+++ b/crates/cottonnotch/src/config/operator.rs
@@ -0,0 +1,129 @@
+//! The operator's file: what is new here and no business of the platform's. One section a subsystem, whose type
+//! lives with what it configures. A new section is a field of [`Operator`], and a line each in `check` and `succeed`.
+
+use super::effective::{Effective, Source};
+use super::fault::BadConfig;
+use super::operator_file::OperatorFile;
+use crate::OPERATOR_VARIABLE;
+use crate::logging::LogConfig;
+use serde::{Deserialize, Serialize};
+use simd_json::OwnedValue;
+use simd_json::prelude::*;
+use std::collections::BTreeMap;
+use std::path::Path;
+
+/// Every section. What the file leaves out has its default, and is then off.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    /// `[log]`
+    pub log: LogConfig,
+}
+
+impl Operator {
+    /// Reads and checks a file whole, and notes each value; with no file, all are defaults.
+    pub fn read(path: Option<&Path>, effective: &mut Effective) -> Result<Operator, BadConfig> {
+        let mut operator = Operator::default();
+        let shown = path.map_or(String::new(), |path| path.display().to_string());
+        effective.note("operator", shown, source(path));
+        if let Some(path) = path {
+            let (file, read) = OperatorFile::read::<Operator>(path)?;
+            read.check().map_err(|message| file.refuse(&message))?;
+            operator = read;
+            effective.operator = Some(file);
+        }
+        operator.log.rust_log = LogConfig::usual().rust_log;
+        operator.note(effective);
+        Ok(operator)
+    }
+
+    /// What serde can't see: bounds, and keys that don't go together. A message begins with the key's full path.
+    fn check(&self) -> Result<(), String> {
+        self.log.check()?;
+        Ok(())
+    }
+
+    /// Takes this in place of the `old` one, as far as that is possible while clients are served; says in the
+    /// log what is not. Returns what counts from now on.
+    pub fn succeed(self, old: &Operator) -> Operator {
+        Operator { log: self.log.succeed(&old.log) }
+    }
+
+    /// The values as they are written, so that no section is to list its keys a second time.
+    fn note(&self, effective: &mut Effective) {
+        let mut values = BTreeMap::new();
+        // No section holds what JSON can't say; were it so, it would only go unlisted.
+        if let Ok(written) = simd_json::serde::to_owned_value(self) {
+            leaves("", &written, &mut values);
+        }
+        for (key, value) in values {
+            let source = match &effective.operator {
+                Some(file) if file.line(&key).is_some() => Source::Operator,
+                _ => Source::Default,
+            };
+            match &self.log.rust_log {
+                Some(filter) if key == "log.filter" => {
+                    effective.note(key, filter, Source::Environment("RUST_LOG"));
+                }
+                _ => effective.note(key, value, source),
+            }
+        }
+    }
+}
+
+/// Who named the file.
+fn source(path: Option<&Path>) -> Source {
+    match (path, super::variable(OPERATOR_VARIABLE)) {
+        (None, _) => Source::Default,
+        (Some(path), Some(inherited)) if path == Path::new(&inherited) => {
+            Source::Environment(OPERATOR_VARIABLE)
+        }
+        (Some(_), _) => Source::Argument("--operator"),
+    }
+}
+
+fn leaves(path: &str, value: &OwnedValue, into: &mut BTreeMap<String, String>) {
+    match value.as_object() {
+        Some(object) => {
+            for (name, value) in object.iter() {
+                let path = if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+                leaves(&path, value, into);
+            }
+        }
+        None => {
+            into.insert(path.to_owned(), super::plain(value));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SHIPPED: &str = include_str!("../../../../deploy/cottonnotch.toml");
+
+    /// The shipped file with its settings, which are the comments without a space, set.
+    fn uncommented() -> String {
+        let set = |line: &str| match line.strip_prefix('#') {
+            Some(setting) if setting.starts_with(|c: char| c.is_ascii_alphabetic()) => setting.to_owned(),
+            _ => line.to_owned(),
+        };
+        SHIPPED.lines().map(set).collect::<Vec<_>>().join("\n")
+    }
+
+    #[test]
+    fn the_shipped_file_changes_nothing_and_its_comments_are_accepted() {
+        assert_eq!(toml::from_str::<Operator>(SHIPPED).unwrap(), Operator::default());
+        let all = uncommented();
+        let set: toml::Table = all.parse().unwrap();
+        let read: Operator = toml::from_str(&all).unwrap();
+        read.check().unwrap();
+        let mut keys = BTreeMap::new();
+        leaves("", &simd_json::serde::to_owned_value(Operator::default()).unwrap(), &mut keys);
+        for key in keys.keys() {
+            let (section, name) = key.split_once('.').unwrap();
+            let found = set.get(section).and_then(|section| section.get(name));
+            assert!(found.is_some(), "{key} is not in the shipped file");
+        }
+    }
+}
--- /dev/null
+++ b/crates/cottonnotch/src/config/platform.rs
@@ -0,0 +1,206 @@
+//! What the platform says: the environment, then the JSON file that `GW_CONFIG` names. Unknown keys are ignored:
+//! the platform may add some.
+
+use super::effective::{Effective, Source};
+use super::fault::{BadConfig, Fault};
+use super::json_file::JsonFile;
+use super::operator::Operator;
+use super::{Config, plain, variable};
+use crate::net::ResolverResult;
+use cottonnotch_decision::settings::{self, Pairs, Profile};
+use simd_json::OwnedValue;
+use simd_json::prelude::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Its name, where none is told.
+const DEFAULT_NAME: &str = "cottonnotch";
+/// For random numbers, where nothing is told.
+const DEFAULT_SEED: &str = "0";
+/// Descriptors, where no limit is told.
+const DEFAULT_SOCKETS: u64 = 1024;
+/// Megabytes of memory, where no limit is told.
+const DEFAULT_MEMORY: u64 = 192;
+/// Each direction of a connection may hold this much at least ...
+const LEAST_BUFFER: u64 = 8 * 1024;
+/// ... and at most; in between, all buffers together keep to a quarter of the memory.
+const MOST_BUFFER: u64 = 64 * 1024;
+/// Fewer leave no room for a single client beside the proxy's own.
+const LEAST_SOCKETS: u64 = 64;
+
+/// Reads everything; `file_wins` over the environment on SIGHUP. Each value is noted with its source.
+pub fn read(operator: Operator, file_wins: bool, effective: &mut Effective) -> Result<Config, BadConfig> {
+    let json = match variable("GW_CONFIG") {
+        None => {
+            effective.note("GW_CONFIG", "", Source::Default);
+            OwnedValue::object()
+        }
+        Some(path) => {
+            effective.note("GW_CONFIG", &path, Source::Environment("GW_CONFIG"));
+            let (file, json) = JsonFile::read(path)?;
+            effective.json = Some(file);
+            json
+        }
+    };
+    let mut reader = Reader { json: &json, file_wins, effective };
+    let name = reader.text("GW_NAME", "name", Some(DEFAULT_NAME))?.0;
+    let listen = reader.address("GW_LISTEN", "listen")?;
+    let discovery = reader.address("GW_DISCOVERY", "discovery")?;
+    let seed = reader.seed()?;
+    let (sockets, memory) = (reader.sockets()?, reader.memory_mb()?);
+    let buffer_bound = (memory.saturating_mul(1 << 20) / 4 / sockets).clamp(LEAST_BUFFER, MOST_BUFFER);
+    let known = reader.known()?;
+    let profile = reader.settings()?;
+    let sockets = usize::try_from(sockets).unwrap_or(usize::MAX);
+    let buffer_bound = buffer_bound as usize;
+    Ok(Config { name, listen, discovery, seed, sockets, buffer_bound, known, profile, operator })
+}
+
+struct Reader<'a> {
+    json: &'a OwnedValue,
+    file_wins: bool,
+    effective: &'a mut Effective,
+}
+
+impl Reader<'_> {
+    fn fault(&self, fault: Fault, source: Source) -> BadConfig {
+        let place = match (source, &self.effective.json) {
+            (Source::Environment(name), _) => format!("environment {name}"),
+            (_, None) => "GW_CONFIG is not set".to_owned(),
+            (_, Some(file)) => match file.line(&fault.key()) {
+                Some(line) => format!("{}, line {line}", file.path),
+                None => file.path.clone(),
+            },
+        };
+        BadConfig::Platform { fault, place }
+    }
+
+    fn wrong(&self, key: &'static str, trouble: &'static str, value: String, source: Source) -> BadConfig {
+        self.fault(Fault::Wrong { key, trouble, value }, source)
+    }
+
+    /// A text of the environment's or the file's, noted with its source.
+    fn text(
+        &mut self,
+        name: &'static str,
+        key: &'static str,
+        default: Option<&str>,
+    ) -> Result<(String, Source), BadConfig> {
+        let inherited = variable(name);
+        let written = self.json.get(key).filter(|_| self.file_wins || inherited.is_none());
+        let (text, source) = match (written, inherited, default) {
+            (Some(value), ..) => match value.as_str() {
+                Some(text) => (text.to_owned(), Source::Json),
+                None => return Err(self.wrong(key, "is not a text", value.encode(), Source::Json)),
+            },
+            (None, Some(text), _) => (text, Source::Environment(name)),
+            (None, None, Some(text)) => (text.to_owned(), Source::Default),
+            (None, None, None) => return Err(self.fault(Fault::Missing { key }, Source::Default)),
+        };
+        self.effective.note(key, &text, source);
+        Ok((text, source))
+    }
+
+    fn address(&mut self, name: &'static str, key: &'static str) -> Result<SocketAddr, BadConfig> {
+        let (text, source) = self.text(name, key, None)?;
+        let trouble = "is not an address and port";
+        text.parse().map_err(|_| self.wrong(key, trouble, text, source))
+    }
+
+    fn seed(&mut self) -> Result<u64, BadConfig> {
+        let (text, source) = self.text("GW_SEED", "seed", Some(DEFAULT_SEED))?;
+        let trouble = "is not a hexadecimal number of 64 bits";
+        u64::from_str_radix(&text, 16).map_err(|_| self.wrong("seed", trouble, text, source))
+    }
+
+    fn limit(&self, name: &str, default: u64) -> (OwnedValue, Source) {
+        match self.json.get("limits").and_then(|limits| limits.get(name)) {
+            Some(value) => (value.clone(), Source::Json),
+            None => (OwnedValue::from(default), Source::Default),
+        }
+    }
+
+    fn sockets(&mut self) -> Result<u64, BadConfig> {
+        let (key, (value, source)) = ("limits.sockets", self.limit("sockets", DEFAULT_SOCKETS));
+        let sockets = value.as_u64().filter(|sockets| *sockets >= LEAST_SOCKETS);
+        let trouble = "is not a whole number of 64 or more";
+        let sockets = sockets.ok_or_else(|| self.wrong(key, trouble, value.encode(), source))?;
+        self.effective.note(key, value.encode(), source);
+        Ok(sockets)
+    }
+
+    fn memory_mb(&mut self) -> Result<u64, BadConfig> {
+        let (key, (value, source)) = ("limits.memory_mb", self.limit("memory_mb", DEFAULT_MEMORY));
+        let memory = value.cast_f64().filter(|mb| *mb >= 1.0);
+        let trouble = "is not a number of 1 or more";
+        let memory = memory.ok_or_else(|| self.wrong(key, trouble, value.encode(), source))?;
+        self.effective.note(key, value.encode(), source);
+        Ok(memory as u64)
+    }
+
+    fn known(&mut self) -> Result<ResolverResult, BadConfig> {
+        let (known, source) = match self.json.get("known") {
+            None => (ResolverResult { revision: 0, complete: true, members: Vec::new() }, Source::Default),
+            Some(known) => {
+                let known = ResolverResult::from_json(known);
+                (known.map_err(|bad| self.fault(bad.into(), Source::Json))?, Source::Json)
+            }
+        };
+        let (members, complete) = (known.members.len(), known.complete);
+        let shown = format!("revision {}, {members} members, complete {complete}", known.revision);
+        self.effective.note("known", shown, source);
+        Ok(known)
+    }
+
+    fn settings(&mut self) -> Result<Profile, BadConfig> {
+        let mut pairs = Pairs::default();
+        match self.json.get("settings") {
+            None => return Err(self.fault(Fault::Missing { key: "settings" }, Source::Json)),
+            Some(settings) => flatten("", settings, &mut pairs),
+        }
+        let profile = settings::read(&pairs).map_err(|bad| self.fault(bad.into(), Source::Json))?;
+        if profile.settings.classes.is_empty() {
+            return Err(self.fault(Fault::Missing { key: "settings.requestClasses" }, Source::Json));
+        }
+        let asked = pairs.asked();
+        for (key, default) in &asked {
+            let key_there = format!("settings.{key}");
+            match (default, pairs.0.get(key)) {
+                (None, Some(value)) => self.effective.note(key_there, value, Source::Json),
+                (default, _) => {
+                    let value = default.as_deref().unwrap_or_default();
+                    self.effective.note(key_there, value, Source::Default);
+                }
+            }
+        }
+        // Guards against a name that is misspelt and so has no effect: it is ignored, but `check` shows it.
+        let unused: BTreeMap<&String, &String> =
+            pairs.0.iter().filter(|(key, _)| !asked.contains_key(*key)).collect();
+        for (key, value) in unused {
+            self.effective.note_unused(format!("settings.{key}"), value.clone());
+        }
+        Ok(profile)
+    }
+}
+
+/// Nested settings as the simulator's first message has them: flat pairs of a path and a value.
+fn flatten(path: &str, value: &OwnedValue, pairs: &mut Pairs) {
+    let below = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    if let Some(object) = value.as_object() {
+        for (name, value) in object.iter() {
+            flatten(&below(name), value, pairs);
+        }
+    } else if let Some(list) = value.as_array() {
+        if list.iter().any(|item| item.is_object()) {
+            pairs.0.insert(below("count"), list.len().to_string());
+            for (i, item) in list.iter().enumerate() {
+                flatten(&below(&i.to_string()), item, pairs);
+            }
+        } else {
+            let items: Vec<String> = list.iter().map(plain).collect();
+            pairs.0.insert(path.to_owned(), items.join(","));
+        }
+    } else {
+        pairs.0.insert(path.to_owned(), plain(value));
+    }
+}
--- a/crates/cottonnotch/src/main.rs
+++ b/crates/cottonnotch/src/main.rs
@@ -1,35 +1,76 @@
 //! The proxy: real sockets around the decision module. See the README for how the parts fit.
 
+mod command_line;
 mod config;
+mod logging;
 mod net;
 
-use config::Config;
+use clap::Parser;
+use command_line::{Command, CommandLine};
+use config::{Config, Effective, Operator};
+use logging::LogConfig;
 use net::driver::Driver;
+use std::io::Write;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// Names the operator's file where the command line doesn't.
+const OPERATOR_VARIABLE: &str = "COTTONNOTCH_OPERATOR";
+/// The configuration can't be used.
+const FAULTY: u8 = 2;
+
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let config = match Config::load(|name| std::env::var(name).ok()) {
+    let CommandLine { operator, command } = CommandLine::parse();
+    match command {
+        None => serve(operator),
+        Some(Command::Check) => check(operator.as_deref()),
+    }
+}
+
+fn serve(path: Option<PathBuf>) -> ExitCode {
+    let mut effective = Effective::default();
+    let operator = Operator::read(path.as_deref(), &mut effective);
+    // A faulty file is said in the log too, in its usual form.
+    logging::install(operator.as_ref().map_or(&LogConfig::usual(), |read| &read.log));
+    let config = match operator.and_then(|operator| Config::start(operator, &mut effective)) {
         Ok(config) => config,
         Err(error) => {
-            log::error!("cannot start: {error}");
-            return ExitCode::from(2);
+            log::error!(key = error.key(); "cannot start: {error}");
+            return ExitCode::from(FAULTY);
         }
     };
+    drop(effective);
     let name = config.name.clone();
-    let reread = || Config::reload(|name| std::env::var(name).ok());
+    let reread = Box::new(move || Config::again(path.as_deref()));
     let served = Driver::start(config, reread).and_then(|mut driver| {
+        // No key-values: scripts take the last word as the address.
         log::info!("{name} listens on {}", driver.address());
         driver.run()
     });
     match served {
         Ok(()) => {
-            log::info!("{name} has stopped");
+            log::info!(name; "{name} has stopped");
             ExitCode::SUCCESS
         }
         Err(error) => {
-            log::error!("{name} cannot go on: {error}");
+            log::error!(name, error:%; "{name} cannot go on: {error}");
             ExitCode::FAILURE
         }
     }
 }
+
+fn check(path: Option<&Path>) -> ExitCode {
+    let mut effective = Effective::default();
+    let operator = Operator::read(path, &mut effective);
+    let config = operator.and_then(|operator| Config::start(operator, &mut effective));
+    // Whoever reads this may have gone; there is nobody left to tell.
+    let written = match &config {
+        Ok(_) => write!(std::io::stdout().lock(), "{effective}"),
+        Err(error) => writeln!(std::io::stderr().lock(), "faulty configuration: {error}"),
+    };
+    match (config, written) {
+        (Err(_), _) => ExitCode::from(FAULTY),
+        (Ok(_), Err(_)) => ExitCode::FAILURE,
+        (Ok(_), Ok(())) => ExitCode::SUCCESS,
+    }
+}
--- a/crates/cottonnotch/src/net/driver.rs
+++ b/crates/cottonnotch/src/net/driver.rs
@@ -80,6 +80,9 @@
     started: Option<Micros>,
 }
 
+/// Gets the whole configuration anew, from both files.
+pub type Reread = Box<dyn Fn() -> Result<Config, BadConfig>>;
+
 /// Everything that one proxy holds.
 pub struct Driver {
     address: SocketAddr,
@@ -90,7 +93,7 @@
     arrived: VecDeque<(Micros, Key)>,
     balancer: Balancer,
     config: Config,
-    reread: fn() -> Result<Config, BadConfig>,
+    reread: Reread,
     /// Ids of the subchannels: their numbers are the module's servers.
     names: Names,
     subchannels: Vec<Subchannel>,
@@ -111,7 +114,7 @@
 
 impl Driver {
     /// Opens the sockets and starts the module. `reread` gets the configuration anew on SIGHUP.
-    pub fn start(config: Config, reread: fn() -> Result<Config, BadConfig>) -> io::Result<Self> {
+    pub fn start(config: Config, reread: Reread) -> io::Result<Self> {
         let mut reactor = Reactor::<dyn Object>::new(Clock::unix())?;
         reactor.io.buffer_bound = config.buffer_bound;
         let mut shared = None;
@@ -211,7 +214,8 @@
             Happening::Resolved { .. } => {}
             Happening::ResolverLost { watch, why } => {
                 if self.watch == Some(watch) {
-                    log::warn!("watch on discovery lost: {why}");
+                    let (discovery, revision) = (self.config.discovery, self.revision);
+                    log::warn!(discovery:%, revision; "watch on discovery lost: {why}");
                     self.watch = None;
                     self.tell(Event::ListFailed);
                 }
@@ -245,7 +249,7 @@
                 Ok((stream, _)) => {
                     match self.reactor.insert(|key, io| Ok(Box::new(Rpc::accepted(stream, key, io)?))) {
                         Ok(key) => self.arrived.push_back((now, key)),
-                        Err(error) => log::warn!("client lost while it was accepted: {error}"),
+                        Err(error) => log::warn!(error:%; "client lost while it was accepted: {error}"),
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
@@ -253,7 +257,8 @@
                 Err(error) => {
                     // Guards against EMFILE: the edge is told once, so without this timer the waiting
                     // clients would never be accepted.
-                    log::error!("cannot accept: {error}");
+                    let (connections, sockets) = (self.reactor.connections(), self.config.sockets);
+                    log::error!(connections, sockets, error:%; "cannot accept: {error}");
                     return self.accept_after(ACCEPT_AFTER);
                 }
             }
@@ -327,7 +332,11 @@
             // Guards against running out of descriptors: one that waited unanswered would not come again.
             let now = self.reactor.io.now();
             if let Some(more) = self.crowded.due(now) {
-                log::warn!("out of sockets, a client gets the unavailable status ({more} more since)");
+                let (rpcs, sockets) = (self.calls.len(), self.config.sockets);
+                log::warn!(
+                    rpcs, sockets, left_out = more;
+                    "out of sockets, a client gets the unavailable status ({more} more since)"
+                );
             }
             self.with_front(key, |front, io| front.unavailable(io, FULL_RETRY_AFTER));
             return;
@@ -373,7 +382,10 @@
     fn turned_away(&mut self, why: &str) {
         let now = self.reactor.io.now();
         if let Some(more) = self.rejections.due(now) {
-            log::warn!("client turned away: {why} ({more} more since the last such line)");
+            log::warn!(
+                reason = why, left_out = more;
+                "client turned away: {why} ({more} more since the last such line)"
+            );
         }
     }
 
@@ -513,9 +525,14 @@
                 weight: member.weight,
             });
         }
-        log::debug!("resolver result {revision}: {} members, complete {full}", entries.len());
+        let members = entries.len();
+        log::debug!(
+            revision, members, complete = full;
+            "resolver result {revision}: {members} members, complete {full}"
+        );
         for entry in entries.iter().filter(|e| e.state != Listed::Ready) {
-            log::info!("subchannel {} is {:?}", self.names.name(entry.server.0), entry.state);
+            let (subchannel, state) = (self.names.name(entry.server.0), entry.state);
+            log::info!(subchannel, state:?, revision; "subchannel {subchannel} is {state:?}");
         }
         self.tell(Event::List { full, copy, entries });
     }
@@ -528,7 +545,7 @@
         match self.reactor.insert(|key, io| Ok(Box::new(Watch::start(discovery, from, key, io)?))) {
             Ok(key) => self.watch = Some(key),
             Err(error) => {
-                log::warn!("cannot watch discovery: {error}");
+                log::warn!(discovery:%, error:%; "cannot watch discovery: {error}");
                 self.pending.push_back(Event::ListFailed);
             }
         }
@@ -540,19 +557,26 @@
     fn reload(&mut self) {
         let new = match (self.reread)() {
             Ok(new) => new,
-            Err(error) => return log::error!("configuration kept, the new one is faulty: {error}"),
+            Err(error) => {
+                return log::error!(key = error.key(); "configuration kept, the new one is faulty: {error}");
+            }
         };
         if new.listen != self.config.listen {
-            log::warn!("listen cannot change while clients are served, still at {}", self.address);
+            log::warn!(
+                key = "listen", address:% = self.address;
+                "listen cannot change while clients are served, still at {}", self.address
+            );
         }
-        log::info!("configuration read again, discovery at {}", new.discovery);
         let old = &self.config;
+        let operator = new.operator.succeed(&old.operator);
+        log::info!(discovery:% = new.discovery; "configuration read again, discovery at {}", new.discovery);
         let moved = new.discovery != old.discovery;
         let profile = new.profile.succeed(&old.profile);
         let settings = profile.settings.clone();
         self.delays.set(settings.nodes, settings.shortest_aim(), settings.weighted);
         self.reactor.io.buffer_bound = new.buffer_bound;
-        self.config = Config { listen: old.listen, seed: old.seed, known: old.known.clone(), profile, ..new };
+        let known = old.known.clone();
+        self.config = Config { listen: old.listen, seed: old.seed, known, profile, operator, ..new };
         self.tell(Event::Settings(Box::new(settings)));
         if moved {
             // At once, and from the last revision taken: the old address may have told its last already.
@@ -570,7 +594,8 @@
         }
         let now = self.reactor.io.now();
         let longest = self.config.profile.settings.classes.iter().map(|c| c.deadline).max();
-        log::info!("asked to stop: clients are moved");
+        let (rpcs, up) = (self.calls.len(), self.up_calls().count());
+        log::info!(rpcs, up; "asked to stop: clients are moved");
         self.shutdown = Some(Shutdown::begin(now, longest.unwrap_or(0)));
         self.round();
     }
@@ -679,13 +704,17 @@
                 return;
             }
         }
-        let name = server.map_or("-", |server| self.names.name(server.0));
+        let subchannel = server.map_or("-", |server| self.names.name(server.0));
+        let (discovery, revision, rpcs) = (self.config.discovery, self.revision, self.calls.len());
         match notice {
-            Notice::PausedFailing => log::warn!("subchannel {name} paused, keeps failing"),
-            Notice::Recovered => log::info!("subchannel {name} back after a good trial"),
-            Notice::Holding => log::warn!("no subchannel can be used now, holding RPCs"),
+            Notice::PausedFailing => log::warn!(subchannel; "subchannel {subchannel} paused, keeps failing"),
+            Notice::Recovered => log::info!(subchannel; "subchannel {subchannel} back after a good trial"),
+            Notice::Holding => log::warn!(rpcs; "no subchannel can be used now, holding RPCs"),
             Notice::ListUnreachable => {
-                log::error!("discovery cannot be reached, going on with the last list")
+                log::error!(
+                    discovery:%, revision;
+                    "discovery cannot be reached, going on with the last list"
+                )
             }
         }
     }
--- a/crates/cottonnotch/tests/peers/mod.rs
+++ b/crates/cottonnotch/tests/peers/mod.rs
@@ -1,5 +1,6 @@
 //! The one helper of the stories over sockets: a proxy process, and peers that a story scripts line by line.
 //! Ports are ephemeral and every wait is bounded.
+#![allow(dead_code, reason = "each file of stories uses its part")]
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -199,7 +200,8 @@
         let (child, log, path) = launch_by(command, &config);
         let mut proxy = Proxy { child, address: found, log, config, path, discovery };
         let line = proxy.logged("listens on ");
-        proxy.address = line.rsplit(' ').next().unwrap().parse().unwrap();
+        let address = line.split("listens on ").nth(1).unwrap();
+        proxy.address = address.split(['"', ' ']).next().unwrap().parse().unwrap();
         proxy
     }
 
@@ -208,6 +210,15 @@
         within(PATIENCE, text, || self.log.try_recv().ok().filter(|line| line.contains(text)))
     }
 
+    /// The log up to the next line with this text in it.
+    pub fn log_until(&self, text: &str) -> Vec<String> {
+        let mut lines: Vec<String> = Vec::new();
+        while lines.last().is_none_or(|line| !line.contains(text)) {
+            lines.push(within(PATIENCE, text, || self.log.try_recv().ok()));
+        }
+        lines
+    }
+
     pub fn connect(&self) -> Peer {
         Peer::new(TcpStream::connect(self.address).unwrap())
     }
@@ -238,6 +249,11 @@
         assert_ne!(changed, self.config);
         let new = self.path.with_extension("new");
         std::fs::write(&new, changed).and_then(|()| std::fs::rename(&new, &self.path)).unwrap();
+        self.reload();
+    }
+
+    /// Sends SIGHUP.
+    pub fn reload(&self) {
         self.signal("-HUP");
     }
 
