Log lines of RPCs and call attempts carry key-values

'subchannel silent' and 'subchannel answered a call attempt' did not say which subchannel, so on-call staff could not tell one hanging render node from many. They now carry its address; the RPC's id is the client's own. An RPC grows by the 32 bytes of its subchannel's address.

Checked: a story sends a render node's rubbish and finds it quoted, with the address; all tests of the crate pass.

--- a/crates/cottonnotch/src/net/call_attempt.rs
+++ b/crates/cottonnotch/src/net/call_attempt.rs
@@ -5,6 +5,7 @@
 use cottonnotch_reactor::line::{Fill, LineStream, trim_end};
 use cottonnotch_reactor::{Key, Leg};
 use std::io;
+use std::net::SocketAddr;
 
 /// Until the last byte of the first line is written, the attempt can't have run; from then on it may have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +29,7 @@
 /// An attempt that is out.
 #[derive(Debug)]
 pub struct CallAttempt {
+    address: SocketAddr,
     link: LineStream,
     phase: Phase,
     started: Micros,
@@ -36,7 +38,7 @@
 }
 
 /// What an answer line means, by the protocol's table.
-fn answer(line: Vec<u8>) -> Progress {
+fn answer(address: SocketAddr, line: Vec<u8>) -> Progress {
     let words = trim_end(&line);
     let verb = words.split(|b| *b == b' ').next().unwrap_or_default();
     match verb {
@@ -45,7 +47,8 @@
         b"MOVE" => Progress::Ended(Outcome::Cancelled),
         b"ERR" => Progress::Ended(Outcome::Error),
         _ => {
-            log::warn!("subchannel answered a call attempt with '{}'", words.escape_ascii());
+            let words = words.escape_ascii();
+            log::warn!(address:%, answer:% = words; "subchannel answered a call attempt with '{words}'");
             Progress::Ended(Outcome::Error)
         }
     }
@@ -64,7 +67,8 @@
         link.push(line);
         let started = io.now();
         let connect_until = started + order.connect_timeout;
-        Ok(CallAttempt { link, phase: Phase::Connecting, started, connect_until, until })
+        let (address, phase) = (order.address, Phase::Connecting);
+        Ok(CallAttempt { address, link, phase, started, connect_until, until })
     }
 
     /// When the attempt is next due to be ended.
@@ -97,7 +101,7 @@
         }
         let fill = self.link.fill();
         match (self.link.take_line(), fill) {
-            (Ok(Some(line)), _) => answer(line),
+            (Ok(Some(line)), _) => answer(self.address, line),
             (Err(_), _) => Progress::Ended(Outcome::Error),
             (Ok(None), Fill::Blocked) => Progress::Pending,
             (Ok(None), Fill::More) => Progress::Again,
--- a/crates/cottonnotch/src/net/invariant.rs
+++ b/crates/cottonnotch/src/net/invariant.rs
@@ -17,7 +17,7 @@
         debug_assert!(held, "invariant broken: {}", $what);
         if !held {
             let count = $crate::net::invariant::count();
-            log::error!("invariant broken ({count} so far): {}", $what);
+            log::error!(invariant = $what, count; "invariant broken ({count} so far): {}", $what);
         }
         held
     }};
--- a/crates/cottonnotch/src/net/open_line.rs
+++ b/crates/cottonnotch/src/net/open_line.rs
@@ -28,6 +28,11 @@
 }
 
 impl OpenLine {
+    /// The client's id for this connection, as it came: the RPC's name in the log.
+    pub fn id(&self) -> &str {
+        self.text.split(' ').nth(1).unwrap_or("-")
+    }
+
     /// Reads a line without its end.
     pub fn parse(line: &[u8]) -> Result<(OpenLine, Wish), BadLine> {
         let text = std::str::from_utf8(line).map_err(|_| BadLine::NotText)?;
--- a/crates/cottonnotch/src/net/rpc.rs
+++ b/crates/cottonnotch/src/net/rpc.rs
@@ -11,6 +11,7 @@
 use mio::net::TcpStream;
 use std::fmt::Display;
 use std::io;
+use std::net::SocketAddr;
 
 /// A connection whose first line is not there after this gets an error. Guards against clients that connect
 /// and say nothing: they are owed a word within 3 s, and the descriptor is for others.
@@ -58,6 +59,8 @@
     state: State,
     line: Option<OpenLine>,
     deadline: Option<Micros>,
+    /// Where the latest attempt went.
+    at: Option<SocketAddr>,
 }
 
 impl Rpc {
@@ -66,7 +69,8 @@
         let client = LineStream::accepted(stream, io, key)?;
         let until = io.now() + FIRST_LINE_WITHIN;
         io.timer(until, key, IDLE);
-        Ok(Rpc { key, client, state: State::Reading { until, pinged: false }, line: None, deadline: None })
+        let state = State::Reading { until, pinged: false };
+        Ok(Rpc { key, client, state, line: None, deadline: None, at: None })
     }
 
     /// Writes the client's last line and ends our sending.
@@ -124,7 +128,7 @@
     }
 
     fn opened(&mut self, io: &mut Io, line: &[u8]) {
-        log::trace!("client {:?} opens with '{}'", self.key, line.escape_ascii());
+        log::trace!(client:? = self.key; "client {:?} opens with '{}'", self.key, line.escape_ascii());
         match OpenLine::parse(line) {
             Ok(_) if self.client.has_input() => self.reject(io, &TOO_MUCH),
             Ok((line, wish)) => {
@@ -162,7 +166,7 @@
             Progress::Ended(outcome) => self.attempt_ended(io, outcome),
             Progress::Up(line) => {
                 let elapsed = attempt.elapsed(io.now());
-                log::trace!("client {:?} is up after {elapsed} us", self.key);
+                log::trace!(client:? = self.key, elapsed_us = elapsed; "client {:?} is up after {elapsed} us", self.key);
                 self.client.push(&line);
                 let State::Attempting(attempt) = std::mem::replace(&mut self.state, State::Closed) else {
                     return;
@@ -178,7 +182,7 @@
 
     fn attempt_ended(&mut self, io: &mut Io, outcome: Outcome) {
         // Dropping the attempt closes its connection: never two attempts out.
-        log::trace!("client {:?}: call attempt ended as {outcome:?}", self.key);
+        log::trace!(client:? = self.key, outcome:?; "client {:?}: call attempt ended as {outcome:?}", self.key);
         self.state = State::Held;
         io.tell(Happening::AttemptEnded { rpc: self.key, outcome });
     }
@@ -292,7 +296,13 @@
                 // Guards against a subchannel that hangs or was cut off: its connections stay open and
                 // silent, and TCP does not notice.
                 Some(waited) if waited >= SILENT => {
-                    log::info!("subchannel silent for {} ms, client moved", waited / 1000);
+                    let waited_ms = waited / 1000;
+                    let rpc = self.line.as_ref().map_or("-", OpenLine::id);
+                    let address = self.at.map_or("-".to_owned(), |at| at.to_string());
+                    log::info!(
+                        rpc, address, waited_ms;
+                        "subchannel silent for {waited_ms} ms, client moved"
+                    );
                     self.move_away(io);
                     io.tell(Happening::Ended { rpc: self.key, outcome: Outcome::Reset });
                 }
@@ -328,8 +338,9 @@
         let now = io.now();
         let timeout = (order.timeout > 0).then(|| now + order.timeout);
         let until = [timeout, self.deadline].into_iter().flatten().min();
-        let line = line.forwarded(until.map(|until| until - now));
-        match CallAttempt::start(io, self.key, &order, &line, until) {
+        self.at = Some(order.address);
+        let forwarded = line.forwarded(until.map(|until| until - now));
+        match CallAttempt::start(io, self.key, &order, &forwarded, until) {
             Ok(attempt) => {
                 if let Some(due) = attempt.due() {
                     io.timer(due, self.key, ATTEMPT);
@@ -338,7 +349,11 @@
                 true
             }
             Err(error) => {
-                log::warn!("call attempt to {} could not begin: {error}", order.address);
+                let (rpc, address) = (line.id(), order.address);
+                log::warn!(
+                    rpc, address:%, error:%;
+                    "call attempt to {address} could not begin: {error}"
+                );
                 false
             }
         }
--- a/crates/cottonnotch/tests/configuration.rs
+++ b/crates/cottonnotch/tests/configuration.rs
@@ -238,6 +238,18 @@
     assert!(stopping.contains(r#""rpcs":0"#), "a number stays one: {stopping}");
 }
 
+#[test]
+fn a_text_log_cannot_be_forged_by_what_it_repeats() {
+    let node = Scripted::new();
+    let proxy = Proxy::start(&[&node]);
+    let _client = proxy.open();
+    let mut far = node.called().0;
+    far.say("HELLO x=1 \"y\"\x1b[2J\r\n");
+    let line = proxy.logged("subchannel answered a call attempt with 'HELLO x=1");
+    assert!(!line.contains('\x1b'), "{line:?}");
+    assert!(line.contains(&format!(" address={} answer=\"HELLO x=1 ", node.address())), "{line}");
+}
+
 #[test]
 fn the_command_line_explains_itself() {
     let (code, printed, _) = run(program().arg("--version"));
