Kit: observe cut links and calls for the list; request ids print as on the wire

Need: without a note of a cut between a proxy and a render node, a judge takes its silence for held lines and cut connections; without one of calls for the whole list, a proxy that asks instead of watching counts as told too early.

Change: Seen::Reach and Seen::ListCall, both additions. RequestId prints its 16 hex digits, so that a finding's id can be looked for in a proxy's log.

--- a/crates/kit/src/observation.rs
+++ b/crates/kit/src/observation.rs
@@ -18,9 +18,16 @@
 
 /// The id that a client put into its first line; fresh for each try, so it names one request for good, and the
 /// proxy that it was put to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestId(pub u64);
 
+impl fmt::Debug for RequestId {
+    /// As on the wire, so that it can be looked for in a proxy's log.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// One attempt at one render node: the render node's own count of the first lines that it was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Attempt {
@@ -203,6 +210,9 @@
     /// It was returned.
     LineReturned { attempt: Attempt, line: u32 },
 
+    /// The network between a proxy and a render node is cut, or whole again.
+    Reach { proxy: ProxyId, node: NodeId, on: bool },
+
     // -- discovery --
     /// The list has changed.
     Listed { node: NodeId, phase: Phase },
@@ -210,6 +220,8 @@
     Told { proxy: ProxyId, node: NodeId, phase: Phase },
     /// A proxy's watch was answered, or has ended.
     Watching { proxy: ProxyId, on: bool },
+    /// A call of a proxy's for the whole list was answered, or has failed.
+    ListCall { proxy: ProxyId, answered: bool },
     /// Discovery can be reached by all, or by none.
     DiscoveryUp { up: bool },
 
