--- /dev/null
+++ b/crates/kit/src/judge/figures.rs
@@ -0,0 +1,187 @@
+//! The figures of a run: service, answers, moves, latencies, datagrams.
+
+use super::latency::{Histograms, Latencies};
+use super::service::{Service, Sums};
+use crate::observation::{Answer, End, Seen};
+use crate::plan::{Plan, SessionId};
+use crate::time::Micros;
+use serde::Serialize;
+
+/// Answers to requests, by kind; second answers left out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Answers {
+    /// `UP`.
+    pub up: u64,
+    /// `BUSY`.
+    pub busy: u64,
+    /// Any other.
+    pub failed: u64,
+    /// Requests that were over without one, or are open at the end.
+    pub unanswered: u64,
+}
+
+/// What one proxy did.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct ProxyFigures {
+    /// Its name.
+    pub proxy: String,
+    /// Requests put to it.
+    pub requests: u64,
+    /// Datagrams that it sent, one for each receiver.
+    pub datagrams: u64,
+    /// Their bytes.
+    pub bytes: u64,
+}
+
+/// One second of the measured part, for plots: worth of connection seconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Second {
+    /// When it began.
+    pub from: Micros,
+    /// Asked for.
+    pub wanted: f64,
+    /// Well served.
+    pub well: f64,
+}
+
+/// The figures of a run. Counts are of the whole run; service and latencies are of its measured part.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Figures {
+    /// Service over time, and its parts.
+    pub service: Service,
+    /// Requests put to proxies.
+    pub requests: u64,
+    /// Answers by kind.
+    pub answers: Answers,
+    /// Requests of a session whose request before got no `UP`.
+    pub retries: u64,
+    /// Attempts at render nodes.
+    pub attempts: u64,
+    /// For each request; none without requests.
+    pub attempts_per_request: Option<f64>,
+    /// `MOVE` lines that clients read.
+    pub moves: u64,
+    /// Connections that clients saw reset.
+    pub resets: u64,
+    /// Tries that reached no proxy.
+    pub unreached: u64,
+    /// Set-up and message latency by class.
+    pub latencies: Vec<Latencies>,
+    /// By proxy.
+    pub proxies: Vec<ProxyFigures>,
+    /// When the measured part began.
+    pub measured_from: Micros,
+}
+
+impl Figures {
+    /// The measured part by seconds, for plots.
+    pub fn time_line(&self) -> impl Iterator<Item = Second> + '_ {
+        let seconds = self.service.wanted.iter().zip(&self.service.well).enumerate();
+        seconds.map(|(i, (wanted, well))| Second {
+            from: self.measured_from + i as Micros * crate::time::S,
+            wanted: *wanted,
+            well: *well,
+        })
+    }
+}
+
+/// What the latest request of a session has come to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Latest {
+    #[default]
+    None,
+    Open,
+    Up,
+}
+
+/// Counts as the run goes on.
+#[derive(Debug)]
+pub(super) struct Counts {
+    plan: std::sync::Arc<Plan>,
+    sums: Sums,
+    setups: Histograms,
+    messages: Histograms,
+    latest: Vec<Latest>,
+    figures: Figures,
+}
+
+impl Counts {
+    pub fn new(plan: &std::sync::Arc<Plan>) -> Self {
+        let proxies = plan.proxies.iter();
+        let proxies = proxies.map(|p| ProxyFigures { proxy: p.name.clone(), ..ProxyFigures::default() });
+        let figures =
+            Figures { proxies: proxies.collect(), measured_from: plan.measured_from, ..Figures::default() };
+        Counts {
+            sums: Sums::new(plan),
+            setups: Histograms::new(plan.classes.len()),
+            messages: Histograms::new(plan.classes.len()),
+            latest: vec![Latest::None; plan.sessions.len()],
+            figures,
+            plan: plan.clone(),
+        }
+    }
+
+    pub fn see(&mut self, at: Micros, seen: &Seen) {
+        let measured = at >= self.plan.measured_from;
+        match *seen {
+            Seen::Wanted { session, until, .. } => self.sums.wanted(at, session, until),
+            Seen::Served { session, from, well } => self.sums.served(at, session, from, well),
+            Seen::MessageTook { class, took } if measured => self.messages.add(class, took),
+            Seen::SetupTook { class, took } if measured => self.setups.add(class, took),
+            Seen::Asked { session, proxy, .. } => {
+                self.figures.requests += 1;
+                if let Some(latest) = self.latest.get_mut(session.0 as usize) {
+                    self.figures.retries += u64::from(*latest == Latest::Open);
+                    *latest = Latest::Open;
+                }
+                if let Some(figures) = self.figures.proxies.get_mut(usize::from(proxy.0)) {
+                    figures.requests += 1;
+                }
+            }
+            Seen::Unreached { .. } => self.figures.unreached += 1,
+            Seen::Moved { .. } => self.figures.moves += 1,
+            Seen::Ended { how: End::Reset, .. } => self.figures.resets += 1,
+            Seen::Attempt { .. } => self.figures.attempts += 1,
+            Seen::Datagram { from, bytes, .. } => {
+                if let Some(figures) = self.figures.proxies.get_mut(usize::from(from.0)) {
+                    figures.datagrams += 1;
+                    figures.bytes += u64::from(bytes);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A request has got its first answer.
+    pub fn answered(&mut self, session: SessionId, answer: &Answer) {
+        match answer {
+            Answer::Up(_) => {
+                self.figures.answers.up += 1;
+                if let Some(latest) = self.latest.get_mut(session.0 as usize) {
+                    *latest = Latest::Up;
+                }
+            }
+            Answer::Busy(_) => self.figures.answers.busy += 1,
+            Answer::Failed(_) => self.figures.answers.failed += 1,
+        }
+    }
+
+    /// The run is over.
+    pub fn finish(self, at: Micros) -> Figures {
+        let Counts { plan, sums, setups, messages, mut figures, .. } = self;
+        let Answers { up, busy, failed, .. } = figures.answers;
+        figures.answers.unanswered = figures.requests.saturating_sub(up + busy + failed);
+        figures.attempts_per_request =
+            (figures.requests > 0).then(|| figures.attempts as f64 / figures.requests as f64);
+        figures.service = sums.finish(at, &plan);
+        let classes = plan.classes.iter().enumerate();
+        figures.latencies = classes
+            .map(|(i, class)| Latencies {
+                class: class.name.clone(),
+                setup: setups.latency(i),
+                message: messages.latency(i),
+            })
+            .collect();
+        figures
+    }
+}
--- /dev/null
+++ b/crates/kit/src/judge/fleet.rs
@@ -0,0 +1,129 @@
+//! What the render nodes are able to do, and whether a proxy can reach them.
+
+use crate::observation::{Condition, Seen};
+use crate::plan::{NodeId, ProxyId};
+use crate::time::Micros;
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, Debug)]
+struct NodeState {
+    condition: Condition,
+    /// Since when it returns lines, or does not.
+    since: Micros,
+    /// Counts its processes: what an earlier one held is gone.
+    generation: u32,
+    /// When the latest process ended or began.
+    turned: Option<Micros>,
+}
+
+/// All render nodes.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    nodes: Vec<NodeState>,
+    /// Cut links and those that were cut: whether it is whole, and since when.
+    links: BTreeMap<(ProxyId, NodeId), (bool, Micros)>,
+}
+
+/// A new process, or none: what stood at the render node is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Turned(pub NodeId);
+
+impl Fleet {
+    pub fn new(nodes: usize) -> Self {
+        let fresh =
+            NodeState { condition: Condition::Sound, since: Micros::MIN, generation: 0, turned: None };
+        Fleet { nodes: vec![fresh; nodes], links: BTreeMap::new() }
+    }
+
+    /// Takes in what changes a render node. Says so when this has ended, in a way that proxies can see, what stood
+    /// there: a machine that had vanished resets nothing before it is back.
+    pub fn see(&mut self, at: Micros, seen: &Seen) -> Option<Turned> {
+        match *seen {
+            Seen::Started { node, .. } => {
+                self.turn(at, node);
+                self.condition(at, node, Condition::Sound);
+                Some(Turned(node))
+            }
+            Seen::Fell { node } => self.down(at, node),
+            Seen::Condition { node, condition: Condition::Down } => self.down(at, node),
+            Seen::Condition { node, condition } => {
+                self.condition(at, node, condition);
+                None
+            }
+            Seen::Reach { proxy, node, on } => {
+                self.links.insert((proxy, node), (on, at));
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn down(&mut self, at: Micros, node: NodeId) -> Option<Turned> {
+        let silent = self.state(node).is_some_and(|s| s.condition == Condition::Vanished);
+        self.turn(at, node);
+        if silent {
+            return None;
+        }
+        self.condition(at, node, Condition::Down);
+        Some(Turned(node))
+    }
+
+    fn turn(&mut self, at: Micros, node: NodeId) {
+        if let Some(state) = self.nodes.get_mut(usize::from(node.0)) {
+            state.generation += 1;
+            state.turned = Some(at);
+        }
+    }
+
+    fn condition(&mut self, at: Micros, node: NodeId, condition: Condition) {
+        if let Some(state) = self.nodes.get_mut(usize::from(node.0)) {
+            if returns(state.condition) != returns(condition) {
+                state.since = at;
+            }
+            state.condition = condition;
+        }
+    }
+
+    fn state(&self, node: NodeId) -> Option<&NodeState> {
+        self.nodes.get(usize::from(node.0))
+    }
+
+    /// Which process of the render node runs now.
+    pub fn generation(&self, node: NodeId) -> u32 {
+        self.state(node).map_or(0, |s| s.generation)
+    }
+
+    /// When its latest process began or ended, if one did.
+    pub fn turned(&self, node: NodeId) -> Option<Micros> {
+        self.state(node).and_then(|s| s.turned)
+    }
+
+    /// Whether a word can pass between the two now: the machine is there and the link is whole.
+    pub fn heard(&self, proxy: ProxyId, node: NodeId) -> bool {
+        self.state(node).is_some_and(|s| s.condition != Condition::Vanished)
+            && self.links.get(&(proxy, node)).is_none_or(|(whole, _)| *whole)
+    }
+
+    /// Since when the render node reads and returns this proxy's lines without a break; none while it doesn't.
+    pub fn steady_since(&self, proxy: ProxyId, node: NodeId) -> Option<Micros> {
+        let state = self.state(node).filter(|s| returns(s.condition))?;
+        match self.links.get(&(proxy, node)) {
+            None => Some(state.since),
+            Some((true, since)) => Some(state.since.max(*since)),
+            Some((false, _)) => None,
+        }
+    }
+
+    /// Since when the render node runs for all that can be seen and returns nothing to this proxy; none while it
+    /// does, or is down.
+    pub fn silent_since(&self, proxy: ProxyId, node: NodeId) -> Option<Micros> {
+        let state = self.state(node).filter(|s| s.condition != Condition::Down)?;
+        let link = self.links.get(&(proxy, node)).and_then(|(whole, since)| (!whole).then_some(*since));
+        (!returns(state.condition)).then_some(state.since).into_iter().chain(link).min()
+    }
+}
+
+/// Whether connections that stand there get their lines back.
+fn returns(condition: Condition) -> bool {
+    matches!(condition, Condition::Sound | Condition::Rubbish)
+}
--- /dev/null
+++ b/crates/kit/src/judge/verdict.rs
@@ -0,0 +1,252 @@
+//! What the judge has found.
+
+use super::desk::{Desk, Found};
+use super::figures::Figures;
+use super::lateness::Lateness;
+use super::rule::Rule;
+use crate::plan::Plan;
+use crate::time::Micros;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// How a run came out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// Every rule was kept and every demand reached.
+    Passed,
+    /// A rule was broken or a demand not reached.
+    Failed,
+    /// The kit itself ran late, so the run proves nothing.
+    Void,
+}
+
+/// A broken rule: which, when, by whom, and what was owed.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Finding {
+    /// The rule.
+    pub rule: Rule,
+    /// When it was broken, or when that was certain; microseconds since the run began.
+    pub at: Micros,
+    /// The request's id, as on the wire.
+    pub request: Option<String>,
+    /// The session's number.
+    pub session: Option<u32>,
+    /// The rude client's number.
+    pub rude: Option<u32>,
+    /// The render node's name.
+    pub node: Option<String>,
+    /// The proxy's name.
+    pub proxy: Option<String>,
+    /// What was owed, what came, and when.
+    pub what: String,
+    /// What was seen of the same request, and of the state of its render node and proxy, a little before and after.
+    pub around: Vec<String>,
+}
+
+/// A demand that was not reached.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Unreached {
+    /// Which: `service` or `worst_window`.
+    pub demand: &'static str,
+    /// What was demanded.
+    pub demanded: f64,
+    /// What was reached; none if nothing was asked for, which proves nothing.
+    pub reached: Option<f64>,
+}
+
+/// The verdict on a run.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Verdict {
+    /// The scenario's name.
+    pub scenario: String,
+    /// The plan's seed.
+    pub seed: u64,
+    /// Until when it was judged.
+    pub judged_to: Micros,
+    /// How it came out.
+    pub outcome: Outcome,
+    /// Why it is void.
+    pub void: Option<String>,
+    /// How often each rule was broken; those that were kept are left out.
+    pub breaks: BTreeMap<Rule, u64>,
+    /// The first ten breaks of each rule, in the order in which they were found.
+    pub findings: Vec<Finding>,
+    /// Demands that were not reached.
+    pub unreached: Vec<Unreached>,
+    /// How late the kit ran.
+    pub lateness: Lateness,
+    /// The figures.
+    pub figures: Figures,
+}
+
+impl Verdict {
+    pub(super) fn new(plan: &Plan, end: Micros, lateness: Lateness, desk: Desk, figures: Figures) -> Self {
+        let ratios = &figures.service.ratios;
+        let demands = [
+            ("service", plan.demands.service, ratios.whole),
+            ("worst_window", plan.demands.worst_window, ratios.worst_window),
+        ];
+        let unreached: Vec<Unreached> = demands
+            .into_iter()
+            .filter(|(_, demanded, reached)| *demanded > 0.0 && reached.is_none_or(|r| r < *demanded))
+            .map(|(demand, demanded, reached)| Unreached { demand, demanded, reached })
+            .collect();
+        let void = lateness.void();
+        let outcome = match &void {
+            Some(_) => Outcome::Void,
+            None if desk.counts.is_empty() && unreached.is_empty() => Outcome::Passed,
+            None => Outcome::Failed,
+        };
+        Verdict {
+            scenario: plan.name.clone(),
+            seed: plan.seed,
+            judged_to: end,
+            outcome,
+            void,
+            breaks: desk.counts,
+            findings: desk.found.into_iter().map(|found| finding(plan, found)).collect(),
+            unreached,
+            lateness,
+            figures,
+        }
+    }
+
+    /// How often the rule was broken.
+    pub fn broke(&self, rule: Rule) -> u64 {
+        self.breaks.get(&rule).copied().unwrap_or(0)
+    }
+}
+
+fn finding(plan: &Plan, found: Found) -> Finding {
+    let subject = found.subject;
+    let node = |i: u16| plan.nodes.get(usize::from(i)).map_or_else(|| i.to_string(), |n| n.name.clone());
+    let proxy = |i: u16| plan.proxies.get(usize::from(i)).map_or_else(|| i.to_string(), |p| p.name.clone());
+    Finding {
+        rule: found.rule,
+        at: found.at,
+        request: subject.request.map(|r| format!("{:016x}", r.0)),
+        session: subject.session.map(|s| s.0),
+        rude: subject.rude,
+        node: subject.node.map(|n| node(n.0)),
+        proxy: subject.proxy.map(|p| proxy(p.0)),
+        what: found.what,
+        around: found.around.iter().map(ToString::to_string).collect(),
+    }
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "  {:.6} s", self.at as f64 / 1e6)?;
+        if let Some(request) = &self.request {
+            write!(f, ", request {request}")?;
+        }
+        if let Some(session) = self.session {
+            write!(f, ", session {session}")?;
+        }
+        if let Some(rude) = self.rude {
+            write!(f, ", rude client {rude}")?;
+        }
+        if let Some(node) = &self.node {
+            write!(f, ", render node {node}")?;
+        }
+        if let Some(proxy) = &self.proxy {
+            write!(f, ", proxy {proxy}")?;
+        }
+        writeln!(f, ":\n    {}", self.what)?;
+        self.around.iter().try_for_each(|line| writeln!(f, "      | {line}"))
+    }
+}
+
+/// A part of 1, or a dash.
+struct Part(Option<f64>);
+
+impl fmt::Display for Part {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(part) => write!(f, "{part:.3}"),
+            None => f.write_str("-"),
+        }
+    }
+}
+
+impl fmt::Display for Verdict {
+    /// For a person: how it came out, each broken rule with its first findings, and the figures.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let outcome = match self.outcome {
+            Outcome::Passed => "PASSED",
+            Outcome::Failed => "FAILED",
+            Outcome::Void => "VOID",
+        };
+        let to = self.judged_to as f64 / 1e6;
+        writeln!(f, "{outcome}  {}, seed {}, judged to {to:.1} s", self.scenario, self.seed)?;
+        if let Some(why) = &self.void {
+            writeln!(f, "{why}: the run proves nothing; free the machine, or rehearse something smaller")?;
+        }
+        for (rule, count) in &self.breaks {
+            writeln!(f, "\nBROKEN {rule}, {count} times. {}", rule.meaning())?;
+            self.findings.iter().filter(|found| found.rule == *rule).try_for_each(|found| found.fmt(f))?;
+        }
+        for Unreached { demand, demanded, reached } in &self.unreached {
+            writeln!(f, "\nNOT REACHED {demand}: {demanded:.3} was demanded, {} came", Part(*reached))?;
+        }
+        writeln!(f)?;
+        self.figures.fmt(f)
+    }
+}
+
+impl fmt::Display for Figures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let r = &self.service.ratios;
+        writeln!(
+            f,
+            "service {}: whole run {}, worst 10 s {} (from {:.0} s), worst class {} ({}), worst tenant {} ({})",
+            Part(r.mix),
+            Part(r.whole),
+            Part(r.worst_window),
+            r.worst_window_from as f64 / 1e6,
+            Part(r.worst_class),
+            r.worst_class_name,
+            Part(r.worst_tenant),
+            r.worst_tenant_name
+        )?;
+        let a = &self.answers;
+        writeln!(
+            f,
+            "requests {} ({} retries): up {}, busy {}, failed {}, unanswered {}; unreached {}; attempts per request {}",
+            self.requests,
+            self.retries,
+            a.up,
+            a.busy,
+            a.failed,
+            a.unanswered,
+            self.unreached,
+            Part(self.attempts_per_request)
+        )?;
+        writeln!(f, "moves {}, resets seen by clients {}", self.moves, self.resets)?;
+        for class in &self.latencies {
+            for (name, l) in [("set-up", &class.setup), ("message", &class.message)] {
+                let ms = |us: u64| us as f64 / 1e3;
+                writeln!(
+                    f,
+                    "{} {name} ms: half {:.1}, 90% {:.1}, 99% {:.1}, longest {:.1} ({} measured)",
+                    class.class,
+                    ms(l.p50),
+                    ms(l.p90),
+                    ms(l.p99),
+                    ms(l.max),
+                    l.count
+                )?;
+            }
+        }
+        for p in &self.proxies {
+            writeln!(
+                f,
+                "proxy {}: requests {}, datagrams {}, {} bytes",
+                p.proxy, p.requests, p.datagrams, p.bytes
+            )?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/kit/tests/judge/stage.rs
@@ -0,0 +1,304 @@
+//! A small plan, and traces of what stand-ins would see, told as stories. Times are in milliseconds.
+
+use cottonnotch_kit::judge::{Judge, Outcome, Rule, Verdict};
+use cottonnotch_kit::observation::{
+    Answer, Attempt, Cold, Condition, End, Left, NodeAnswer, Observation, Over, Phase, RequestId, RudeEnd,
+    Seen, Signal,
+};
+use cottonnotch_kit::plan::{
+    Class, Demands, Front, Habits, Network, Node, NodeId, Plan, Proxy, ProxyId, Rude, RudeKind, Rules,
+    Session, SessionId, Tenant,
+};
+use cottonnotch_kit::time::{MS, S};
+use std::sync::Arc;
+
+/// The part of the run in which everything happens, in milliseconds.
+pub const ENDS: i64 = 60_000;
+
+pub fn plan(sessions: usize) -> Plan {
+    let class = |name: &str, worth| {
+        let (setup_aim, deadline, message_aim) = (300 * MS, S, 150 * MS);
+        Class { name: name.into(), setup_aim, deadline, message_aim, worth }
+    };
+    let tenant = |name: &str, quota| Tenant {
+        name: name.into(),
+        share: 0.5,
+        quota_connections: quota,
+        quota_per_s: 9.0,
+    };
+    let node = |i: usize| Node {
+        name: format!("node-{i}"),
+        zone: 0,
+        cell: 0,
+        kind: "std".into(),
+        size: 1.0,
+        capacity: 1.0,
+        connections_per_unit: 20.0,
+        connections_max: 100,
+        setups_max: 10,
+        setup_work: 0.002,
+        setup_wait: MS,
+        group_cost: 0.0,
+        message: MS,
+        bursty: 1.0,
+        buffer: S,
+        cold_from: 0.3,
+        warm_up: 9 * S,
+        from_start: true,
+        seed: 1,
+    };
+    let proxy = |i: usize| Proxy { name: format!("n{i}"), zone: 0, sockets: 1024, memory_mb: 192, seed: 1 };
+    let session = |i: usize| Session {
+        arrives: 0,
+        life: 60 * S,
+        class: (i % 2) as u8,
+        tenant: (i / 2 % 2) as u8,
+        zone: 0,
+        key: i as u64,
+        group: i as u64,
+        loads: vec![(0, 0.05)],
+        patience: 1.0,
+        seed: i as u64,
+    };
+    let kinds = [RudeKind::Silent, RudeKind::StolenId, RudeKind::NoSuchClass];
+    Plan {
+        name: "stage".into(),
+        seed: 7,
+        measured_from: 0,
+        ends: ENDS * MS,
+        zones: vec!["a".into()],
+        classes: vec![class("view", 1.0), class("export", 3.0)],
+        tenants: vec![tenant("pampa", 3.0), tenant("coral", 1000.0)],
+        nodes: (0..6).map(node).collect(),
+        proxies: (0..2).map(proxy).collect(),
+        sessions: (0..sessions).map(session).collect(),
+        rude: kinds.map(|kind| Rude { arrives: 0, kind, seed: 1 }).into(),
+        timeline: vec![],
+        habits: Habits {
+            line_every: 2 * S,
+            tries: 3,
+            backoff: 50 * MS,
+            sulk: S,
+            honour: 0.5,
+            rejoin: (60 * MS, 1700 * MS),
+            marks_retry: true,
+        },
+        front: Front { every: S, notice: 2 * S, leaves_after: 300 * MS },
+        network: Network { node_ms: (0.2, 1.0), datagram: (MS, 30 * MS), loss: 0.0, datagrams: true },
+        rules: Rules {
+            answer_slack: 8 * MS,
+            stop_within: S,
+            ask_within: 10 * S,
+            told_within: 6 * S,
+            fall_multiple: 3.0,
+            fall_window: 2 * S,
+            line_held: S,
+            ended_within: S,
+            silent_within: 7 * S,
+            attempts: 3,
+            connect_timeout: 250 * MS,
+            retry_after_max: S,
+            grace: 50 * MS,
+            term_to_kill: 3700 * MS,
+        },
+        demands: Demands::default(),
+    }
+}
+
+pub fn judge_to(plan: &Plan, trace: &Trace, end_ms: i64) -> Verdict {
+    let mut judge = Judge::new(Arc::new(plan.clone()));
+    trace.sorted().iter().for_each(|o| judge.see(o));
+    judge.finish(end_ms * MS)
+}
+
+pub fn judge(trace: &Trace) -> Verdict {
+    judge_to(&plan(60), trace, ENDS)
+}
+
+#[track_caller]
+pub fn passes(trace: &Trace) {
+    let verdict = judge(trace);
+    assert_eq!(verdict.outcome, Outcome::Passed, "{verdict}");
+}
+
+/// This rule is broken, once, and no other.
+#[track_caller]
+pub fn breaks(rule: Rule, trace: &Trace) -> Verdict {
+    let verdict = judge(trace);
+    assert_eq!(verdict.outcome, Outcome::Failed, "{rule} was to be broken: {verdict}");
+    assert_eq!(verdict.breaks.iter().map(|(r, n)| (*r, *n)).collect::<Vec<_>>(), [(rule, 1)], "{verdict}");
+    verdict
+}
+
+/// Who has a connection: everything about it is named by these.
+#[derive(Clone, Copy, Debug)]
+pub struct Who {
+    pub request: RequestId,
+    pub session: SessionId,
+    pub proxy: ProxyId,
+    pub attempt: Attempt,
+}
+
+pub fn who(request: u64, proxy: u16, node: u16) -> Who {
+    let attempt = Attempt { node: NodeId(node), serial: request as u32 * 10 };
+    Who {
+        request: RequestId(request),
+        session: SessionId(request as u32 % 50),
+        proxy: ProxyId(proxy),
+        attempt,
+    }
+}
+
+impl Who {
+    pub fn receipt(&self) -> u64 {
+        1_000_000 + self.request.0
+    }
+
+    /// The same request's attempt number `n` at another render node.
+    pub fn again(&self, n: u32, node: u16) -> Who {
+        Who { attempt: Attempt { node: NodeId(node), serial: self.attempt.serial + n }, ..*self }
+    }
+}
+
+/// A connection that stands from 1 s to 20 s, with a line each 2 s.
+pub fn standing() -> (Trace, Who) {
+    let (mut trace, w) = (Trace::default(), who(1, 0, 0));
+    trace.up(1000.0, w);
+    for n in 0..9 {
+        trace.line(2000.0 + 2000.0 * f64::from(n), w, n);
+    }
+    trace.done(20_000.0, w);
+    (trace, w)
+}
+
+/// What was seen, with times in milliseconds.
+#[derive(Clone, Debug, Default)]
+pub struct Trace(pub Vec<(f64, Seen)>);
+
+impl Trace {
+    pub fn add(&mut self, at: f64, seen: Seen) -> &mut Self {
+        self.0.push((at, seen));
+        self
+    }
+
+    pub fn sorted(&self) -> Vec<Observation> {
+        let mut all: Vec<Observation> = self
+            .0
+            .iter()
+            .map(|(at, seen)| Observation { at: (at * 1e3) as i64, seen: seen.clone() })
+            .collect();
+        all.sort_by_key(|o| o.at);
+        all
+    }
+
+    pub fn without(&self, drop: impl Fn(&Seen) -> bool) -> Trace {
+        Trace(self.0.iter().filter(|(_, seen)| !drop(seen)).cloned().collect())
+    }
+
+    pub fn with(&self, at: f64, seen: Seen) -> Trace {
+        let mut trace = self.clone();
+        trace.add(at, seen);
+        trace
+    }
+
+    pub fn asked(&mut self, at: f64, w: Who) -> &mut Self {
+        let deadline = (at * 1e3) as i64 + S;
+        self.add(at, Seen::Asked { request: w.request, session: w.session, proxy: w.proxy, deadline })
+    }
+
+    pub fn attempt(&mut self, at: f64, w: Who) -> &mut Self {
+        let first_byte = (at * 1e3) as i64 - 100;
+        self.add(at, Seen::Attempt { attempt: w.attempt, request: w.request, proxy: w.proxy, first_byte })
+    }
+
+    pub fn node_says(&mut self, at: f64, w: Who, answer: NodeAnswer) -> &mut Self {
+        self.add(at, Seen::AttemptAnswered { attempt: w.attempt, answer })
+    }
+
+    pub fn over(&mut self, at: f64, w: Who, over: Over) -> &mut Self {
+        self.add(at, Seen::AttemptOver { attempt: w.attempt, over })
+    }
+
+    pub fn answered(&mut self, at: f64, w: Who, answer: Answer) -> &mut Self {
+        self.add(at, Seen::Answered { request: w.request, answer })
+    }
+
+    pub fn ended(&mut self, at: f64, w: Who) -> &mut Self {
+        self.add(at, Seen::Ended { request: w.request, how: End::Closed })
+    }
+
+    pub fn moved(&mut self, at: f64, w: Who) -> &mut Self {
+        self.add(at, Seen::Moved { request: w.request })
+    }
+
+    pub fn left(&mut self, at: f64, w: Who, why: Left) -> &mut Self {
+        self.add(at, Seen::Left { request: w.request, why })
+    }
+
+    /// Put, sent on and refused by the render node and by the proxy.
+    pub fn refused(&mut self, at: f64, w: Who) -> &mut Self {
+        self.asked(at, w).attempt(at + 1.0, w).node_says(at + 2.0, w, NodeAnswer::Busy);
+        self.over(at + 2.0, w, Over::Cut).answered(at + 3.0, w, Answer::Busy(0)).ended(at + 3.0, w)
+    }
+
+    /// Put, sent on, and up 10 ms later.
+    pub fn up(&mut self, at: f64, w: Who) -> &mut Self {
+        self.asked(at, w).attempt(at + 1.0, w).node_says(at + 9.0, w, NodeAnswer::Up(w.receipt()));
+        self.answered(at + 10.0, w, Answer::Up(w.receipt()))
+    }
+
+    /// One line, there and back.
+    pub fn line(&mut self, at: f64, w: Who, line: u32) -> &mut Self {
+        self.add(at, Seen::LineSent { request: w.request, line });
+        self.add(at + 0.3, Seen::LineAtNode { attempt: w.attempt, line });
+        self.add(at + 1.0, Seen::LineReturned { attempt: w.attempt, line });
+        self.add(at + 1.3, Seen::LineBack { request: w.request, line })
+    }
+
+    /// The client is done.
+    pub fn done(&mut self, at: f64, w: Who) -> &mut Self {
+        self.over(at, w, Over::ByProxy).left(at + 0.5, w, Left::Done)
+    }
+
+    pub fn listed(&mut self, at: f64, node: u16, phase: Phase) -> &mut Self {
+        self.add(at, Seen::Listed { node: NodeId(node), phase })
+    }
+
+    pub fn told(&mut self, at: f64, proxy: u16, node: u16, phase: Phase) -> &mut Self {
+        self.add(at, Seen::Told { proxy: ProxyId(proxy), node: NodeId(node), phase })
+    }
+
+    pub fn watching(&mut self, at: f64, proxy: u16, on: bool) -> &mut Self {
+        self.add(at, Seen::Watching { proxy: ProxyId(proxy), on })
+    }
+
+    pub fn condition(&mut self, at: f64, node: u16, condition: Condition) -> &mut Self {
+        self.add(at, Seen::Condition { node: NodeId(node), condition })
+    }
+
+    pub fn cold_start(&mut self, at: f64, node: u16) -> &mut Self {
+        let cold = Cold { joins_per_s: 5.0, from: 0.4, warm_up: 10 * S };
+        self.add(at, Seen::Started { node: NodeId(node), cold: Some(cold) })
+    }
+
+    pub fn started(&mut self, at: f64, proxy: u16) -> &mut Self {
+        self.add(at, Seen::ProxyStarted { proxy: ProxyId(proxy), pid: 1 })
+    }
+
+    pub fn signal(&mut self, at: f64, proxy: u16, signal: Signal) -> &mut Self {
+        self.add(at, Seen::ProxySignalled { proxy: ProxyId(proxy), signal })
+    }
+
+    pub fn exited(&mut self, at: f64, proxy: u16, code: Option<i32>) -> &mut Self {
+        self.add(at, Seen::ProxyExited { proxy: ProxyId(proxy), code })
+    }
+
+    pub fn rude(&mut self, at: f64, rude: u32, proxy: u16) -> &mut Self {
+        let by = (at * 1e3) as i64 + 2 * S;
+        self.add(at, Seen::RudeCame { rude, proxy: ProxyId(proxy), by })
+    }
+
+    pub fn rude_over(&mut self, at: f64, rude: u32, how: RudeEnd) -> &mut Self {
+        self.add(at, Seen::RudeOver { rude, how })
+    }
+}
