--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod bad_proxy;
 pub mod board;
 pub mod emulator;
+pub mod judge;
 pub mod load;
 pub mod notes;
 pub mod observation;
