--- a/crates/kit/src/judge/verdict.rs
+++ b/crates/kit/src/judge/verdict.rs
@@ -113,6 +113,26 @@
         }
     }
 
+    /// Every rule was kept and every demand reached.
+    pub fn passed(&self) -> bool {
+        self.outcome == Outcome::Passed
+    }
+
+    /// The run proves nothing.
+    pub fn is_void(&self) -> bool {
+        self.outcome == Outcome::Void
+    }
+
+    /// The one figure of the run: the mix of the service ratios; 0 if nothing was asked for.
+    pub fn service(&self) -> f64 {
+        self.figures.service.ratios.mix.unwrap_or(0.0)
+    }
+
+    /// Rules that were broken.
+    pub fn broken(&self) -> impl Iterator<Item = Rule> {
+        self.breaks.keys().copied()
+    }
+
     /// How often the rule was broken.
     pub fn broke(&self, rule: Rule) -> u64 {
         self.breaks.get(&rule).copied().unwrap_or(0)
