Kit: what a client does next, sans-io

A session tries (an admitted proxy of its zone, a fresh id, what is left as `d`), waits, retries with backoff or the time told in BUSY, sulks, stands, sends its lines at fixed times, comes again after a break, move or drop, and ends its sending at its life's end. Each draw has a generator of its own, so none depends on what happened before it. Ids are a permutation of session and try, so they are distinct, not only with high chance.

Checked: stories on virtual time, and a property over random inputs (spans disjoint, covering the time up and inside the wanted time; ids never twice; tries within the habits; one connection at a time; each request ends).

--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -3,7 +3,10 @@
 
 pub mod addresses;
 pub mod board;
+pub mod model;
 pub mod notes;
 pub mod observation;
 pub mod plan;
+#[cfg(test)]
+mod testing;
 pub mod time;
--- /dev/null
+++ b/crates/kit/src/model/client/tests.rs
@@ -0,0 +1,408 @@
+//! Stories and properties of a session on virtual time.
+
+use super::*;
+use crate::observation::Answer;
+use crate::testing::{plan, session};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a connection meets: so many ms after its first line was written (or, for `!refuse`, instead), this line;
+/// `!close`, `!reset` and `!drop` are what they say. Own lines come back after `echo` ms.
+type Meets<'a> = &'a [(i64, &'a str)];
+
+struct World<'a> {
+    session: Session,
+    connections: Vec<Meets<'a>>,
+    echo: Option<i64>,
+    admitted: bool,
+    /// Timers are so late.
+    lag: Micros,
+    /// What is to come: the connection that it is about, or none for any.
+    events: BTreeMap<(Micros, usize), (Option<usize>, String)>,
+    connection: usize,
+    linked: bool,
+    out: Vec<(Micros, Output)>,
+}
+
+impl<'a> World<'a> {
+    fn new(plan: Plan, connections: &[Meets<'a>], echo: Option<i64>) -> Self {
+        let session = Session::new(&Arc::new(plan), SessionId(0)).unwrap();
+        let (events, out) = (BTreeMap::new(), Vec::new());
+        let connections = connections.to_vec();
+        World {
+            session,
+            connections,
+            echo,
+            admitted: true,
+            lag: 0,
+            events,
+            connection: 0,
+            linked: false,
+            out,
+        }
+    }
+
+    fn event(&mut self, at: Micros, what: &str) {
+        self.events.insert(
+            (at, self.events.len() + 1000 * self.out.len()),
+            (Some(self.connection), what.to_owned()),
+        );
+    }
+
+    fn give(&mut self, now: Micros, what: &str) {
+        let input = match what {
+            "!due" => Input::Due,
+            "!connected" => Input::Connected,
+            "!written" => Input::Written,
+            "!refuse" => Input::Unreached,
+            "!close" => Input::Ended(End::Closed),
+            "!reset" => Input::Ended(End::Reset),
+            "!drop" => Input::Drop { share: 1.0, back_within: 0, seed: 3 },
+            "!stop" => Input::Stop,
+            line => Input::Line(line.as_bytes()),
+        };
+        let (mut out, admitted) = (Vec::new(), self.admitted);
+        self.session.handle(now, input, &|_| admitted, &mut out);
+        assert!(self.session.wish_tries <= self.session.plan.habits.tries.max(1), "tries of a wish");
+        for output in &out {
+            match output {
+                Output::Connect(_) => {
+                    assert!(!self.linked, "two connections at once");
+                    (self.linked, self.connection) = (true, self.connection + 1);
+                    let meets = self.connections.get(self.connection - 1).copied().unwrap_or(&[]);
+                    if meets.first().is_some_and(|(_, what)| *what == "!refuse") {
+                        self.event(now + MS, "!refuse");
+                    } else {
+                        self.event(now + MS, "!connected");
+                    }
+                }
+                Output::Send(line) if line.starts_with("OPEN") => {
+                    self.event(now, "!written");
+                    for (after, what) in self.connections.get(self.connection - 1).copied().unwrap_or(&[]) {
+                        self.event(now + after * MS, what);
+                    }
+                }
+                Output::Send(line) => {
+                    if let Some(echo) = self.echo {
+                        self.event(now + echo * MS, line.trim_end());
+                    }
+                }
+                Output::Finish => {
+                    self.event(now + 5 * MS, "BYE");
+                    self.event(now + 5 * MS, "!close");
+                }
+                Output::Close | Output::Reset => self.linked = false,
+                Output::Note(Observation { seen: Seen::Unreached { .. }, .. }) => self.linked = false,
+                Output::Note(_) => {}
+            }
+        }
+        self.out.extend(out.into_iter().map(|output| (now, output)));
+    }
+
+    fn play(&mut self, until: Micros) {
+        loop {
+            let event = self.events.keys().next().copied().filter(|(at, _)| *at <= until);
+            let due = self.session.next_timeout().map(|at| at + self.lag).filter(|at| *at <= until);
+            match (event, due) {
+                (Some(key), due) if due.is_none_or(|due| key.0 <= due) => {
+                    let (about, what) = self.events.remove(&key).unwrap();
+                    if about.is_none_or(|about| self.linked && about == self.connection) {
+                        self.give(key.0, &what);
+                    }
+                }
+                (_, Some(due)) => self.give(due, "!due"),
+                _ => return,
+            }
+        }
+    }
+
+    fn notes(&self) -> Vec<Observation> {
+        let notes = self.out.iter().filter_map(|(_, output)| match output {
+            Output::Note(observation) => Some(observation.clone()),
+            _ => None,
+        });
+        notes.collect()
+    }
+
+    /// Spans one after the other of equal worth, as one.
+    fn spans(&self) -> Vec<(bool, Micros, Micros)> {
+        let mut spans: Vec<(bool, Micros, Micros)> = Vec::new();
+        for Observation { at, seen } in self.notes() {
+            let Seen::Served { from, well, .. } = seen else { continue };
+            match spans.last_mut() {
+                Some((was, _, to)) if *was == well && *to == from => *to = at,
+                _ => spans.push((well, from, at)),
+            }
+        }
+        spans
+    }
+
+    /// All but the lines, in words, times in ms.
+    fn told(&self) -> String {
+        let mut told = Vec::new();
+        for (at, output) in &self.out {
+            let at = at / MS;
+            told.push(match output {
+                Output::Connect(_) => format!("{at} connect"),
+                Output::Send(line) if line.starts_with("OPEN") => {
+                    let flags =
+                        line.trim_end().split(',').filter(|w| !w.starts_with("t=") && !w.starts_with("g="));
+                    format!("{at} {}", flags.skip(1).collect::<Vec<_>>().join(" "))
+                }
+                Output::Note(Observation { seen, .. }) => match seen {
+                    Seen::Answered { answer, .. } => format!("{at} {answer:?}"),
+                    Seen::Ended { how, .. } => format!("{at} {how:?}"),
+                    Seen::Left { why, .. } => format!("{at} {why:?}"),
+                    Seen::Unreached { .. } => format!("{at} Unreached"),
+                    Seen::Moved { .. } => format!("{at} Moved"),
+                    Seen::Garbled { line, .. } => format!("{at} Garbled {line}"),
+                    _ => continue,
+                },
+                _ => continue,
+            });
+        }
+        let spans = self.spans().into_iter().map(|(well, from, to)| {
+            format!("{} {}..{}", if well { "well" } else { "ill" }, from / MS, to / MS)
+        });
+        told.into_iter().chain(spans).collect::<Vec<_>>().join("; ")
+    }
+}
+
+fn told(change: impl FnOnce(&mut Plan), connections: &[Meets<'_>], echo: Option<i64>) -> String {
+    let mut plan = plan(&[0], vec![session(0, 5 * S)]);
+    change(&mut plan);
+    let mut world = World::new(plan, connections, echo);
+    world.play(20 * S);
+    assert!(world.session.is_over() && !world.linked);
+    world.told()
+}
+
+#[test]
+fn stories() {
+    let (up, busy): (Meets, Meets) = (&[(20, "UP 1f")], &[(10, "BUSY")]);
+    let first = "0 connect; 1 d=1799; ";
+    // Served to its end: a late echo costs worth, and none costs it all.
+    let served = format!("{first}21 Up(31); 5000 Done; ");
+    assert_eq!(told(|_| (), &[up], Some(10)), served.clone() + "well 21..5000");
+    assert_eq!(told(|_| (), &[up], Some(150)), served.clone() + "well 21..5000");
+    assert_eq!(told(|_| (), &[up], Some(151)), served.clone() + "ill 21..5000");
+    assert_eq!(told(|_| (), &[up], None), served + "ill 21..5000");
+    // Refused: the time that is told counts for those who honour it.
+    let connections: &[Meets] = &[&[(10, "BUSY 500")], up];
+    let after = |at: i64| {
+        let (open, d, up) = (at, 1800 - at - 1, at + 21);
+        format!(
+            "{first}11 Busy(500000); {open} connect; {} d={d} r=1; {up} Up(31); 5000 Done; well {up}..5000",
+            at + 1
+        )
+    };
+    assert_eq!(told(|_| (), connections, Some(1)), after(511));
+    assert_eq!(told(|plan| plan.habits.honour = 0.0, connections, Some(1)), after(111));
+    assert_eq!(
+        told(|plan| plan.habits.marks_retry = false, connections, Some(1)),
+        after(511).replace(" r=1", "")
+    );
+    // Beyond the wish's deadline it comes with the next wish, and not before it was told to.
+    let rest = "2511 connect; 2512 d=1799 r=1; 2532 Up(31); 5000 Done; well 2532..5000";
+    let connections: &[Meets] = &[&[(10, "BUSY 2500")], up];
+    assert_eq!(told(|_| (), connections, Some(1)), format!("{first}11 Busy(2500000); {rest}"));
+    // Unanswered, with and without a late answer.
+    let rest = "2800 connect; 2801 d=1799 r=1; 2821 Up(31); 5000 Done; well 2821..5000";
+    let connections: &[Meets] = &[&[(1830, "UP 2")], up];
+    assert_eq!(told(|_| (), connections, Some(1)), format!("{first}1831 Up(2); 1831 GaveUp; {rest}"));
+    assert_eq!(told(|_| (), &[&[], up], Some(1)), format!("{first}1878 GaveUp; {rest}"));
+    assert_eq!(told(|_| (), &[&[(1820, "!close")], up], Some(1)), format!("{first}1821 Closed; {rest}"));
+    // Impatient: it leaves at once, and has time for another try.
+    let impatient = |plan: &mut Plan| plan.sessions[0].patience = 0.5;
+    let rest = "1000 connect; 1001 d=799 r=1; 1021 Up(31); 5000 Done; well 1021..5000";
+    let story = told(impatient, &[&[(950, "UP 2")], up], Some(1));
+    assert_eq!(story, format!("0 connect; 1 d=899; 900 Impatient; {rest}"));
+    // Broken, moved, dropped, and closed without an answer.
+    let again = |at: i64| format!("{at} connect; {} d=1799 again=1; {} Up(31); ", at + 1, at + 21);
+    let spans = |at: i64, to: i64| format!("5000 Done; well 21..{to}; well {}..5000", at + 21);
+    for (what, seen, back) in
+        [("!close", "Closed", 1201), ("!reset", "Reset", 1201), ("!drop", "Dropped", 1001)]
+    {
+        let story = told(|_| (), &[&[(20, "UP 1f"), (1000, what)], up], Some(1));
+        assert_eq!(story, format!("{first}21 Up(31); 1001 {seen}; {}{}", again(back), spans(back, 1001)));
+    }
+    let moved: Meets = &[(20, "UP 1f"), (1000, "MOVE"), (1002, "!close")];
+    let story = told(|_| (), &[moved, up], Some(1));
+    assert_eq!(
+        story,
+        format!("{first}21 Up(31); 1001 Moved; 1003 Closed; {}{}", again(1201), spans(1201, 1001))
+    );
+    let story = told(|_| (), &[&[(10, "!close")], up], Some(1));
+    assert!(story.starts_with(&format!("{first}11 Closed; 111 connect; 112 d=1688 r=1; ")), "{story}");
+    // All tries used: a sulk, which doubles.
+    let story = told(|_| (), &[busy; 9], None);
+    let connects: Vec<_> = story.split("; ").filter_map(|w| w.strip_suffix(" connect")).collect();
+    assert_eq!(connects.join(" "), "0 111 222 1233 1344 1455 3466 3577 3688");
+    // Unreached, or with nobody to go to.
+    let story = told(|_| (), &[&[(0, "!refuse")], up], Some(1));
+    assert!(story.starts_with("0 connect; 1 Unreached; 101 connect; 102 d=1698 r=1; 122 Up(31)"), "{story}");
+    // What no render node or proxy should say.
+    let odd: Meets =
+        &[(20, "UP 1f"), (30, "ERR no"), (40, "LOAD 0.5"), (50, "LOAD much"), (60, "M 9 x"), (70, "UP 1f")];
+    let story = told(|_| (), &[odd], Some(1));
+    let seen =
+        "21 Up(31); 31 Failed(\"ERR no\"); 51 Garbled LOAD much; 61 Garbled M 9 x; 71 Up(31); 5000 Done; ";
+    assert_eq!(story, format!("{first}{seen}well 21..5000"));
+    let story = told(|_| (), &[&[(10, "BUSY"), (20, "ERR twice")]], None);
+    assert!(story.contains("11 Busy(0); 21 Failed(\"ERR twice\"); 111 connect"), "{story}");
+    for line in ["UP", "UP x", "UP 1 2", "BUSY soon", "BUSY -1", "MOVE", "PONG"] {
+        let story = told(|_| (), &[&[(10, line)]], None);
+        assert!(story.contains(&format!("11 Failed({line:?})")), "{story}");
+    }
+}
+
+#[test]
+fn with_nobody_admitted_it_goes_on_wanting() {
+    let mut world = World::new(plan(&[0], vec![session(0, 5 * S)]), &[&[(20, "UP 1")]], Some(1));
+    world.admitted = false;
+    world.play(3 * S);
+    assert!(
+        matches!(&world.notes()[..], [Observation { at: 0, seen: Seen::Wanted { until, .. } }] if *until == 5 * S)
+    );
+    world.admitted = true;
+    world.play(20 * S);
+    assert!(world.told().contains("Up(1)"));
+}
+
+#[test]
+fn it_keeps_to_its_zone_where_a_proxy_is_admitted_there() {
+    let asked = |admitted: &[u16]| {
+        let mut asked = BTreeSet::new();
+        for seed in 0..50 {
+            let wanted = vec![Planned { zone: 1, seed, ..session(0, S) }];
+            let mut session = Session::new(&Arc::new(plan(&[0, 1, 1, 0], wanted)), SessionId(0)).unwrap();
+            let mut out = Vec::new();
+            session.handle(0, Input::Due, &|proxy| admitted.contains(&proxy.0), &mut out);
+            asked.extend(out.into_iter().filter_map(|output| match output {
+                Output::Connect(proxy) => Some(proxy.0),
+                _ => None,
+            }));
+        }
+        asked.into_iter().collect::<Vec<_>>()
+    };
+    assert_eq!(asked(&[0, 1, 2, 3]), [1, 2]);
+    assert_eq!(asked(&[0, 3]), [0, 3]);
+}
+
+#[test]
+fn stopped_in_the_middle_it_notes_what_is_open() {
+    for (at, last) in [(500, "Done"), (10, "Impatient")] {
+        let mut world = World::new(plan(&[0], vec![session(0, 5 * S)]), &[&[(20, "UP 1")]], Some(1));
+        world.play(at * MS);
+        world.give(at * MS, "!stop");
+        assert!(world.session.is_over() && !world.linked);
+        assert!(world.told().contains(&format!("{at} {last}")), "{}", world.told());
+    }
+}
+
+#[test]
+fn a_line_that_was_skipped_is_seen() {
+    let mut often = plan(&[0], vec![session(0, 20 * S)]);
+    often.habits.line_every = 100 * MS;
+    let mut world = World::new(often.clone(), &[&[(20, "UP 1")]], None);
+    world.play(S);
+    let (request, _) = world.session.up().unwrap();
+    let sent = |world: &World, line| {
+        let seen = |o: &Observation| (o.seen == Seen::LineSent { request, line }).then_some(o.at);
+        world.notes().iter().find_map(seen).unwrap()
+    };
+    let (first, second) = (sent(&world, 1), words::own_line(request, 1));
+    let mut world = World::new(often, &[&[(20, "UP 1")]], None);
+    world.play(first + 10);
+    world.give(first + 10, second.trim_end());
+    let notes = world.notes();
+    let seen = |what: &dyn Fn(&Seen) -> bool| notes.iter().any(|o| what(&o.seen));
+    assert!(seen(&|seen| *seen == Seen::LineBack { request, line: 1 }));
+    assert!(seen(&|seen| matches!(seen, Seen::Garbled { .. })));
+    let last: Vec<bool> = world.spans().into_iter().map(|(well, ..)| well).collect();
+    assert_eq!(last, [false, true], "the one that never came costs its span, the other one does not");
+}
+
+const WORDS: [&str; 16] = [
+    "UP 1",
+    "BUSY",
+    "BUSY 300",
+    "BUSY 5000",
+    "ERR",
+    "MOVE",
+    "BYE",
+    "LOAD 1",
+    "M 0 x",
+    "!close",
+    "!reset",
+    "!drop",
+    "!refuse",
+    "!connected",
+    "!written",
+    "!due",
+];
+
+fn meets() -> impl Strategy<Value = Vec<(i64, &'static str)>> {
+    let up = prop_oneof![Just(vec![]), (0_i64..300).prop_map(|at| vec![(at, "UP 1")])];
+    let more = prop::collection::vec((0_i64..6000, prop::sample::select(&WORDS[..])), 0..4);
+    (up, more).prop_map(|(up, more)| [up, more].concat())
+}
+
+proptest! {
+    #[test]
+    fn whatever_happens(
+        connections in prop::collection::vec(meets(), 0..12),
+        anything in prop::collection::vec((0_i64..30_000, prop::sample::select(&WORDS[..])), 0..6),
+        echo in prop::option::of(0_i64..400),
+        life in 1_i64..25_000,
+        patience in prop_oneof![Just(1.0), 0.2..1.0],
+        tries in 0_u32..5,
+        lag in prop_oneof![Just(0), 0..40 * MS],
+    ) {
+        let mut plan = plan(&[0], vec![Planned { patience, ..session(7, life * MS) }]);
+        plan.habits.tries = tries;
+        let until = 7 + life * MS;
+        let connections: Vec<Meets> = connections.iter().map(Vec::as_slice).collect();
+        let mut world = World::new(plan, &connections, echo);
+        world.lag = lag;
+        for (number, (at, what)) in anything.into_iter().enumerate() {
+            world.events.insert((at * MS, number), (None, what.to_owned()));
+        }
+        world.play(60 * S);
+        prop_assert!(world.session.is_over() && !world.linked);
+
+        let (mut ids, mut open, mut up_since, mut up_for) = (BTreeSet::new(), None, None, 0);
+        let (mut spans_end, mut spans_total) = (0, 0);
+        for Observation { at, seen } in world.notes() {
+            let over = match seen {
+                Seen::Asked { request, deadline, .. } => {
+                    prop_assert!(ids.insert(request), "an id came again");
+                    prop_assert!(open.is_none() && deadline <= until + MS && at <= deadline);
+                    open = Some(request);
+                    false
+                }
+                Seen::SetupTook { .. } => {
+                    up_since = Some(at.min(until));
+                    false
+                }
+                Seen::Answered { request, ref answer } => {
+                    prop_assert!(ids.contains(&request));
+                    !matches!(answer, Answer::Up(_)) && up_since.is_none()
+                }
+                Seen::Served { from, .. } => {
+                    prop_assert!(from >= spans_end.max(7) && from < at && at <= until);
+                    (spans_end, spans_total) = (at, spans_total + at - from);
+                    false
+                }
+                Seen::Moved { .. } | Seen::Ended { .. } | Seen::Left { .. } => true,
+                _ => false,
+            };
+            if over {
+                open = None;
+                up_for += up_since.take().map_or(0, |since| at.min(until) - since);
+            }
+        }
+        prop_assert!(open.is_none(), "a request without an end");
+        prop_assert_eq!(spans_total, up_for, "the spans cover the time up");
+    }
+}
--- a/crates/kit/src/observation.rs
+++ b/crates/kit/src/observation.rs
@@ -163,6 +163,9 @@
     Answered { request: RequestId, answer: Answer },
     /// A `MOVE` line was read.
     Moved { request: RequestId },
+    /// A line was read that neither is an answer nor one that a client or render node sent on this connection, or
+    /// that came out of its turn; its first bytes, as text.
+    Garbled { request: RequestId, line: String },
     /// The proxy ended the connection.
     Ended { request: RequestId, how: End },
     /// The client ended it.
@@ -171,8 +174,9 @@
     LineSent { request: RequestId, line: u32 },
     /// Its line came back.
     LineBack { request: RequestId, line: u32 },
-    /// Connection seconds of a session from `from` until now, and whether they were well served: the connection
-    /// stood and its message came back within the class's aim. What no such span covers was not served.
+    /// Connection seconds of a session from `from` until the time of this note, and whether they were well served:
+    /// the connection stood and its message came back within the class's aim. What no such span covers was not
+    /// served. Known, and so taken down, only up to that aim later.
     Served { session: SessionId, from: Micros, well: bool },
     /// A message came back this long after the client was due to send it.
     MessageTook { class: u8, took: Micros },
--- a/crates/kit/src/time.rs
+++ b/crates/kit/src/time.rs
@@ -24,6 +24,11 @@
         RunClock { began: Instant::now(), unix }
     }
 
+    /// When the run began: a loop whose own clock counts from here reads the run's time.
+    pub fn began(&self) -> Instant {
+        self.began
+    }
+
     /// Time since the run began.
     pub fn now(&self) -> Micros {
         self.began.elapsed().as_micros() as Micros
