Kit: clients, front and rude clients on the project's reactor

`clients::run` plays every so-manieth session of a plan on one thread; a client is an object from its arrival to its end. `front::run` asks each proxy by PING, admits on PONG, drops after the notice only, and respects a hold. `rude::run` does each kind's worst at full speed and notes how it was dealt with.

Checked against scripted proxies on loopback: the notes of each answer, close, reset, late answer, move and mass drop; the front's notice, hold and a dead proxy; each rude kind with an error, a close and a service.

--- /dev/null
+++ b/crates/kit/src/emulator/rude.rs
@@ -0,0 +1,244 @@
+//! Clients that go beyond the usual ([`RudeKind`]): each comes at its time to an admitted proxy and does its worst as
+//! fast as the socket takes it, reading all the while. It is owed an error or a close within a few seconds.
+
+use super::rude_script::{Script, script};
+use crate::addresses::Addresses;
+use crate::board::Board;
+use crate::notes::Notes;
+use crate::observation::{Observation, RudeEnd, Seen};
+use crate::plan::{Plan, ProxyId, RudeKind};
+use crate::time::{MS, Micros, S};
+use cottonnotch_reactor::line::{Fill, LineStream, TooLong};
+use cottonnotch_reactor::{Clock, Connection, Io, Key, Leg, Reactor, Report};
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// A rude client is owed a word or a close within this time of its connection ...
+const OWED_WITHIN: Micros = 3 * S;
+/// ... and one with 60 MB to say, within this.
+const OWED_WITHIN_HUGE: Micros = 6 * S;
+/// After that it stays a little, to see whether it comes late.
+const LATE: Micros = S;
+/// One that comes again at once does so for this long.
+const AGAIN_FOR: Micros = S;
+/// Between two looks at the board.
+const TICK: Micros = 5 * MS;
+/// Written in one callback before the others have their turn.
+const MAX_TURN: usize = 256 * 1024;
+
+/// The owner's timers.
+const TICKING: u32 = 0;
+
+#[derive(Debug)]
+enum Told {
+    Timer(u32),
+    Note(Micros, Seen),
+}
+
+impl Report for Told {
+    fn timer(timer: u32) -> Self {
+        Told::Timer(timer)
+    }
+}
+
+struct Shared {
+    plan: Arc<Plan>,
+    addresses: Arc<Addresses>,
+    board: Arc<Board>,
+}
+
+/// One rude client.
+struct Rude {
+    key: Key,
+    place: u32,
+    kind: RudeKind,
+    seed: u64,
+    proxy: ProxyId,
+    shared: Rc<Shared>,
+    link: LineStream,
+    script: Script,
+    connected: bool,
+    /// Visits so far.
+    visits: u32,
+    again_until: Micros,
+    by: Micros,
+    done: bool,
+}
+
+impl Rude {
+    fn connected(&mut self, io: &mut Io<Told>) {
+        self.connected = true;
+        let owed = if self.kind == RudeKind::Huge { OWED_WITHIN_HUGE } else { OWED_WITHIN };
+        let now = io.now();
+        self.by = now + owed;
+        io.tell(Told::Note(now, Seen::RudeCame { rude: self.place, proxy: self.proxy, by: self.by }));
+        io.timer(self.by + LATE, self.key, 0);
+        if self.visits == 0 {
+            self.again_until = now + AGAIN_FOR;
+        }
+        self.visits += 1;
+    }
+
+    /// Writes as much as the socket takes.
+    fn say(&mut self, io: &mut Io<Told>) {
+        let mut said = 0;
+        loop {
+            // That the connection is broken is found by reading.
+            if !matches!(self.link.flush(), Ok(true)) {
+                return;
+            }
+            if said >= MAX_TURN {
+                return io.call_again(self.key, Leg::Near);
+            }
+            match self.script.say_next(&mut self.link) {
+                Some(length) => said += length,
+                None => return,
+            }
+        }
+    }
+
+    fn over(&mut self, io: &mut Io<Told>, how: RudeEnd) {
+        io.tell(Told::Note(io.now(), Seen::RudeOver { rude: self.place, how }));
+        let turned_away = how != RudeEnd::Served;
+        self.done = !(self.kind == RudeKind::AgainAtOnce && turned_away && io.now() < self.again_until);
+        if !self.done {
+            self.come_again(io);
+        }
+    }
+
+    fn come_again(&mut self, io: &mut Io<Told>) {
+        let address = self.shared.addresses.proxy(self.proxy);
+        match LineStream::connect(address, io, self.key, Leg::Near) {
+            Ok(link) => {
+                self.link = link;
+                self.connected = false;
+                self.script = script(&self.shared.plan, self.kind, self.seed, self.place, self.visits, None);
+                io.timer(io.now() + OWED_WITHIN, self.key, 0);
+            }
+            Err(_) => self.done = true,
+        }
+    }
+}
+
+impl Connection for Rude {
+    type Report = Told;
+
+    fn readable(&mut self, io: &mut Io<Told>, leg: Leg) {
+        if !self.connected {
+            return;
+        }
+        let fill = self.link.fill();
+        match self.link.take_line() {
+            Ok(Some(line)) if line.starts_with(b"UP ") => return self.over(io, RudeEnd::Served),
+            Ok(Some(_)) | Err(TooLong) => return self.over(io, RudeEnd::Error),
+            Ok(None) => {}
+        }
+        match fill {
+            Fill::Blocked => self.say(io),
+            Fill::More => io.call_again(self.key, leg),
+            Fill::Ended | Fill::Broken(_) => self.over(io, RudeEnd::Closed),
+        }
+    }
+
+    fn writable(&mut self, io: &mut Io<Told>, leg: Leg) {
+        if !self.connected {
+            match self.link.connected() {
+                Ok(true) => {
+                    self.connected(io);
+                    io.call_again(self.key, leg);
+                }
+                Ok(false) => return,
+                // It came to nobody.
+                Err(_) => {
+                    self.done = true;
+                    return;
+                }
+            }
+        }
+        self.say(io);
+    }
+
+    fn timer(&mut self, io: &mut Io<Told>, _: u32) {
+        // Guards against the timers of its earlier visits.
+        if io.now() >= self.by + LATE {
+            self.done = true;
+        }
+    }
+
+    fn done(&self) -> bool {
+        self.done
+    }
+}
+
+/// Plays the rude clients until the board says stop. One that finds no proxy admitted, or no open id to steal, stays
+/// away. Fails only if the system has no poll to give.
+pub fn run(plan: Arc<Plan>, addresses: Arc<Addresses>, board: Arc<Board>) -> io::Result<Vec<Observation>> {
+    let mut reactor: Reactor<Rude> = Reactor::new(Clock::since(board.clock.began()))?;
+    let shared = Rc::new(Shared { plan, addresses, board });
+    let (mut notes, mut next) = (Notes::default(), 0);
+    reactor.io.owner_timer(0, TICKING);
+    while !shared.board.is_stopping() {
+        reactor.turn()?;
+        while let Some(report) = reactor.io.reports.pop_front() {
+            match report {
+                Told::Note(at, seen) => notes.note(at, seen),
+                Told::Timer(TICKING) => {
+                    let now = reactor.io.now();
+                    while shared.plan.rude.get(next).is_some_and(|rude| rude.arrives <= now) {
+                        come(&mut reactor, &shared, next as u32);
+                        next += 1;
+                    }
+                    reactor.io.owner_timer(now + TICK, TICKING);
+                }
+                Told::Timer(_) => {}
+            }
+        }
+    }
+    Ok(notes.into_inner())
+}
+
+fn come(reactor: &mut Reactor<Rude>, shared: &Rc<Shared>, place: u32) {
+    let Some(&crate::plan::Rude { kind, seed, .. }) = shared.plan.rude.get(place as usize) else { return };
+    let stolen = (kind == RudeKind::StolenId).then(|| shared.board.an_open_id());
+    let admitted = |proxy: &ProxyId| shared.board.is_admitted(*proxy);
+    let proxies: Vec<ProxyId> = (0..shared.plan.proxies.len() as u16).map(ProxyId).filter(admitted).collect();
+    let proxy = match stolen {
+        // Another proxy can't know that the id is open.
+        Some(open) => open.map(|(_, proxy)| proxy),
+        None => proxies.get(seed as usize % proxies.len().max(1)).copied(),
+    };
+    let Some(proxy) = proxy else {
+        log::debug!("rude client {place} ({kind:?}) finds nobody to come to");
+        return;
+    };
+    let script = script(&shared.plan, kind, seed, place, 0, stolen.flatten().map(|(id, _)| id));
+    let address = shared.addresses.proxy(proxy);
+    let made = reactor.insert(|key, io| {
+        let link = LineStream::connect(address, io, key, Leg::Near)?;
+        let shared = Rc::clone(shared);
+        let (now, done) = (io.now(), false);
+        // Counts until the connection stands: it is given up like one that is never answered.
+        let by = now + OWED_WITHIN;
+        io.timer(by + LATE, key, 0);
+        let (connected, visits, again_until) = (false, 0, now);
+        Ok(Box::new(Rude {
+            key,
+            place,
+            kind,
+            seed,
+            proxy,
+            shared,
+            link,
+            script,
+            connected,
+            visits,
+            again_until,
+            by,
+            done,
+        }))
+    });
+    if let Err(error) = made {
+        log::debug!("rude client {place} ({kind:?}) has no socket: {error}");
+    }
+}
--- /dev/null
+++ b/crates/kit/src/emulator/rude_script.rs
@@ -0,0 +1,107 @@
+//! What each kind of rude client says.
+
+use crate::model::client::words::request_id;
+use crate::observation::RequestId;
+use crate::plan::{Plan, RudeKind};
+use cottonnotch_reactor::line::LineStream;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
+
+/// Bytes of a value that is far too long.
+const HUGE: usize = 60_000_000;
+/// Pieces in which what is long is written.
+const PIECE: usize = 64 * 1024;
+/// Bytes that are no text.
+const GARBAGE: usize = 300;
+/// Commands at once.
+const COMMANDS: u32 = 400;
+
+/// Bytes to be said, piece by piece.
+#[derive(Debug)]
+pub(super) struct Script {
+    /// Each so many times, one after the other.
+    pieces: VecDeque<(Vec<u8>, usize)>,
+    /// Ends its sending after all of it.
+    finishes: bool,
+}
+
+impl Script {
+    fn once(words: impl Into<Vec<u8>>) -> Self {
+        Script { pieces: VecDeque::from([(words.into(), 1)]), finishes: false }
+    }
+
+    fn then(mut self, piece: Vec<u8>, times: usize) -> Self {
+        self.pieces.push_back((piece, times));
+        self
+    }
+
+    /// Queues the next piece to be written; its length, none once all was said.
+    pub fn say_next(&mut self, link: &mut LineStream) -> Option<usize> {
+        let Some((piece, times)) = self.pieces.front_mut() else {
+            if std::mem::take(&mut self.finishes) {
+                link.finish();
+                return Some(0);
+            }
+            return None;
+        };
+        link.push(piece);
+        let length = piece.len();
+        *times = times.saturating_sub(1);
+        if *times == 0 {
+            self.pieces.pop_front();
+        }
+        Some(length)
+    }
+}
+
+/// What the rude client at that place of the plan says on that visit. Ids are no other client's, but for a stolen one.
+pub(super) fn script(
+    plan: &Plan,
+    kind: RudeKind,
+    seed: u64,
+    place: u32,
+    visit: u32,
+    stolen: Option<RequestId>,
+) -> Script {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let key: u64 = rng.random();
+    // Counted from the far end, where no session is.
+    let id = |number: u32| request_id(plan.seed, u32::MAX - place, number).0;
+    let class = plan.classes.first().map_or("-", |class| class.name.as_str());
+    let tenant = plan.tenants.first().map_or("-", |tenant| tenant.name.as_str());
+    let open = |id: u64, class: &str, wait: &str| {
+        format!("OPEN {id:016x} {key:016x} c={class},t={tenant},d={wait},g={key:016x}\r\n")
+    };
+    match kind {
+        RudeKind::Garbage => {
+            let mut bytes: Vec<u8> = (0..GARBAGE).map(|_| rng.random_range(0x80..=0xff)).collect();
+            bytes.extend_from_slice(b"\r\n");
+            Script::once(bytes)
+        }
+        RudeKind::Endless => Script::once("OPEN ").then(vec![b'x'; PIECE], usize::MAX),
+        RudeKind::Huge => {
+            let head = format!("OPEN {:016x} {key:016x} c={class},t={tenant},d=1000,g=", id(visit));
+            Script::once(head).then(vec![b'7'; PIECE], HUGE.div_ceil(PIECE)).then(b"\r\n".to_vec(), 1)
+        }
+        RudeKind::NoSuchClass | RudeKind::AgainAtOnce => {
+            Script::once(open(id(visit), "no-such-class", "1000"))
+        }
+        RudeKind::BadDeadline => {
+            let waits = ["soon", "-5", "99999999999999999999999999", ""];
+            Script::once(open(id(visit), class, waits[rng.random_range(0..waits.len())]))
+        }
+        RudeKind::NoId => {
+            Script::once(format!("OPEN {key:016x} c={class},t={tenant},d=1000,g={key:016x}\r\n"))
+        }
+        RudeKind::StolenId => Script::once(open(stolen.map_or(id(visit), |id| id.0), class, "1000")),
+        RudeKind::Half => {
+            let whole = open(id(visit), class, "1000");
+            Script { finishes: true, ..Script::once(&whole.as_bytes()[..whole.len() / 2]) }
+        }
+        RudeKind::ManyCommands => {
+            Script::once((0..COMMANDS).map(|number| open(id(number), class, "1000")).collect::<String>())
+        }
+        RudeKind::Silent => Script { pieces: VecDeque::new(), finishes: false },
+    }
+}
--- /dev/null
+++ b/crates/kit/src/emulator/tests_of_clients.rs
@@ -0,0 +1,465 @@
+//! Clients, front and rude clients on loopback sockets, against proxies that a story scripts. Every wait is bounded.
+
+use super::{clients, front, rude};
+use crate::addresses::Addresses;
+use crate::board::Board;
+use crate::observation::{Observation, RequestId, RudeEnd, Seen};
+use crate::plan::{Happening, Plan, ProxyId, Rude, RudeKind, What};
+use crate::testing::{plan, session};
+use crate::time::{MS, Micros, S};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// No story waits longer for anything.
+const PATIENCE: Duration = Duration::from_secs(10);
+const PROXY: ProxyId = ProxyId(0);
+
+fn within(what: &str, mut look: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !look() {
+        assert!(Instant::now() < until, "waited in vain: {what}");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+type Play = fn(Arc<Plan>, Arc<Addresses>, Arc<Board>) -> std::io::Result<Vec<Observation>>;
+
+/// Whoever listens at the run's addresses is to be gone before it: another run may have them then.
+struct Run {
+    addresses: Arc<Addresses>,
+    board: Arc<Board>,
+    thread: Option<thread::JoinHandle<std::io::Result<Vec<Observation>>>>,
+}
+
+impl Run {
+    /// Listens at the proxy's place, and plays against it.
+    fn begin(plan: Plan, play: Play) -> (Run, TcpListener) {
+        let addresses = Arc::new(Addresses::take(100).unwrap());
+        let listener = TcpListener::bind(addresses.proxy(PROXY)).unwrap();
+        (Run::at(plan, addresses, play), listener)
+    }
+
+    fn at(plan: Plan, addresses: Arc<Addresses>, play: Play) -> Run {
+        let board = Arc::new(Board::new(&plan));
+        board.admit(PROXY, true);
+        board.opened(RequestId(0xfeed), PROXY);
+        let (plan, theirs, shared) = (Arc::new(plan), Arc::clone(&addresses), Arc::clone(&board));
+        let thread = Some(thread::spawn(move || play(plan, theirs, shared)));
+        Run { addresses, board, thread }
+    }
+
+    fn end(&mut self) -> Vec<Observation> {
+        self.board.stop();
+        self.thread.take().unwrap().join().unwrap().unwrap()
+    }
+}
+
+fn all_clients(
+    plan: Arc<Plan>,
+    addresses: Arc<Addresses>,
+    board: Arc<Board>,
+) -> std::io::Result<Vec<Observation>> {
+    clients::run(plan, addresses, board, 0, 1)
+}
+
+struct Peer(BufReader<TcpStream>);
+
+impl Peer {
+    fn accept(listener: &TcpListener) -> Peer {
+        listener.set_nonblocking(true).unwrap();
+        let mut found = None;
+        within("a client", || {
+            found = listener.accept().ok();
+            found.is_some()
+        });
+        let (stream, _) = found.unwrap();
+        stream.set_nonblocking(false).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Peer(BufReader::new(stream))
+    }
+
+    fn hear(&mut self) -> String {
+        let mut line = String::new();
+        self.0.read_line(&mut line).unwrap();
+        line
+    }
+
+    fn say(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    /// Ends the sending and waits for the client's end.
+    fn close(mut self) {
+        self.0.get_mut().shutdown(Shutdown::Write).unwrap();
+        self.await_end();
+    }
+
+    fn await_end(&mut self) {
+        // A reset is an end too.
+        let _ = self.0.read_to_string(&mut String::new());
+    }
+}
+
+/// What the judge would make of it, in short.
+fn short(notes: &[Observation]) -> String {
+    let words = notes.iter().filter_map(|o| match &o.seen {
+        Seen::Answered { answer, .. } => Some(format!("{answer:?}")),
+        Seen::Ended { how, .. } => Some(format!("{how:?}")),
+        Seen::Left { why, .. } => Some(format!("{why:?}")),
+        Seen::Lag { .. }
+        | Seen::Served { .. }
+        | Seen::LineSent { .. }
+        | Seen::LineBack { .. }
+        | Seen::MessageTook { .. } => None,
+        seen => format!("{seen:?}").split(' ').next().map(str::to_owned),
+    });
+    words.collect::<Vec<_>>().join(" ")
+}
+
+/// One wish of one try, that lasts 2 s; whoever is late is looked for as long as a slow machine may need.
+fn one_try(life: Micros) -> Plan {
+    let mut plan = plan(&[0], vec![session(0, life)]);
+    plan.classes[0].deadline = 2 * S;
+    plan.rules.grace = 5 * S;
+    (plan.habits.tries, plan.habits.sulk, plan.habits.line_every) = (1, 60 * S, 20 * MS);
+    plan
+}
+
+#[test]
+fn what_a_proxy_does_is_noted() {
+    let say_and_close = |what: &'static str| {
+        move |mut peer: Peer| {
+            peer.say(what);
+            peer.close();
+        }
+    };
+    type Script = Box<dyn Fn(Peer)>;
+    let stories: Vec<(&str, Script)> = vec![
+        ("Busy(7000)", Box::new(say_and_close("BUSY 7\r\n"))),
+        ("Failed(\"ERR no\")", Box::new(say_and_close("ERR no\r\n"))),
+        ("Closed", Box::new(say_and_close(""))),
+        // Half an answer is none.
+        ("Closed", Box::new(say_and_close("UP 1"))),
+        ("Up(31) SetupTook Closed", Box::new(say_and_close("UP 1f\r\n"))),
+        ("Up(31) SetupTook Moved Closed", Box::new(say_and_close("UP 1f\r\nMOVE\r\n"))),
+        (
+            "Up(31) GaveUp",
+            Box::new(|mut peer| {
+                thread::sleep(Duration::from_millis(2050));
+                peer.say("UP 1f\r\n");
+                peer.await_end();
+            }),
+        ),
+    ];
+    for (seen, script) in stories {
+        let (mut run, listener) = Run::begin(one_try(30 * S), all_clients);
+        let mut peer = Peer::accept(&listener);
+        let opening = peer.hear();
+        let rest =
+            opening.split_once(' ').and_then(|(_, rest)| rest.split_once(' ')).map(|(_, rest)| rest).unwrap();
+        let (before, after) = rest.split_once("d=").unwrap();
+        assert_eq!(before, "0000000000000abc c=chat,t=acme,");
+        let (wait, after) = after.split_once(',').unwrap();
+        assert!((1..=2000).contains(&wait.parse::<i64>().unwrap()));
+        assert_eq!(after, "g=0000000000000007\r\n");
+        script(peer);
+        assert_eq!(short(&run.end()), format!("Wanted Asked {seen}"));
+    }
+}
+
+#[test]
+fn a_reset_is_told_from_a_close_and_the_client_comes_again() {
+    let (mut run, listener) = Run::begin(one_try(30 * S), all_clients);
+    let mut peer = Peer::accept(&listener);
+    peer.hear();
+    peer.say("UP 1f\r\n");
+    peer.hear();
+    socket2::SockRef::from(peer.0.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(peer);
+    let mut peer = Peer::accept(&listener);
+    assert!(peer.hear().ends_with(",again=1\r\n"));
+    assert_eq!(run.board.live.standing.load(Ordering::Relaxed), 0);
+    let notes = short(&run.end());
+    assert!(notes.starts_with("Wanted Asked Up(31) SetupTook Reset Asked"), "{notes}");
+}
+
+#[test]
+fn a_session_is_served_to_its_end() {
+    let (mut run, listener) = Run::begin(one_try(1500 * MS), all_clients);
+    let mut peer = Peer::accept(&listener);
+    peer.hear();
+    peer.say("UP 1f\r\nLOAD 0.25\r\n");
+    loop {
+        match peer.hear() {
+            line if line.is_empty() => break,
+            line => peer.say(&line),
+        }
+    }
+    peer.say("BYE\r\n");
+    // It awaits the rest for a while, and is gone then.
+    within("the client's end", || peer.0.get_mut().write_all(b"LOAD 0\r\n").is_err());
+    let live = &run.board.live;
+    assert_eq!((live.asked.load(Ordering::Relaxed), live.up.load(Ordering::Relaxed)), (1, 1));
+    let notes = run.end();
+    assert_eq!(short(&notes), "Wanted Asked Up(31) SetupTook Done");
+    let count = |what: fn(&Seen) -> bool| notes.iter().filter(|o| what(&o.seen)).count();
+    let sent = count(|seen| matches!(seen, Seen::LineSent { .. }));
+    assert!(sent > 0 && sent == count(|seen| matches!(seen, Seen::LineBack { .. })));
+}
+
+#[test]
+fn nobody_there_is_noted() {
+    // How long a busy machine needs to run the thread is not known: it gets more time until it was enough.
+    let mut notes = String::new();
+    for time in [50, 200, 800, 3200] {
+        let mut run = Run::at(one_try(30 * S), Arc::new(Addresses::take(100).unwrap()), all_clients);
+        thread::sleep(Duration::from_millis(time));
+        notes = short(&run.end());
+        if notes == "Wanted Unreached" {
+            return;
+        }
+    }
+    panic!("{notes}");
+}
+
+#[test]
+fn a_mass_drop_reaches_the_clients_that_stand() {
+    let mut plan = one_try(30 * S);
+    // The first one that finds it up.
+    plan.timeline = (1..100)
+        .map(|n| Happening { at: n * 100 * MS, what: What::Drop { share: 1.0, back_within: 0, seed: 1 } })
+        .collect();
+    let (mut run, listener) = Run::begin(plan, all_clients);
+    let mut peer = Peer::accept(&listener);
+    peer.hear();
+    peer.say("UP 1f\r\n");
+    assert!(Peer::accept(&listener).hear().ends_with(",again=1\r\n"));
+    let notes = short(&run.end());
+    assert!(notes.starts_with("Wanted Asked Up(31) SetupTook Dropped"), "{notes}");
+}
+
+/// Answers PINGs while `answers`; tells when it last did, and of each new connection.
+struct Ponger {
+    answering: Sender<bool>,
+    connections: Receiver<()>,
+}
+
+impl Ponger {
+    fn begin(listener: TcpListener, run: &Run, last: Arc<std::sync::atomic::AtomicI64>) -> Ponger {
+        let (answering, orders) = channel();
+        let (tell, connections) = channel();
+        let (board, addresses) = (Arc::clone(&run.board), Arc::clone(&run.addresses));
+        thread::spawn(move || {
+            let mut answers = true;
+            while !board.is_stopping() {
+                listener.set_nonblocking(true).unwrap();
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                tell.send(()).unwrap();
+                stream.set_nonblocking(false).unwrap();
+                let mut peer = Peer(BufReader::new(stream));
+                loop {
+                    let mut line = String::new();
+                    if !matches!(peer.0.read_line(&mut line), Ok(n) if n > 0) {
+                        break;
+                    }
+                    assert_eq!(line, "PING\r\n");
+                    answers = orders.try_iter().last().unwrap_or(answers);
+                    if answers {
+                        last.store(board.clock.now(), Ordering::Release);
+                        peer.say("PONG\r\n");
+                    }
+                }
+            }
+            drop(listener);
+            drop(addresses);
+        });
+        Ponger { answering, connections }
+    }
+}
+
+#[test]
+fn the_front_admits_on_pong_and_drops_who_is_silent_after_the_notice_only() {
+    let mut of = plan(&[0], vec![]);
+    (of.front.every, of.front.notice) = (10 * MS, 300 * MS);
+    let (mut run, listener) = Run::begin(of, front::run);
+    run.board.admit(PROXY, false);
+    let last_pong = Arc::new(std::sync::atomic::AtomicI64::new(0));
+    let ponger = Ponger::begin(listener, &run, Arc::clone(&last_pong));
+    let (board, on) =
+        (Arc::clone(&run.board), |on: bool| move |board: &Board| board.is_admitted(PROXY) == on);
+    let wait = |what: &str, on: bool| within(what, || board.is_admitted(PROXY) == on);
+    wait("admitted", true);
+    ponger.connections.recv_timeout(PATIENCE).unwrap();
+
+    board.hold(PROXY, true);
+    assert!(on(false)(&board), "a held proxy gets no clients at once");
+    // It answers on, until the front lets go of it; that admits it no more.
+    thread::sleep(Duration::from_millis(100));
+    assert!(on(false)(&board));
+    board.hold(PROXY, false);
+    wait("admitted again", true);
+    ponger.connections.recv_timeout(PATIENCE).expect("a new connection");
+
+    ponger.answering.send(false).unwrap();
+    wait("dropped for its silence", false);
+    let silent_since = last_pong.load(Ordering::Acquire);
+    ponger.answering.send(true).unwrap();
+    wait("admitted after its silence", true);
+
+    let notes = run.end();
+    let admitted: Vec<(Micros, bool)> = notes
+        .iter()
+        .filter_map(|o| match o.seen {
+            Seen::Admitted { on, .. } => Some((o.at, on)),
+            _ => None,
+        })
+        .collect();
+    let states: Vec<bool> = admitted.iter().map(|(_, on)| *on).collect();
+    assert_eq!(states, [true, false, true, false, true]);
+    assert!(admitted[3].0 - silent_since >= 300 * MS, "not before the notice: {admitted:?}");
+}
+
+#[test]
+fn a_proxy_that_is_not_there_is_never_admitted() {
+    let mut of = plan(&[0], vec![]);
+    (of.front.every, of.front.notice) = (10 * MS, 300 * MS);
+    let addresses = Arc::new(Addresses::take(100).unwrap());
+    let mut run = Run::at(of, addresses, front::run);
+    run.board.admit(PROXY, false);
+    thread::sleep(Duration::from_millis(200));
+    assert!(!run.board.is_admitted(PROXY));
+    // And is, once it comes.
+    let listener = TcpListener::bind(run.addresses.proxy(PROXY)).unwrap();
+    let mut peer = Peer::accept(&listener);
+    assert_eq!(peer.hear(), "PING\r\n");
+    let answered = run.board.clock.now();
+    peer.say("PONG\r\n");
+    within("admitted", || run.board.is_admitted(PROXY));
+    // Dead: its connection is closed and new ones are refused, which the front does not see as such.
+    drop((peer, listener));
+    within("dropped", || !run.board.is_admitted(PROXY));
+    let notes = run.end();
+    let last = notes.last().unwrap();
+    assert_eq!(last.seen, Seen::Admitted { proxy: PROXY, on: false });
+    assert!(last.at - answered >= 300 * MS, "not before the notice: {notes:?}");
+}
+
+const KINDS: [RudeKind; 11] = [
+    RudeKind::Garbage,
+    RudeKind::Endless,
+    RudeKind::Huge,
+    RudeKind::NoSuchClass,
+    RudeKind::BadDeadline,
+    RudeKind::NoId,
+    RudeKind::StolenId,
+    RudeKind::Half,
+    RudeKind::ManyCommands,
+    RudeKind::AgainAtOnce,
+    RudeKind::Silent,
+];
+
+/// Reads a line, or so much, or what comes before a silence; then says its answer, if any, and closes.
+fn treat(stream: TcpStream, answer: &str, most: usize) -> (Vec<u8>, usize) {
+    stream.set_nonblocking(false).unwrap();
+    stream.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+    let mut peer = Peer(BufReader::with_capacity(64 * 1024, stream));
+    let (mut start, mut total) = (Vec::new(), 0);
+    while total < most {
+        let Ok(bytes) = peer.0.fill_buf() else { break };
+        let (read, line) = (bytes.len(), bytes.contains(&b'\n'));
+        start.extend_from_slice(&bytes[..read.min(200)]);
+        start.truncate(200);
+        peer.0.consume(read);
+        total += read;
+        if read == 0 || line {
+            break;
+        }
+    }
+    // Whoever came and went already needs no answer.
+    let _ = peer.0.get_mut().write_all(answer.as_bytes());
+    if !answer.is_empty() {
+        peer.await_end();
+    }
+    (start, total)
+}
+
+#[test]
+fn rude_clients_that_get_an_error() {
+    rude_clients_get("ERR no\r\n", RudeEnd::Error);
+}
+
+#[test]
+fn rude_clients_that_are_closed() {
+    rude_clients_get("", RudeEnd::Closed);
+}
+
+#[test]
+fn rude_clients_that_are_served() {
+    rude_clients_get("UP 1f\r\n", RudeEnd::Served);
+}
+
+fn rude_clients_get(answer: &'static str, end: RudeEnd) {
+    let mut of = plan(&[0], vec![]);
+    of.rude =
+        KINDS.iter().enumerate().map(|(i, kind)| Rude { arrives: 0, kind: *kind, seed: i as u64 }).collect();
+    let (mut run, listener) = Run::begin(of, rude::run);
+    listener.set_nonblocking(true).unwrap();
+    let most = if end == RudeEnd::Served { 61_000_000 } else { 4096 };
+    let mut guests = Vec::new();
+    let mut quiet_since = Instant::now();
+    // Longer than the one that comes again at once goes on doing so.
+    within("all to have come and gone", || {
+        while let Ok((stream, _)) = listener.accept() {
+            guests.push(thread::spawn(move || treat(stream, answer, most)));
+        }
+        if guests.len() < KINDS.len() || !guests.iter().all(thread::JoinHandle::is_finished) {
+            quiet_since = Instant::now();
+        }
+        quiet_since.elapsed() > Duration::from_millis(1500)
+    });
+    let notes = run.end();
+    let heard: Vec<_> = guests.into_iter().map(|guest| guest.join().unwrap()).collect();
+
+    let mut visits: BTreeMap<u32, (usize, usize)> = BTreeMap::new();
+    let mut owed = BTreeMap::new();
+    for Observation { at, seen } in notes {
+        match seen {
+            Seen::RudeCame { rude, by, .. } => {
+                assert!(by - at == if KINDS[rude as usize] == RudeKind::Huge { 6 * S } else { 3 * S });
+                owed.insert(rude, by);
+                visits.entry(rude).or_default().0 += 1;
+            }
+            Seen::RudeOver { rude, how } => {
+                assert_eq!(how, end, "{:?}", KINDS[rude as usize]);
+                assert!(owed.remove(&rude).is_some_and(|by| at <= by));
+                visits.entry(rude).or_default().1 += 1;
+            }
+            _ => {}
+        }
+    }
+    for (place, kind) in KINDS.iter().enumerate() {
+        let (came, over) = visits.get(&(place as u32)).copied().unwrap_or_default();
+        assert!(came >= 1 && came == over, "{kind:?} came {came} times, dealt with {over} times");
+        let again = *kind == RudeKind::AgainAtOnce && end != RudeEnd::Served;
+        assert_eq!(came > 1, again, "{kind:?}");
+    }
+    let said = |what: &str| heard.iter().any(|(start, _)| String::from_utf8_lossy(start).contains(what));
+    assert!(said("OPEN 000000000000feed ") && said("c=no-such-class,"));
+    assert!(
+        heard.iter().any(|(start, _)| start.is_empty())
+            && heard.iter().any(|(start, _)| start.contains(&0xff))
+    );
+    if end == RudeEnd::Served {
+        let long = heard.iter().filter(|(_, total)| *total >= 60_000_000).count();
+        assert_eq!(long, 2, "the huge value and the endless line");
+    }
+}
