--- a/crates/kit/src/judge/mod.rs
+++ b/crates/kit/src/judge/mod.rs
@@ -165,6 +165,12 @@
                 let what = format!("'{}' is no line of a client's", line.escape_debug());
                 room.desk.accuse(at, Rule::BadFirstLine, subject, what);
             }
+            Seen::Garbled { request, line } => {
+                let subject = Subject { request: Some(*request), ..Subject::default() };
+                let line: String = line.chars().take(120).collect();
+                let what = format!("the client read '{}', which no render node sent", line.escape_debug());
+                room.desk.accuse(at, Rule::LineChanged, subject, what);
+            }
             Seen::Datagram { from, to, bytes } if *bytes > DATAGRAM_MAX => {
                 let subject = Subject { proxy: Some(*from), ..Subject::default() };
                 let what = format!("{bytes} bytes to proxy {}, at most {DATAGRAM_MAX} are allowed", to.0);
--- a/crates/kit/src/judge/rude.rs
+++ b/crates/kit/src/judge/rude.rs
@@ -87,6 +87,10 @@
 
     /// Its time is up.
     pub fn due(&mut self, at: Micros, rude: u32, desk: &mut Desk) {
+        // One that comes again and again has a later time by now.
+        if self.open.get(&rude).is_some_and(|open| open.by + self.grace > at) {
+            return;
+        }
         if let Some(open) = self.close(at, rude) {
             let what = format!(
                 "an error or a close was owed by {}, and none had come {} later",
--- a/crates/kit/src/judge/rule.rs
+++ b/crates/kit/src/judge/rule.rs
@@ -22,6 +22,8 @@
     CutWithoutMove,
     /// PROTOCOL: holding back a line.
     LineHeld,
+    /// PROTOCOL: lines pass both ways unchanged.
+    LineChanged,
     /// PROTOCOL, "Figures".
     EndedKept,
     /// PROTOCOL, "Figures".
@@ -42,7 +44,7 @@
 
 impl Rule {
     /// All of them, in the order of a report.
-    pub const ALL: [Rule; 16] = [
+    pub const ALL: [Rule; 17] = [
         Rule::OneFinalAnswer,
         Rule::InventedAnswer,
         Rule::TwoAttempts,
@@ -51,6 +53,7 @@
         Rule::ColdBudget,
         Rule::CutWithoutMove,
         Rule::LineHeld,
+        Rule::LineChanged,
         Rule::EndedKept,
         Rule::SilentKept,
         Rule::RudeUnanswered,
@@ -72,6 +75,7 @@
             Rule::ColdBudget => "cold-budget",
             Rule::CutWithoutMove => "cut-without-move",
             Rule::LineHeld => "line-held",
+            Rule::LineChanged => "line-changed",
             Rule::EndedKept => "ended-kept",
             Rule::SilentKept => "silent-kept",
             Rule::RudeUnanswered => "rude-unanswered",
@@ -98,6 +102,7 @@
             Rule::ColdBudget => "All proxies together send a cold render node no more than it bears.",
             Rule::CutWithoutMove => "No connection is cut without MOVE while its render node still answers.",
             Rule::LineHeld => "No line is held back.",
+            Rule::LineChanged => "Lines pass both ways unchanged, in order, and none is made up.",
             Rule::EndedKept => "A connection that its render node has ended is ended or moved soon.",
             Rule::SilentKept => "A connection that returns nothing is ended or moved in time.",
             Rule::RudeUnanswered => "A rude client gets an error or a close in time.",
--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod emulator;
 pub mod judge;
 pub mod load;
+pub mod model;
 pub mod notes;
 pub mod observation;
 pub mod plan;
@@ -14,3 +15,6 @@
 pub mod scenario;
 pub mod settings;
 pub mod time;
+
+#[cfg(test)]
+mod testing;
--- a/crates/kit/tests/judge/model.rs
+++ b/crates/kit/tests/judge/model.rs
@@ -280,6 +280,11 @@
         Rule::ProxyStayed => {
             out.signal(55_000.0, 0, Signal::Terminate);
         }
+        Rule::LineChanged => {
+            let c = any(&|c| c.end > c.up + 300.0)?;
+            let line = "no line of its own".to_owned();
+            out.add(c.up + 9.0, Seen::Garbled { request: c.w.request, line });
+        }
         Rule::OversizedDatagram => {
             out.add(9.0, Seen::Datagram { from: ProxyId(0), to: ProxyId(1), bytes: 257 });
         }
@@ -287,7 +292,7 @@
     Some(out)
 }
 
-/// Runs of the model, each of which is judged 17 times; `PROPTEST_CASES` sets more.
+/// Runs of the model, each of which is judged 18 times; `PROPTEST_CASES` sets more.
 fn cases() -> u32 {
     std::env::var("PROPTEST_CASES").ok().and_then(|n| n.parse().ok()).unwrap_or(30)
 }
--- a/crates/kit/tests/judge/rules.rs
+++ b/crates/kit/tests/judge/rules.rs
@@ -319,6 +319,8 @@
     let size = |bytes| Seen::Datagram { from: ProxyId(0), to: ProxyId(1), bytes };
     passes(&good.with(5.0, size(256)));
     breaks(Rule::OversizedDatagram, &good.with(5.0, size(257)));
+    let line = "M 7 other".to_owned();
+    breaks(Rule::LineChanged, &good.with(5.0, Seen::Garbled { request: who(0, 0, 1).request, line }));
 }
 
 #[test]
