Records: the schema, a writer that the loop never waits for, a reader

Nobody outside can say what the proxy believed or tried; the log is for people. Records say it to programs, one JSON object a line.

- Types for sixteen events, schema version on each line.
- [records]: off unless a file or descriptor is set; faults name the key.
- Writer: a bounded queue to one thread; rotation by size; what the full queue or a failed write lost is told by one `dropped` line, found from the sequence numbers alone.
- Reader: one source, or a file with its rotated ones; truncated lines, rubbish, unknown events and fields, newer schemas and gaps are findings with file and line.
- docs/records.md; a test reads its examples.

A line of 100,000 brackets overflowed the parser's stack, so nesting is bounded before parsing.

--- /dev/null
+++ b/crates/records/src/parse.rs
@@ -0,0 +1,119 @@
+//! One line's bytes to a record, or to what is wrong with them.
+
+use crate::reader::Finding;
+use crate::record::{Event, Record, SCHEMA};
+use crate::sequence::Step;
+use serde::Deserialize;
+use simd_json::OwnedValue;
+use simd_json::prelude::*;
+
+/// Levels of nesting. Ours are three; more than this is no record, and the parser's own calls nest with it: a line of
+/// nothing but brackets would overflow the stack.
+const DEEPEST: usize = 16;
+
+/// What was learned from a line.
+pub(crate) struct Parsed {
+    pub record: Option<Record>,
+    /// Its place in the sequence, which is known for some lines that can't be read.
+    pub step: Option<(u64, Step)>,
+    /// The schema, if it is newer than this reader.
+    pub newer: Option<u32>,
+    /// What is wrong with the line, or new in it.
+    pub findings: Vec<Finding>,
+}
+
+/// The least that a line of any version has.
+#[derive(Deserialize)]
+struct Header {
+    v: u32,
+    seq: u64,
+    event: String,
+}
+
+/// Reads a line without its end.
+pub(crate) fn parse(line: &[u8]) -> Parsed {
+    let nothing = |finding| Parsed { record: None, step: None, newer: None, findings: vec![finding] };
+    if !is_shallow(line) {
+        return nothing(Finding::Rubbish { why: "nested too deeply".to_owned() });
+    }
+    let newer = |v: u32| Some(v).filter(|v| *v > SCHEMA);
+    // The parser works in place, and each try needs the line as it came.
+    let error = match simd_json::from_slice::<Record>(&mut line.to_vec()) {
+        Ok(record) => {
+            let step = match &record.event {
+                Event::Start { .. } => Step::Start,
+                Event::Dropped { since_seq, .. } => Step::Dropped { since: *since_seq },
+                _ => Step::One,
+            };
+            return Parsed {
+                step: Some((record.seq, step)),
+                newer: newer(record.v),
+                findings: unknown_fields(line, &record),
+                record: Some(record),
+            };
+        }
+        Err(error) => error,
+    };
+    let Ok(Header { v, seq, event }) = simd_json::from_slice(&mut line.to_vec()) else {
+        return nothing(Finding::Rubbish { why: error.to_string() });
+    };
+    let step = if event == "start" { Step::Start } else { Step::One };
+    let finding = if Event::NAMES.contains(&event.as_str()) {
+        Finding::Rubbish { why: format!("event '{event}' cannot be read: {error}") }
+    } else {
+        Finding::UnknownEvent { event }
+    };
+    Parsed { record: None, step: Some((seq, step)), newer: newer(v), findings: vec![finding] }
+}
+
+/// Whether brackets nest as in a record.
+fn is_shallow(line: &[u8]) -> bool {
+    let (mut depth, mut in_text, mut escaped) = (0_usize, false, false);
+    for byte in line {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' if in_text => escaped = true,
+            b'"' => in_text = !in_text,
+            b'[' | b'{' if !in_text => depth += 1,
+            b']' | b'}' if !in_text => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        if depth > DEEPEST {
+            return false;
+        }
+    }
+    true
+}
+
+/// Fields that the record as it was understood doesn't have. One that is null counts as absent.
+fn unknown_fields(line: &[u8], record: &Record) -> Vec<Finding> {
+    let mut known = Vec::with_capacity(line.len() + 1);
+    if record.write_line(&mut known).is_err() || known.strip_suffix(b"\n") == Some(line) {
+        return Vec::new();
+    }
+    let given = simd_json::to_owned_value(&mut line.to_vec());
+    let (Ok(given), Ok(known)) = (given, simd_json::to_owned_value(&mut known)) else { return Vec::new() };
+    let mut fields = Vec::new();
+    compare(&given, &known, "", &mut fields);
+    // In an order that doesn't hang on how the parser keeps an object.
+    fields.sort_unstable();
+    fields.dedup();
+    let event = known.get_str("event").unwrap_or_default();
+    fields.into_iter().map(|field| Finding::UnknownField { event: event.to_owned(), field }).collect()
+}
+
+fn compare(given: &OwnedValue, known: &OwnedValue, path: &str, unknown: &mut Vec<String>) {
+    if let (Some(given), Some(known)) = (given.as_object(), known.as_object()) {
+        for (name, value) in given.iter().filter(|(_, value)| !value.is_null()) {
+            let field = format!("{path}{name}");
+            match known.get(name) {
+                Some(known) => compare(value, known, &format!("{field}."), unknown),
+                None => unknown.push(field),
+            }
+        }
+    } else if let (Some(given), Some(known)) = (given.as_array(), known.as_array()) {
+        for (given, known) in given.iter().zip(known) {
+            compare(given, known, path, unknown);
+        }
+    }
+}
--- /dev/null
+++ b/crates/records/src/reader.rs
@@ -0,0 +1,296 @@
+//! Reads records back: from anything with lines, or from a file and those that it was rotated to.
+//!
+//! Nothing that a file can hold stops it. What is wrong or new is an item of its own, in its place among the
+//! records, and the rest is read on.
+
+use crate::outlet::{identity, rotated};
+use crate::parse::{Parsed, parse};
+use crate::record::{LONGEST_LINE, Record};
+use crate::sequence::Sequence;
+use std::collections::{BTreeSet, VecDeque};
+use std::fmt;
+use std::fs::File;
+use std::io::{self, BufRead, BufReader, Read};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+/// Unknown fields that are remembered as told; rubbish could name any number.
+const FIELDS_TOLD: usize = 256;
+
+/// Where a line stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Its file, when a rotated set is read.
+    pub file: Option<Arc<Path>>,
+    /// Its number in the file, from 1.
+    pub line: u64,
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.file {
+            Some(file) => write!(f, "{}:{}", file.display(), self.line),
+            None => write!(f, "line {}", self.line),
+        }
+    }
+}
+
+/// An item: findings about a line come before its record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Line {
+    /// Where.
+    pub place: Place,
+    /// What.
+    pub what: What,
+}
+
+/// What a line gave.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum What {
+    /// A record.
+    Record(Record),
+    /// Something wrong, missing or new.
+    Finding(Finding),
+}
+
+/// Something wrong, missing or new.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Finding {
+    /// The line breaks off: the file is still being written, or its writer died.
+    #[error("the line breaks off after {bytes} bytes")]
+    Truncated {
+        /// What there is of it.
+        bytes: usize,
+    },
+    /// The line is no record.
+    #[error("no record: {why}")]
+    Rubbish {
+        /// What the parser says.
+        why: String,
+    },
+    /// The line is longer than [`LONGEST_LINE`]; it was passed over unread.
+    #[error("the line is longer than {LONGEST_LINE} bytes")]
+    TooLong,
+    /// An event that this reader doesn't know; its record is left out.
+    #[error("the event '{event}' is unknown here")]
+    UnknownEvent {
+        /// Its name.
+        event: String,
+    },
+    /// A field that this reader doesn't know; the record comes without it. Told once for each.
+    #[error("the field '{field}' of '{event}' is unknown here")]
+    UnknownField {
+        /// The event.
+        event: String,
+        /// The field, with those that it is within.
+        field: String,
+    },
+    /// From here on, the schema is newer: what is known here may mean something else. Told when it changes.
+    #[error("schema {v} is newer than this reader")]
+    NewerSchema {
+        /// Its version.
+        v: u32,
+    },
+    /// Records are missing that no `dropped` record accounts for.
+    #[error("{count} records are missing, from seq {since} on")]
+    Gap {
+        /// The first of them.
+        since: u64,
+        /// How many.
+        count: u64,
+    },
+    /// The first record is not an incarnation's first: what came before is gone, by rotation as a rule.
+    #[error("records before seq {seq} are not here any more")]
+    BeginsLate {
+        /// The first that there is.
+        seq: u64,
+    },
+    /// The sequence goes back without a `start`: lines were copied, or a `start` is missing.
+    #[error("seq {found} comes where {expected} should: a start is missing, or lines are double")]
+    Backwards {
+        /// The `seq` to come.
+        expected: u64,
+        /// The one that came.
+        found: u64,
+    },
+    /// The source can't be read further.
+    #[error("cannot be read further: {why}")]
+    Unreadable {
+        /// The system's reason.
+        why: String,
+    },
+}
+
+/// What is remembered from line to line, and from file to file.
+#[derive(Default)]
+struct Memory {
+    sequence: Sequence,
+    newer: Option<u32>,
+    told: BTreeSet<(String, String)>,
+}
+
+impl Memory {
+    /// What a line says, in order.
+    fn digest(&mut self, text: &[u8], is_ended: bool) -> Vec<What> {
+        let Parsed { record, step, newer, mut findings } = parse(text);
+        let cut = !is_ended || (text.first() == Some(&b'{') && text.last() != Some(&b'}'));
+        if step.is_none() && cut {
+            findings = vec![Finding::Truncated { bytes: text.len() }];
+        }
+        findings.retain(|finding| match finding {
+            Finding::UnknownField { event, field } if self.told.len() < FIELDS_TOLD => {
+                self.told.insert((event.clone(), field.clone()))
+            }
+            Finding::UnknownField { event, field } => !self.told.contains(&(event.clone(), field.clone())),
+            _ => true,
+        });
+        if step.is_some() && self.newer != newer {
+            self.newer = newer;
+            findings.extend(newer.map(|v| Finding::NewerSchema { v }));
+        }
+        findings.extend(step.and_then(|(seq, step)| self.sequence.take(seq, step)));
+        findings.into_iter().map(What::Finding).chain(record.map(What::Record)).collect()
+    }
+}
+
+/// Reads the lines of one source.
+pub struct Reader<R> {
+    source: Option<R>,
+    file: Option<Arc<Path>>,
+    line: u64,
+    text: Vec<u8>,
+    memory: Memory,
+    ready: VecDeque<Line>,
+}
+
+impl<R: BufRead> Reader<R> {
+    /// Reads from here on.
+    pub fn new(source: R) -> Self {
+        Reader {
+            source: Some(source),
+            file: None,
+            line: 0,
+            text: Vec::new(),
+            memory: Memory::default(),
+            ready: VecDeque::new(),
+        }
+    }
+
+    /// Goes on with another source, as if its lines followed.
+    fn go_on(&mut self, source: R, file: Arc<Path>) {
+        (self.source, self.file, self.line) = (Some(source), Some(file), 0);
+    }
+
+    /// Takes one line in; false at the end.
+    fn read(&mut self) -> bool {
+        let Some(source) = &mut self.source else { return false };
+        self.text.clear();
+        let bound = LONGEST_LINE as u64 + 1;
+        let read = source.by_ref().take(bound).read_until(b'\n', &mut self.text);
+        let (whats, more) = match read {
+            Ok(0) => (Vec::new(), false),
+            Err(error) => (vec![What::Finding(Finding::Unreadable { why: error.to_string() })], false),
+            Ok(_) if self.text.len() > LONGEST_LINE => {
+                let ended = self.text.last() == Some(&b'\n');
+                let skipped = if ended { Ok(0) } else { source.skip_until(b'\n') };
+                let unreadable =
+                    skipped.as_ref().err().map(|error| Finding::Unreadable { why: error.to_string() });
+                let findings = [Some(Finding::TooLong), unreadable];
+                (findings.into_iter().flatten().map(What::Finding).collect(), skipped.is_ok())
+            }
+            Ok(_) => {
+                let (text, is_ended) = match self.text.strip_suffix(b"\n") {
+                    Some(text) => (text, true),
+                    None => (self.text.as_slice(), false),
+                };
+                let whats = if text.trim_ascii().is_empty() {
+                    // The writer ends what was cut off with a line end, and that may fall to a new file.
+                    Vec::new()
+                } else {
+                    self.memory.digest(text, is_ended)
+                };
+                (whats, true)
+            }
+        };
+        self.line += 1;
+        let place = Place { file: self.file.clone(), line: self.line };
+        self.ready.extend(whats.into_iter().map(|what| Line { place: place.clone(), what }));
+        if !more {
+            self.source = None;
+        }
+        more
+    }
+}
+
+impl<R: BufRead> Iterator for Reader<R> {
+    type Item = Line;
+
+    fn next(&mut self) -> Option<Line> {
+        while self.ready.is_empty() && self.read() {}
+        self.ready.pop_front()
+    }
+}
+
+/// Reads a file and those that it was rotated to, the oldest first.
+pub struct RotatedSet {
+    /// Still to be read, the next one last.
+    files: Vec<(Arc<Path>, File)>,
+    reader: Reader<BufReader<File>>,
+}
+
+impl RotatedSet {
+    /// Opens `path` and whatever of `path.1`, `path.2` ... there is. A writer may go on meanwhile: what it rotates is
+    /// read once. Fails if none of them is there, or one can't be opened.
+    pub fn open(path: &Path) -> io::Result<Self> {
+        let mut names = vec![path.to_owned()];
+        names.extend(numbers(path)?.into_iter().map(|number| rotated(path, number)));
+        let (mut files, mut seen): (Vec<(Arc<Path>, File)>, _) = (Vec::new(), BTreeSet::new());
+        // The newest first: what is rotated in between is met again under its next name, and none is missed.
+        for name in names {
+            match File::open(&name) {
+                Ok(file) => {
+                    if seen.insert(identity(&file.metadata()?)) {
+                        files.push((name.into(), file));
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::NotFound => {}
+                Err(error) => return Err(error),
+            }
+        }
+        let Some((file, source)) = files.pop() else { return Err(io::ErrorKind::NotFound.into()) };
+        let mut reader = Reader::new(BufReader::new(source));
+        reader.file = Some(file);
+        Ok(RotatedSet { files, reader })
+    }
+}
+
+/// The numbers of the rotated files, the newest first, and one more: a rotation may be under way.
+fn numbers(path: &Path) -> io::Result<Vec<u32>> {
+    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty());
+    let name = path.file_name().unwrap_or_default().as_encoded_bytes();
+    let mut numbers = BTreeSet::new();
+    for entry in folder.map_or_else(|| PathBuf::from("."), Path::to_owned).read_dir()? {
+        let entry = entry?.file_name();
+        let rest = entry.as_encoded_bytes().strip_prefix(name).and_then(|rest| rest.strip_prefix(b"."));
+        let number = rest.and_then(|digits| std::str::from_utf8(digits).ok()?.parse::<u32>().ok());
+        // Guards against NAME.01 and NAME.+1, which the writer doesn't make.
+        let number = number.filter(|n| *n > 0 && rest == Some(n.to_string().as_bytes()));
+        numbers.extend(number);
+    }
+    numbers.extend(numbers.last().map_or(Some(1), |last| last.checked_add(1)));
+    Ok(numbers.into_iter().collect())
+}
+
+impl Iterator for RotatedSet {
+    type Item = Line;
+
+    fn next(&mut self) -> Option<Line> {
+        loop {
+            if let Some(line) = self.reader.next() {
+                return Some(line);
+            }
+            let (file, source) = self.files.pop()?;
+            self.reader.go_on(BufReader::new(source), file);
+        }
+    }
+}
--- /dev/null
+++ b/crates/records/tests/reading.rs
@@ -0,0 +1,220 @@
+//! The schema and the reader: what is written is read, and nothing that a file can hold stops the reader.
+
+use cottonnotch_records::*;
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+
+fn name() -> impl Strategy<Value = Name> {
+    any::<String>().prop_map(Name::from)
+}
+
+fn why() -> impl Strategy<Value = Why> {
+    any::<String>().prop_map(Why::from)
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    use Outcome::*;
+    prop::sample::select(vec![Served, Error, Full, TimedOut, ConnectFailed, Reset, Cancelled, NotSent])
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    let phase = prop::sample::select(vec![Phase::Up, Phase::Draining, Phase::Gone]);
+    (name(), phase, any::<Option<(std::net::IpAddr, u16)>>()).prop_map(|(subchannel, phase, address)| {
+        Change { subchannel, phase, address: address.map(Into::into) }
+    })
+}
+
+fn belief() -> impl Strategy<Value = Belief> {
+    prop_oneof![
+        prop::sample::select(vec![Belief::Up, Belief::Trial, Belief::Draining, Belief::Gone]),
+        any::<u64>().prop_map(|until_us| Belief::Paused { until_us }),
+    ]
+}
+
+fn answer() -> impl Strategy<Value = Answer> {
+    prop_oneof![
+        Just(Answer::Up),
+        any::<u32>().prop_map(|retry_after_ms| Answer::Refused { retry_after_ms }),
+        why().prop_map(|why| Answer::Failed { why }),
+    ]
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    use MoveReason::*;
+    let (u64s, u32s) = (any::<u64>, any::<u32>);
+    let reason = prop::sample::select(vec![Asked, Draining, Silent, Leaving]);
+    let reload = prop_oneof![Just(Reload::Taken), why().prop_map(|why| Reload::Kept { why })];
+    let optional = (any::<Option<String>>(), any::<Option<u32>>(), any::<Option<u64>>(), any::<bool>());
+    prop_oneof![
+        (name(), u64s(), u32s(), why()).prop_map(|(name, incarnation, pid, version)| Event::Start {
+            name,
+            incarnation,
+            pid,
+            version
+        }),
+        (u64s(), any::<bool>(), prop::collection::vec(change(), 0..5))
+            .prop_map(|(revision, complete, changes)| Event::List { revision, complete, changes }),
+        (name(), belief()).prop_map(|(subchannel, belief)| Event::Subchannel { subchannel, belief }),
+        (u64s(), u64s(), name(), optional).prop_map(
+            |(request, id, class, (tenant, deadline_ms, group, again))| {
+                let (tenant, group) = (tenant.map(Name::from), group.map(Hex));
+                Event::Request { request, wire_id: Hex(id), class, tenant, deadline_ms, group, again }
+            }
+        ),
+        (u64s(), u32s(), name(), u32s()).prop_map(|(request, attempt, subchannel, timeout_ms)| {
+            Event::Attempt { request, attempt, subchannel, timeout_ms }
+        }),
+        (u64s(), u32s(), outcome(), u64s()).prop_map(|(request, attempt, outcome, took_us)| {
+            Event::AttemptEnded { request, attempt, outcome, took_us }
+        }),
+        (u64s(), u32s(), name(), u64s()).prop_map(|(request, attempt, subchannel, took_us)| Event::Up {
+            request,
+            attempt,
+            subchannel,
+            took_us
+        }),
+        (u64s(), answer()).prop_map(|(request, answer)| Event::Answer { request, answer }),
+        why().prop_map(|why| Event::TurnedAway { why }),
+        (u64s(), name(), reason).prop_map(|(request, subchannel, why)| Event::Moved {
+            request,
+            subchannel,
+            why
+        }),
+        (u64s(), outcome()).prop_map(|(request, outcome)| Event::Ended { request, outcome }),
+        u64s().prop_map(|request| Event::ClientLeft { request }),
+        reload.prop_map(|reload| Event::Reload { reload }),
+        Just(Event::Shutdown {}),
+        Just(Event::Stop {}),
+    ]
+}
+
+/// The lines of a text: records, and findings with their line numbers.
+fn read(text: &[u8]) -> (Vec<Record>, Vec<(u64, Finding)>) {
+    let (mut records, mut findings) = (Vec::new(), Vec::new());
+    for line in Reader::new(text) {
+        match line.what {
+            What::Record(record) => records.push(record),
+            What::Finding(finding) => findings.push((line.place.line, finding)),
+        }
+    }
+    (records, findings)
+}
+
+/// A line as a person would write it; `rest` begins after the event's name.
+fn line(seq: u64, event: &str, rest: &str) -> String {
+    format!(r#"{{"v":1,"seq":{seq},"wall_us":5,"mono_us":6,"event":"{event}"{rest}}}"#) + "\n"
+}
+
+proptest! {
+    #[test]
+    fn what_is_written_is_read(events in prop::collection::vec((event(), any::<u64>(), any::<u64>()), 1..30)) {
+        let mut written: Vec<Record> = Vec::new();
+        for (event, wall_us, mono_us) in events {
+            let is_start = matches!(event, Event::Start { .. });
+            let seq = if is_start { 0 } else { written.last().map_or(0, |record| record.seq + 1) };
+            written.push(Record { v: SCHEMA, seq, wall_us, mono_us, event });
+        }
+        let mut text = Vec::new();
+        written.iter().for_each(|record| record.write_line(&mut text).unwrap());
+        prop_assert_eq!(read(&text), (written, Vec::new()));
+    }
+
+    #[test]
+    fn rubbish_costs_only_its_own_lines(
+        pieces in prop::collection::vec((any::<prop::sample::Index>(), prop::collection::vec(any::<u8>(), 0..60)), 1..12),
+    ) {
+        let good = line(0, "request", r#","request":1,"wire_id":"1f","class":"a","again":false"#);
+        let mut text = Vec::new();
+        for (at, rubbish) in &pieces {
+            let (left, right) = good.as_bytes().split_at(at.index(good.len()));
+            text.extend([left, rubbish, right, b"\n", good.as_bytes()].concat());
+        }
+        let (records, _) = read(&text);
+        prop_assert!(records.len() >= pieces.len());
+    }
+}
+
+#[test]
+fn each_trouble_is_named_with_its_line() {
+    let left = |seq| line(seq, "client_left", r#","request":1"#);
+    let long = format!("\"{}\"\n", "x".repeat(2 * LONGEST_LINE));
+    let deep = format!(r#","request":1,"hue":{}{}"#, "[".repeat(100_000), "]".repeat(100_000));
+    let newer = left(9).replace(r#""v":1"#, r#""v":7"#);
+    let text = [
+        left(4),
+        left(5),
+        line(6, "eclipse", r#","of":"moon""#),
+        line(7, "client_left", r#","request":1,"hue":{"a":[1]},"none":null"#),
+        line(8, "client_left", r#","request":1,"hue":2"#),
+        newer,
+        "\n".to_owned(),
+        "no record\n".to_owned(),
+        long,
+        line(10, "client_left", &deep),
+        line(10, "client_left", r#","request":"one""#),
+        line(14, "dropped", r#","count":3,"since_seq":12"#),
+        left(3),
+        line(
+            0,
+            "list",
+            r#","revision":1,"complete":true,"changes":[{"subchannel":"s","phase":"up","size":1}]"#,
+        ),
+        left(4)[..30].to_owned() + "\n",
+        line(0, "start", r#","name":"n","incarnation":1,"pid":2,"version":"x""#),
+        left(1)[..50].to_owned(),
+    ]
+    .concat();
+    let (records, findings) = read(text.as_bytes());
+    let field = |event: &str, field: &str| Finding::UnknownField { event: event.into(), field: field.into() };
+    let named: Vec<(u64, Finding)> = findings
+        .into_iter()
+        .map(|(line, finding)| match finding {
+            Finding::Rubbish { .. } => (line, Finding::Rubbish { why: String::new() }),
+            finding => (line, finding),
+        })
+        .collect();
+    let rubbish = || Finding::Rubbish { why: String::new() };
+    assert_eq!(
+        named,
+        [
+            (1, Finding::BeginsLate { seq: 4 }),
+            (3, Finding::UnknownEvent { event: "eclipse".into() }),
+            (4, field("client_left", "hue")),
+            (6, Finding::NewerSchema { v: 7 }),
+            (8, rubbish()),
+            (9, Finding::TooLong),
+            (10, rubbish()),
+            (11, rubbish()),
+            (12, Finding::Gap { since: 11, count: 1 }),
+            (13, Finding::Backwards { expected: 15, found: 3 }),
+            (14, field("list", "changes.size")),
+            (14, Finding::Backwards { expected: 4, found: 0 }),
+            (15, Finding::Truncated { bytes: 30 }),
+            (17, Finding::Truncated { bytes: 50 }),
+        ]
+    );
+    assert_eq!(records.iter().map(|record| record.seq).collect::<Vec<_>>(), [4, 5, 7, 8, 9, 14, 3, 0, 0]);
+}
+
+/// The page for readers shows each event by a line that this reader takes without a finding.
+#[test]
+fn the_examples_of_the_page_are_records() {
+    let page = include_str!("../../../docs/records.md");
+    let examples: Vec<&str> = page.lines().map(str::trim).filter(|line| line.starts_with("{\"v\"")).collect();
+    let mut names = BTreeSet::new();
+    for example in examples {
+        let lines: Vec<Line> = Reader::new(example.as_bytes()).collect();
+        let record = lines.iter().find_map(|line| match &line.what {
+            What::Record(record) => Some(record),
+            What::Finding(Finding::BeginsLate { .. }) => None,
+            What::Finding(finding) => panic!("{example}: {finding}"),
+        });
+        let mut text = Vec::new();
+        record.unwrap().write_line(&mut text).unwrap();
+        assert_eq!(String::from_utf8(text).unwrap().trim_end(), example);
+        names.extend(
+            Event::NAMES.into_iter().filter(|name| example.contains(&format!(r#""event":"{name}""#))),
+        );
+    }
+    assert_eq!(names, BTreeSet::from(Event::NAMES));
+}
