Kit: a model of one render node, exact between events

The rehearsal kit needs render nodes that slow down when crowded, warm up, shed and fall over as the operators' do, in one process for hundreds of them.

The model has no sockets and no clock.

The share of messages in time falls step by step from 2 to 20 of 20 connections; the cold budget holds at its bound and falls over at one more.

--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod addresses;
 pub mod board;
+pub mod model;
 pub mod notes;
 pub mod observation;
 pub mod plan;
--- /dev/null
+++ b/crates/kit/src/model/first_line.rs
@@ -0,0 +1,139 @@
+//! The first line of a connection to a render node, checked against the plan: but for `d`, it has to be what a client
+//! of the plan sends.
+
+use crate::observation::RequestId;
+use crate::plan::{NodeId, Plan, SessionId};
+use crate::time::{MS, Micros};
+use std::collections::HashMap;
+
+/// A first line that a client could have sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FirstLine {
+    /// Its id.
+    pub request: RequestId,
+    /// Whose it is; `None` if no session of the plan has its key (a rude client's may not).
+    pub session: Option<SessionId>,
+    /// How long the proxy waits.
+    pub wait: Micros,
+    /// The render node at which it was open before the run.
+    pub at: Option<NodeId>,
+}
+
+/// What a connection's first line is.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Said {
+    /// `PING` or `STATS`.
+    Probe,
+    /// A request.
+    Open(FirstLine),
+    /// No client sends this.
+    Bad,
+}
+
+/// Finds sessions by their keys, and nodes by their names.
+#[derive(Debug)]
+pub struct Index<'a> {
+    plan: &'a Plan,
+    sessions: HashMap<u64, SessionId>,
+    nodes: HashMap<&'a str, NodeId>,
+}
+
+impl<'a> Index<'a> {
+    /// Of this plan.
+    pub fn new(plan: &'a Plan) -> Self {
+        let sessions = plan.sessions.iter().zip(0..).map(|(s, i)| (s.key, SessionId(i))).collect();
+        let nodes = plan.nodes.iter().zip(0..).map(|(n, i)| (n.name.as_str(), NodeId(i))).collect();
+        Index { plan, sessions, nodes }
+    }
+
+    /// Reads a line, its end included.
+    pub fn read(&self, line: &[u8]) -> Said {
+        match line {
+            b"PING\r\n" | b"STATS\r\n" => Said::Probe,
+            _ => self.open(line).map_or(Said::Bad, Said::Open),
+        }
+    }
+
+    fn open(&self, line: &[u8]) -> Option<FirstLine> {
+        let text = std::str::from_utf8(line.strip_suffix(b"\r\n")?).ok()?;
+        let words: Vec<&str> = text.split(' ').collect();
+        let ["OPEN", id, key, names] = words[..] else { return None };
+        let (request, key) = (RequestId(hex(id)?), hex(key)?);
+        let mut given: Vec<(&str, &str)> = Vec::new();
+        for pair in names.split(',') {
+            let (name, value) = pair.split_once('=')?;
+            let known = matches!(name, "c" | "t" | "d" | "g" | "r" | "again" | "at" | "h");
+            if !known || value.is_empty() || given.iter().any(|(other, _)| *other == name) {
+                return None;
+            }
+            given.push((name, value));
+        }
+        let value = |name: &str| given.iter().find(|(other, _)| *other == name).map(|(_, value)| *value);
+        let wait = value("d").filter(|d| d.bytes().all(|b| b.is_ascii_digit()))?.parse::<u32>().ok()?;
+        if wait == 0 || ["r", "again"].iter().any(|mark| value(mark).is_some_and(|set| set != "1")) {
+            return None;
+        }
+        let at = match value("at") {
+            Some(name) => Some(*self.nodes.get(name)?),
+            None => None,
+        };
+        let session = self.sessions.get(&key).copied();
+        if let Some(known) = session.and_then(|s| self.plan.sessions.get(s.0 as usize)) {
+            let class = self.plan.classes.get(usize::from(known.class)).map(|class| class.name.as_str());
+            let tenant = self.plan.tenants.get(usize::from(known.tenant)).map(|tenant| tenant.name.as_str());
+            let same = value("c") == class && value("t") == tenant && hex(value("g")?)? == known.group;
+            if !same {
+                return None;
+            }
+        }
+        value("c")?;
+        Some(FirstLine { request, session, wait: Micros::from(wait) * MS, at })
+    }
+}
+
+/// At most 16 hexadecimal digits.
+fn hex(word: &str) -> Option<u64> {
+    let digits = !word.is_empty() && word.len() <= 16 && word.bytes().all(|b| b.is_ascii_hexdigit());
+    digits.then(|| u64::from_str_radix(word, 16).ok()).flatten()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::model::testing::{first_line, plan};
+
+    #[test]
+    fn only_a_clients_line_passes_and_only_d_may_differ() {
+        let plan = plan(2, 2, 3);
+        let index = Index::new(&plan);
+        let line = first_line(&plan, 1, 0xab, 700, "");
+        let said = index.read(line.as_bytes());
+        let open =
+            FirstLine { request: RequestId(0xab), session: Some(SessionId(1)), wait: 700 * MS, at: None };
+        assert_eq!(said, Said::Open(open.clone()));
+        let again = index.read(first_line(&plan, 1, 0xab, 9, ",r=1,again=1,at=n1").as_bytes());
+        assert_eq!(again, Said::Open(FirstLine { wait: 9 * MS, at: Some(NodeId(1)), ..open }));
+        for (from, to) in [
+            ("\r\n", "\n"),
+            ("OPEN ", "open "),
+            ("OPEN ", "OPEN  "),
+            ("c=look", "c=edit"),
+            ("c=look", "c=nothing"),
+            ("c=look,", ""),
+            ("t=acme", "t=other"),
+            ("d=700", "d=0"),
+            ("d=700", "d=+7"),
+            ("d=700", "d=700,d=700"),
+            ("g=", "g=1"),
+            ("d=700", "d=700,x=1"),
+            ("d=700", "d=700,r=0"),
+            ("d=700", "d=700,at=nobody"),
+        ] {
+            assert!(line.contains(from));
+            assert_eq!(index.read(line.replace(from, to).as_bytes()), Said::Bad, "{from} -> {to}");
+        }
+        assert_eq!(index.read(b"PING\r\n"), Said::Probe);
+        let stranger = line.replace(&format!("{:016x}", plan.sessions[1].key), "77");
+        assert!(matches!(index.read(stranger.as_bytes()), Said::Open(FirstLine { session: None, .. })));
+    }
+}
--- /dev/null
+++ b/crates/kit/src/model/mod.rs
@@ -0,0 +1,9 @@
+//! What the stand-ins do, without sockets and clocks: `handle(now, input) -> outputs` and `next_timeout()`. The same
+//! inputs at the same times give the same outputs.
+
+pub mod cold;
+pub mod first_line;
+pub mod node;
+pub mod pile;
+#[cfg(test)]
+pub(crate) mod testing;
--- /dev/null
+++ b/crates/kit/src/model/node/attempts.rs
@@ -0,0 +1,123 @@
+//! From a first line to its answer.
+
+use super::connection::{Connection, Refusal, State};
+use super::{Due, NodeModel, Opened, Output};
+use crate::observation::NodeAnswer;
+use crate::plan::{NodeId, SessionId};
+use crate::time::Micros;
+use rand::RngExt;
+
+impl NodeModel {
+    pub(super) fn open(&mut self, now: Micros, opened: Opened, out: &mut Vec<Output>) {
+        if !self.running {
+            return out.push(Output::Reset(opened.serial));
+        }
+        self.budget.take_if(|budget| budget.is_over(now));
+        if let Some(budget) = &mut self.budget
+            && budget.arrival(now, &self.plan.rules)
+        {
+            self.fell = true;
+            out.push(Output::Reset(opened.serial));
+            self.stop(out);
+            return out.push(Output::Fell);
+        }
+        let (both, gives_up) = (2 * opened.way, now + opened.wait);
+        let (state, session, at) = match (self.refusal(&opened), opened.session) {
+            (None, Some(session)) if opened.standing => (State::SettingUp { gives_up }, session, now + both),
+            (None, Some(session)) => {
+                let work = self.node().setup_work;
+                let wait = self.node().setup_wait as f64 * self.slow;
+                let served = self.piled_up() + work / self.ramp.capacity(now).max(f64::MIN_POSITIVE);
+                let ready = now + both + (wait + served.min(1e6) * 1e6) as Micros;
+                if ready > gives_up {
+                    // Found out when its turn comes: it costs its place, and no work.
+                    (State::Refused(Refusal::Busy), session, gives_up)
+                } else {
+                    self.pile.add(work);
+                    (State::SettingUp { gives_up }, session, ready)
+                }
+            }
+            (refusal, session) => {
+                let refusal = refusal.unwrap_or(Refusal::Error);
+                (State::Refused(refusal), session.unwrap_or(SessionId(u32::MAX)), now + both)
+            }
+        };
+        let connection = Connection::new(opened.request, session, opened.way, state, at);
+        self.crowd.insert(opened.serial, connection);
+        self.set(at, opened.serial, Due::Answer);
+    }
+
+    fn refusal(&self, opened: &Opened) -> Option<Refusal> {
+        let node = self.node();
+        let full = self.crowd.setups() + self.crowd.up() >= node.connections_max
+            || (!opened.standing && self.crowd.setups() >= node.setups_max);
+        if self.rubbish {
+            Some(Refusal::Rubbish)
+        } else if opened.session.is_none() || self.crowd.is_open(opened.request) {
+            Some(Refusal::Error)
+        } else {
+            (self.draining || full).then_some(Refusal::Busy)
+        }
+    }
+
+    pub(super) fn answer(&mut self, now: Micros, serial: u32, out: &mut Vec<Output>) {
+        let Some(connection) = self.crowd.get(serial).filter(|c| c.answer_at <= now && !self.hung) else {
+            return;
+        };
+        let refusal = match connection.state {
+            State::Up { .. } => return,
+            State::Refused(refusal) => Some(refusal),
+            State::SettingUp { gives_up } => (now > gives_up).then_some(Refusal::Busy),
+        };
+        match refusal {
+            None => {
+                let receipt = receipt(self.id, serial, self.rng.random());
+                out.push(Output::Answer(serial, NodeAnswer::Up(receipt)));
+                let (load, next) = self.load_of(connection.session, now);
+                self.crowd.set_up(serial, load, self.group_of(serial));
+                next.into_iter().for_each(|at| self.set(at, serial, Due::Load));
+            }
+            Some(refusal) => {
+                self.crowd.remove(serial);
+                out.push(match refusal {
+                    Refusal::Busy => Output::Answer(serial, NodeAnswer::Busy),
+                    Refusal::Error => Output::Answer(serial, NodeAnswer::Error),
+                    Refusal::Rubbish => Output::Rubbish(serial, self.rng.random()),
+                });
+            }
+        }
+    }
+
+    fn group_of(&self, serial: u32) -> u64 {
+        let session = self.crowd.get(serial).and_then(|c| self.plan.sessions.get(c.session.0 as usize));
+        session.map_or(0, |session| session.group)
+    }
+
+    /// A session's present load, in billionths, and when it changes next.
+    pub(super) fn load_of(&self, session: SessionId, now: Micros) -> (i64, Option<Micros>) {
+        let Some(session) = self.plan.sessions.get(session.0 as usize) else { return (0, None) };
+        let since = now - session.arrives;
+        let next = session.next_change(since).map(|change| session.arrives + change);
+        ((session.load_at(since) * 1e9).round() as i64, next)
+    }
+
+    pub(super) fn load(&mut self, now: Micros, serial: u32) {
+        let Some(connection) = self.crowd.get(serial).filter(|_| self.crowd.is_up(serial)) else { return };
+        let (way, was) = (connection.way, connection.load);
+        let (load, next) = self.load_of(connection.session, now);
+        self.crowd.set_load(serial, load);
+        next.into_iter().for_each(|at| self.set(at, serial, Due::Load));
+        if load != was {
+            self.set(now + way, serial, Due::Tell((load / 1000).max(0) as u64));
+        }
+    }
+}
+
+/// A number that no other attempt of the run gets, and that nobody guesses: node, serial and chance, scrambled by a
+/// one-to-one mix (the end of splitmix64, Steele et al. 2014).
+pub(super) fn receipt(node: NodeId, serial: u32, chance: u16) -> u64 {
+    let mut x = u64::from(chance) << 48 | u64::from(node.0) << 32 | u64::from(serial);
+    x = (x ^ x >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ x >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ x >> 31
+}
--- /dev/null
+++ b/crates/kit/src/model/node/tests.rs
@@ -0,0 +1,270 @@
+use super::attempts::receipt;
+use super::*;
+use crate::model::testing::plan;
+use crate::time::{MS, S};
+
+struct Scene {
+    model: NodeModel,
+    serial: u32,
+}
+
+impl Scene {
+    fn new(change: impl FnOnce(&mut Plan)) -> Self {
+        let mut plan = plan(1, 1, 400);
+        change(&mut plan);
+        Scene { model: NodeModel::new(Arc::new(plan), NodeId(0)), serial: 0 }
+    }
+
+    fn at(&mut self, now: Micros, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.model.handle(now, input, &mut out);
+        out
+    }
+
+    /// All that is done until then, with the times.
+    fn until(&mut self, end: Micros) -> Vec<(Micros, Output)> {
+        let mut all = Vec::new();
+        while let Some(at) = self.model.next_timeout().filter(|at| *at <= end) {
+            all.extend(self.at(at, Input::Tick).into_iter().map(|o| (at, o)));
+        }
+        all
+    }
+
+    fn opened(&mut self, wait: Micros) -> Opened {
+        let serial = self.serial;
+        self.serial += 1;
+        let request = RequestId(u64::from(serial));
+        Opened { serial, request, session: Some(SessionId(serial)), wait, standing: false, way: 0 }
+    }
+
+    fn open(&mut self, now: Micros, wait: Micros) -> Vec<Output> {
+        let opened = self.opened(wait);
+        self.at(now, Input::Open(opened))
+    }
+
+    fn standing(&mut self, now: Micros, count: u32) {
+        for _ in 0..count {
+            let opened = Opened { standing: true, ..self.opened(S) };
+            let out = self.at(now, Input::Open(opened));
+            assert!(matches!(out[..], [Output::Answer(_, NodeAnswer::Up(_))]), "{out:?}");
+        }
+    }
+}
+
+fn answers(out: &[(Micros, Output)]) -> Vec<(Micros, u32, NodeAnswer)> {
+    let answer = |(at, o): &(Micros, Output)| match o {
+        Output::Answer(serial, answer) => Some((*at, *serial, *answer)),
+        _ => None,
+    };
+    out.iter().filter_map(answer).collect()
+}
+
+#[test]
+fn messages_come_within_the_aim_less_and_less_as_the_node_fills() {
+    let share = |connections| {
+        let mut scene = Scene::new(|_| {});
+        scene.standing(0, connections);
+        let (mut well, total) = (0, 2000);
+        for i in 0..total {
+            let now = S + i * S;
+            scene.at(now, Input::Line(0));
+            let out = scene.until(now + S - 1);
+            well += usize::from(out.iter().any(|(at, o)| *o == Output::Return(0) && at - now <= 60 * MS));
+        }
+        well as f64 / total as f64
+    };
+    let shares = [2, 10, 15, 17, 18, 19, 20].map(share);
+    assert!(shares.windows(2).all(|pair| pair[0] >= pair[1]), "{shares:?}");
+    assert!(shares[0] > 0.99 && shares[3] > 0.5 && shares[6] < 0.4, "{shares:?}");
+}
+
+#[test]
+fn nothing_comes_within_the_aim_while_more_is_piled_up() {
+    let mut scene = Scene::new(|plan| plan.nodes[0].buffer = 90 * S);
+    scene.standing(0, 22);
+    // 10% more than it can do, for a second: a tenth of a second is piled up.
+    for i in 0..500 {
+        scene.at(S + i, Input::Line(0));
+    }
+    let first = scene.until(9 * S).iter().find(|(_, o)| *o == Output::Return(0)).map(|(at, _)| *at);
+    assert!(first.is_some_and(|at| at - S > 95 * MS), "{first:?}");
+    for serial in 0..4 {
+        scene.at(9 * S, Input::Gone(serial));
+    }
+    scene.at(9 * S, Input::Tick);
+    assert!((scene.model.piled_up() - 0.9).abs() < 1e-6, "{}", scene.model.piled_up());
+    scene.at(20 * S, Input::Tick);
+    assert_eq!(scene.model.piled_up(), 0.0);
+}
+
+#[test]
+fn lines_come_back_in_order_and_bye_after_them() {
+    let mut scene = Scene::new(|_| {});
+    scene.standing(0, 19);
+    for i in 0..50 {
+        scene.at(S + i * 100, Input::Line(3));
+    }
+    scene.at(S + 6 * MS, Input::Ended(3));
+    assert_eq!(scene.at(S + 6 * MS, Input::Line(3)), []);
+    let out: Vec<Output> = scene.until(100 * S).into_iter().map(|(_, o)| o).collect();
+    assert_eq!(out.iter().filter(|o| **o == Output::Return(3)).count(), 50);
+    assert_eq!(out.last(), Some(&Output::Bye(3)));
+}
+
+#[test]
+fn a_set_up_waits_for_the_store_its_work_and_the_pile() {
+    let mut scene = Scene::new(|plan| plan.nodes[0].setup_work = 0.1);
+    for _ in 0..3 {
+        scene.open(0, S);
+    }
+    let ups: Vec<Micros> = answers(&scene.until(S)).iter().map(|(at, ..)| *at).collect();
+    assert_eq!(ups, [105, 205, 305].map(|ms| ms * MS));
+}
+
+#[test]
+fn a_set_up_whose_turn_comes_too_late_is_turned_away_and_costs_no_work() {
+    let mut scene = Scene::new(|plan| plan.nodes[0].setup_work = 0.1);
+    for wait in [S, 150 * MS, 220 * MS] {
+        scene.open(0, wait);
+    }
+    let out = answers(&scene.until(S));
+    assert!(matches!(
+        out[..],
+        [(105_000, 0, NodeAnswer::Up(_)), (150_000, 1, NodeAnswer::Busy), (205_000, 2, NodeAnswer::Up(_))]
+    ));
+}
+
+#[test]
+fn full_or_draining_it_turns_away_and_one_id_is_not_open_twice() {
+    let mut scene = Scene::new(|plan| (plan.nodes[0].setups_max, plan.nodes[0].connections_max) = (2, 5));
+    scene.standing(0, 2);
+    let twice = Opened { request: RequestId(0), ..scene.opened(S) };
+    assert_eq!(scene.at(0, Input::Open(twice)), [Output::Answer(2, NodeAnswer::Error)]);
+    for _ in 0..2 {
+        assert_eq!(scene.open(0, S), []);
+    }
+    assert_eq!(scene.open(0, S), [Output::Answer(5, NodeAnswer::Busy)], "two set-ups at once");
+    assert_eq!(answers(&scene.until(S)).len(), 2);
+    assert_eq!(scene.open(S, S), []);
+    scene.until(2 * S);
+    assert_eq!(scene.open(2 * S, S), [Output::Answer(7, NodeAnswer::Busy)], "five connections");
+    scene.at(2 * S, Input::Ended(0));
+    scene.at(2 * S, Input::Change(NodeChange::Drain { within: S }));
+    assert_eq!(scene.open(2 * S, S).last(), Some(&Output::Answer(8, NodeAnswer::Busy)));
+}
+
+#[test]
+fn a_draining_node_moves_all_evenly_within_the_time() {
+    let mut scene = Scene::new(|_| {});
+    scene.standing(0, 9);
+    scene.open(S, S);
+    scene.at(S, Input::Change(NodeChange::Drain { within: 5 * S }));
+    let out = scene.until(100 * S);
+    let moved: Vec<Micros> =
+        out.iter().filter(|(_, o)| matches!(o, Output::Move(_))).map(|(at, _)| *at).collect();
+    assert_eq!(moved, (1..=9).map(|i| S + 5 * S * i / 10).collect::<Vec<_>>());
+    assert!(scene.model.crowd.demand() == 0.0 && scene.model.crowd.serials().is_empty());
+}
+
+#[test]
+fn a_cold_node_falls_over_just_beyond_its_budget() {
+    // 20 connections fill it in 5 s: 4 a second; at 30%, 3 times this for 2 s are 7.2; 4 more are let pass.
+    let fallen = |count: i64, from: Micros, gap: Micros| {
+        let mut scene = Scene::new(|plan| plan.nodes[0].from_start = false);
+        scene.at(0, Input::Change(NodeChange::Start));
+        let fell = |out: Vec<Output>| out.contains(&Output::Fell);
+        (0..count).any(|i| fell(scene.open(from + i * gap, S)))
+    };
+    assert!(!fallen(11, 0, 1));
+    assert!(fallen(12, 0, 1));
+    assert!(!fallen(19, 2500 * MS, 1), "half way at 65% it bears 15.6 and 4");
+    assert!(fallen(20, 2500 * MS, 1));
+    assert!(!fallen(200, 5 * S, 1), "a warm one bears them");
+    assert!(!fallen(9, 0, S), "what came long ago does not count");
+    let mut scene = Scene::new(|plan| plan.nodes[0].from_start = false);
+    scene.at(0, Input::Change(NodeChange::Start));
+    (0..12).for_each(|_| drop(scene.open(0, S)));
+    scene.at(9 * S, Input::Change(NodeChange::Start));
+    assert!(!scene.model.is_running(), "it stays down");
+}
+
+#[test]
+fn the_heaviest_are_shed_until_the_rest_fits() {
+    let mut scene = Scene::new(|plan| {
+        plan.sessions[4].loads = vec![(0, 0.05), (S, 0.4)];
+        plan.sessions[7].loads = vec![(0, 0.05), (S, 0.3)];
+    });
+    scene.standing(0, 18);
+    // 0.9 until 1 s, then 1.5: a second of work is piled up after 2 s more. Both were told when they grew.
+    let out = scene.until(20 * S);
+    let told = [(S, Output::Load(4, 400_000)), (S, Output::Load(7, 300_000))];
+    assert_eq!(out[..2], told);
+    assert_eq!(out[2..], [(3 * S, Output::Reset(4)), (3 * S, Output::Reset(7))]);
+    assert!(scene.model.usage(20 * S) < 1.0);
+}
+
+#[test]
+fn groups_cost_once_and_slow_and_cold_take_capacity() {
+    let mut scene = Scene::new(|plan| {
+        plan.nodes[0].group_cost = 2.0;
+        (0..5).for_each(|i| plan.sessions[i].group = 1);
+    });
+    scene.standing(0, 6);
+    let expected = 6.0 * 0.05 + 2.0 * (2.0 / 20.0);
+    assert!((scene.model.usage(0) - expected).abs() < 1e-9);
+    scene.at(0, Input::Gone(5));
+    scene.at(0, Input::Gone(0));
+    assert!((scene.model.usage(0) - (0.2 + 0.1)).abs() < 1e-9);
+    scene.at(S, Input::Change(NodeChange::Slow(4.0)));
+    assert!((scene.model.usage(S) - 4.0 * 0.3).abs() < 1e-9);
+    scene.at(S, Input::Change(NodeChange::Slow(1.0)));
+    scene.at(S, Input::Change(NodeChange::Kill));
+    scene.at(2 * S, Input::Change(NodeChange::Start));
+    scene.standing(2 * S, 2);
+    let usage = [2, 7].map(|s| scene.model.usage(s * S));
+    let demand = 2.0 * 0.05 + 2.0 * 0.1;
+    assert!((usage[0] - demand / 0.3).abs() < 1e-9 && (usage[1] - demand).abs() < 1e-9, "{usage:?}");
+}
+
+#[test]
+fn hung_it_says_nothing_and_recovered_it_answers_what_still_waits() {
+    let mut scene = Scene::new(|_| {});
+    scene.standing(0, 2);
+    scene.at(S, Input::Change(NodeChange::Hang));
+    scene.open(S, 300 * MS);
+    scene.open(S, 9 * S);
+    scene.at(S, Input::Line(1));
+    scene.at(S, Input::Ended(0));
+    assert_eq!(scene.until(3 * S), []);
+    let out = scene.at(3 * S, Input::Change(NodeChange::Recover));
+    assert!(
+        matches!(
+            out[..],
+            [
+                Output::Bye(0),
+                Output::Return(1),
+                Output::Answer(2, NodeAnswer::Busy),
+                Output::Answer(3, NodeAnswer::Up(_))
+            ]
+        ),
+        "{out:?}"
+    );
+    scene.at(4 * S, Input::Change(NodeChange::Rubbish));
+    assert!(matches!(scene.open(4 * S, S)[..], [Output::Rubbish(4, _)]));
+    scene.at(4 * S, Input::Line(1));
+    assert!(scene.until(5 * S).iter().any(|(_, o)| *o == Output::Return(1)));
+    let reset = scene.at(5 * S, Input::Change(NodeChange::Kill));
+    assert_eq!(reset, [Output::Reset(1), Output::Reset(3)]);
+}
+
+#[test]
+fn no_receipt_is_given_twice() {
+    let mut all = std::collections::HashSet::new();
+    for node in [0, 1, 249] {
+        for serial in 0..5000 {
+            for chance in [0, 1, u16::MAX] {
+                assert!(all.insert(receipt(NodeId(node), serial, chance)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/kit/src/model/pile.rs
@@ -0,0 +1,215 @@
+//! Piled-up work as a fluid: it flows in as connections ask for it and flows out as the render node does it. Between
+//! two events the demand is constant and the capacity rises evenly or not at all, so all is integrated exactly.
+
+use crate::time::Micros;
+
+/// What a render node can do over time: it rises evenly from a part of the full capacity, then stays there.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ramp {
+    /// When it began.
+    pub began: Micros,
+    /// Part of the full capacity at the beginning; 1 for one that is warm.
+    pub from: f64,
+    /// After this it is full.
+    pub warm_up: Micros,
+    /// The full capacity, in seconds of a standard core's work a second.
+    pub full: f64,
+}
+
+impl Ramp {
+    /// Full from the first moment on.
+    pub fn warm(full: f64) -> Self {
+        Ramp { began: 0, from: 1.0, warm_up: 0, full }
+    }
+
+    /// When it is full.
+    pub fn warm_at(&self) -> Micros {
+        self.began.saturating_add(self.warm_up)
+    }
+
+    /// The present part of the full capacity.
+    pub fn share(&self, now: Micros) -> f64 {
+        // At its first moment already, for one that needs no time to warm up.
+        if now >= self.warm_at() {
+            return 1.0;
+        }
+        let part = (now - self.began) as f64 / self.warm_up.max(1) as f64;
+        self.from + (1.0 - self.from) * part.clamp(0.0, 1.0)
+    }
+
+    /// The present capacity, in seconds of work a second.
+    pub fn capacity(&self, now: Micros) -> f64 {
+        self.full * self.share(now)
+    }
+
+    /// By how much the capacity rises, a second.
+    fn slope(&self, now: Micros) -> f64 {
+        if now >= self.warm_at() {
+            return 0.0;
+        }
+        self.full * (1.0 - self.from) / seconds(self.warm_up)
+    }
+}
+
+/// Work that has been asked for and not yet been done.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Pile {
+    at: Micros,
+    work: f64,
+}
+
+impl Pile {
+    /// Moves on to `to`, while `demand` seconds of work a second are asked for. A time that has passed changes nothing.
+    pub fn advance(&mut self, to: Micros, demand: f64, ramp: &Ramp) {
+        while self.at < to {
+            let warm = ramp.warm_at();
+            let end = if self.at < warm { to.min(warm) } else { to };
+            let net = demand - ramp.capacity(self.at);
+            self.work = flow(self.work, net, ramp.slope(self.at), seconds(end - self.at));
+            self.at = end;
+        }
+    }
+
+    /// Adds work that comes all at once.
+    pub fn add(&mut self, work: f64) {
+        self.work += work;
+    }
+
+    /// Takes away this part of what is piled up.
+    pub fn take(&mut self, part: f64) {
+        self.work *= 1.0 - part.clamp(0.0, 1.0);
+    }
+
+    /// How many seconds the render node would need for it at its present capacity.
+    pub fn seconds(&self, ramp: &Ramp) -> f64 {
+        self.work / ramp.capacity(self.at).max(f64::MIN_POSITIVE)
+    }
+
+    /// When it will have grown beyond this many seconds, if nothing changes; `None` while it does not grow that far,
+    /// and while it is beyond it and does not grow.
+    pub fn beyond(&self, limit: f64, demand: f64, ramp: &Ramp) -> Option<Micros> {
+        let mut from = *self;
+        loop {
+            let (capacity, slope) = (ramp.capacity(from.at), ramp.slope(from.at));
+            // work(t) - limit * capacity(t) = c + b t - slope t^2 / 2
+            let b = demand - capacity - limit * slope;
+            let c = from.work - limit * capacity;
+            let root = b * b + 2.0 * slope * c;
+            let after = if b <= 0.0 {
+                None
+            } else if c >= 0.0 {
+                Some(0.0)
+            } else {
+                (root >= 0.0).then(|| -2.0 * c / (b + root.sqrt()))
+            };
+            // A century is as good as never, and keeps the sum below within its bounds.
+            let at = after.filter(|s| *s < 3e9).map(|s| from.at + (s * 1e6).ceil() as Micros);
+            if from.at >= ramp.warm_at() {
+                return at;
+            }
+            if let Some(at) = at.filter(|at| *at <= ramp.warm_at()) {
+                return Some(at);
+            }
+            from.advance(ramp.warm_at(), demand, ramp);
+        }
+    }
+}
+
+/// The pile after `dt` seconds, at first growing by `net` a second, and by `slope` less with each second.
+fn flow(work: f64, net: f64, slope: f64, dt: f64) -> f64 {
+    let root = (net * net + 2.0 * slope * work).sqrt();
+    let empty = if net < 0.0 {
+        2.0 * work / (root - net)
+    } else if slope > 0.0 {
+        (net + root) / slope
+    } else {
+        f64::INFINITY
+    };
+    // Once empty it stays so: the demand is below the capacity by then, and the capacity does not fall.
+    if dt >= empty { 0.0 } else { (work + net * dt - slope * dt * dt / 2.0).max(0.0) }
+}
+
+/// A span in seconds.
+pub fn seconds(span: Micros) -> f64 {
+    span as f64 / 1e6
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::time::{MS, S};
+    use proptest::prelude::*;
+
+    /// The obviously right way: step by step.
+    fn step_by_step(pile: Pile, to: Micros, demand: f64, ramp: &Ramp) -> f64 {
+        let step = 20;
+        let mut work = pile.work;
+        let mut at = pile.at;
+        while at < to {
+            let middle = (ramp.capacity(at) + ramp.capacity(at + step)) / 2.0;
+            work = (work + (demand - middle) * seconds(step)).max(0.0);
+            at += step;
+        }
+        work
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 60, failure_persistence: None, ..ProptestConfig::default() })]
+        #[test]
+        fn the_exact_way_agrees_with_small_steps(
+            work in 0.0..2.0_f64, demand in 0.0..4.0_f64, full in 0.2..3.0_f64, from in 0.2..1.0_f64,
+            warm_up in 0..1_500_i64, pieces in prop::collection::vec(1..400_i64, 1..6),
+        ) {
+            let ramp = Ramp { began: 0, from, warm_up: warm_up * MS, full };
+            let mut pile = Pile { at: 0, work };
+            let end = pieces.iter().sum::<i64>() * MS;
+            let plain = step_by_step(pile, end, demand, &ramp);
+            for piece in pieces {
+                pile.advance(pile.at + piece * MS, demand, &ramp);
+            }
+            prop_assert!((pile.work - plain).abs() < 1e-3, "{} and {plain}", pile.work);
+        }
+
+        #[test]
+        fn the_moment_beyond_a_limit_is_the_first_one(
+            work in 0.0..0.5_f64, demand in 0.0..4.0_f64, full in 0.2..3.0_f64, from in 0.2..1.0_f64,
+            warm_up in 0..3_000_i64, limit in 0.05..1.0_f64,
+        ) {
+            let ramp = Ramp { began: 0, from, warm_up: warm_up * MS, full };
+            let start = Pile { at: 0, work };
+            let found = start.beyond(limit, demand, &ramp);
+            let grows = |pile: &Pile| demand - ramp.capacity(pile.at) - limit * ramp.slope(pile.at) > 0.0;
+            for at in (0..5 * S).step_by(10_000) {
+                let mut pile = start;
+                pile.advance(at, demand, &ramp);
+                let beyond = pile.seconds(&ramp) > limit + 1e-6 && grows(&pile);
+                prop_assert!(!beyond || found.is_some_and(|f| f <= at + 10_000), "at {at}, found {found:?}");
+            }
+            if let Some(at) = found {
+                let mut pile = start;
+                pile.advance(at, demand, &ramp);
+                prop_assert!(pile.seconds(&ramp) >= limit - 1e-5, "{} at {at}", pile.seconds(&ramp));
+            }
+        }
+    }
+
+    #[test]
+    fn without_a_warm_up_it_is_warm_at_once() {
+        let ramp = Ramp { began: 0, from: 0.2, warm_up: 0, full: 2.0 };
+        let mut pile = Pile::default();
+        pile.advance(S, 1.5, &ramp);
+        assert_eq!(pile.seconds(&ramp), 0.0);
+    }
+
+    #[test]
+    fn a_pile_drains_once_less_is_asked_for_than_can_be_done() {
+        let ramp = Ramp::warm(2.0);
+        let mut pile = Pile::default();
+        pile.advance(2 * S, 3.0, &ramp);
+        assert!((pile.seconds(&ramp) - 1.0).abs() < 1e-9);
+        pile.advance(3 * S, 1.0, &ramp);
+        assert!((pile.seconds(&ramp) - 0.5).abs() < 1e-9);
+        pile.advance(9 * S, 1.0, &ramp);
+        assert_eq!(pile.seconds(&ramp), 0.0);
+    }
+}
