Kit: render nodes on sockets, hundreds of them on one thread

Proxies are to meet real sockets that are reset, refuse, fall silent or answer rubbish, at moments that the plan gives.

One loop carries out its nodes' part of the timeline and notes what it reads and writes. A machine that is gone is a listening socket whose queue is made as short as it can be and filled by a connection of our own: callers hear nothing, and no privileges are needed. Descriptors that run out and addresses that are taken are typed errors of one plain sentence.

--- /dev/null
+++ b/crates/kit/src/emulator/testing.rs
@@ -0,0 +1,125 @@
+//! A stand-in in a thread, and peers that a test scripts line by line. Every wait is bounded.
+
+use crate::addresses::Addresses;
+use crate::board::Board;
+use crate::observation::{Observation, Seen};
+use crate::plan::{Happening, Plan, What};
+use crate::time::Micros;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// No test waits longer for anything.
+pub(super) const PATIENCE: Duration = Duration::from_secs(10);
+/// What happens first happens then: before it, tests set their scenes.
+pub(super) const CUE: Micros = 1_500_000;
+
+pub(super) type Run = fn(Arc<Plan>, Arc<Addresses>, Arc<Board>) -> io::Result<Vec<Observation>>;
+
+pub(super) struct Stage {
+    pub plan: Arc<Plan>,
+    pub addresses: Arc<Addresses>,
+    pub board: Arc<Board>,
+    thread: Option<JoinHandle<io::Result<Vec<Observation>>>>,
+}
+
+impl Stage {
+    /// Happenings come in order, each so many microseconds after the cue.
+    pub fn new(mut plan: Plan, happenings: Vec<(Micros, What)>, run: Run) -> Self {
+        plan.timeline =
+            happenings.into_iter().map(|(after, what)| Happening { at: CUE + after, what }).collect();
+        let (plan, addresses) = (Arc::new(plan), Arc::new(Addresses::take(150).unwrap()));
+        let board = Arc::new(Board::new(&plan));
+        let given = (Arc::clone(&plan), Arc::clone(&addresses), Arc::clone(&board));
+        let thread = Some(std::thread::spawn(move || run(given.0, given.1, given.2)));
+        Stage { plan, addresses, board, thread }
+    }
+
+    /// Waits until so long after the cue.
+    pub fn wait(&self, after: Micros) {
+        std::thread::sleep(self.board.clock.until(CUE + after));
+    }
+
+    /// The scene was set before the cue; else the machine is too busy for the test to mean anything.
+    pub fn set(&self) {
+        assert!(self.board.clock.now() < CUE, "the machine is too busy");
+    }
+
+    /// Ends the run; what was seen.
+    pub fn notes(self) -> Vec<Seen> {
+        self.notes_and_lags().0
+    }
+
+    /// The same, and how late the loop was at each of its own checks.
+    pub fn notes_and_lags(mut self) -> (Vec<Seen>, Vec<Micros>) {
+        self.board.stop();
+        let notes = self.thread.take().unwrap().join().unwrap().unwrap();
+        assert!(notes.is_sorted_by_key(|o| o.at), "notes are taken in order");
+        let lag = |seen: &Seen| if let Seen::Lag { late } = seen { Some(*late) } else { None };
+        let lags = notes.iter().filter_map(|o| lag(&o.seen)).collect();
+        (notes.into_iter().map(|o| o.seen).filter(|seen| lag(seen).is_none()).collect(), lags)
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        // A test that fails must not leave its thread.
+        self.board.stop();
+    }
+}
+
+pub(super) struct Peer(BufReader<TcpStream>);
+
+impl Peer {
+    /// Connects, as soon as somebody listens there.
+    pub fn connect(address: SocketAddr) -> Self {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            match TcpStream::connect_timeout(&address, PATIENCE) {
+                Ok(stream) => {
+                    stream.set_nodelay(true).unwrap();
+                    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+                    return Peer(BufReader::new(stream));
+                }
+                Err(error) => assert!(Instant::now() < until, "cannot connect to {address}: {error}"),
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    pub fn say(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    /// The next line, its end included; empty at the connection's end.
+    pub fn hear(&mut self) -> String {
+        let mut line = Vec::new();
+        self.0.read_until(b'\n', &mut line).expect("a line or an end in time");
+        String::from_utf8_lossy(&line).into_owned()
+    }
+
+    /// What is left up to the end; the error if it ends in a reset or does not end.
+    pub fn rest(&mut self) -> io::Result<String> {
+        let mut text = Vec::new();
+        self.0.read_to_end(&mut text).map(|_| String::from_utf8_lossy(&text).into_owned())
+    }
+
+    /// Nothing comes for that long, not even an end.
+    pub fn is_silent_for(&mut self, time: Duration) -> bool {
+        self.0.get_ref().set_read_timeout(Some(time)).unwrap();
+        let silent = matches!(self.0.fill_buf(), Err(error) if error.kind() == io::ErrorKind::WouldBlock);
+        self.0.get_ref().set_read_timeout(Some(PATIENCE)).unwrap();
+        silent
+    }
+
+    /// Ends only the sending.
+    pub fn finish(&self) {
+        self.0.get_ref().shutdown(Shutdown::Write).unwrap();
+    }
+
+    pub fn into_inner(self) -> TcpStream {
+        self.0.into_inner()
+    }
+}
--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod addresses;
 pub mod board;
+pub mod emulator;
 pub mod model;
 pub mod notes;
 pub mod observation;
--- a/crates/kit/src/time.rs
+++ b/crates/kit/src/time.rs
@@ -24,6 +24,11 @@
         RunClock { began: Instant::now(), unix }
     }
 
+    /// When the run began: an event loop whose clock reads 0 there shares the run's time.
+    pub fn began(&self) -> Instant {
+        self.began
+    }
+
     /// Time since the run began.
     pub fn now(&self) -> Micros {
         self.began.elapsed().as_micros() as Micros
