--- /dev/null
+++ b/crates/kit/src/emulator/discovery_list.rs
@@ -0,0 +1,71 @@
+//! The list in the form in which proxies read it.
+
+use crate::addresses::Addresses;
+use crate::model::registry::{Registry, Update};
+use crate::observation::Phase;
+use crate::plan::{Plan, ProxyId};
+use crate::time::RunClock;
+
+#[derive(serde::Serialize)]
+struct List<'a> {
+    revision: u64,
+    complete: bool,
+    members: Vec<Member<'a>>,
+}
+
+#[derive(serde::Serialize)]
+struct Member<'a> {
+    id: &'a str,
+    host_port: String,
+    locality: &'a str,
+    flavor: &'a str,
+    cell: u32,
+    phase: Phase,
+    size: f64,
+    up_since_ms: u64,
+}
+
+/// One JSON object in a line, without its end, with the addresses at which this proxy reaches the nodes.
+///
+/// # Errors
+///
+/// If a figure of the plan can't be written as JSON.
+pub fn render(
+    update: &Update,
+    plan: &Plan,
+    addresses: &Addresses,
+    clock: &RunClock,
+    proxy: ProxyId,
+) -> Result<String, simd_json::Error> {
+    // A complete list leaves out who is gone; among changes they are named.
+    let entries = update.entries.iter().filter(|(_, e)| !(update.complete && e.phase == Phase::Removed));
+    let members = entries.filter_map(|(id, entry)| {
+        let node = plan.nodes.get(usize::from(id.0))?;
+        Some(Member {
+            id: &node.name,
+            host_port: addresses.node(*id, proxy).to_string(),
+            locality: plan.zones.get(usize::from(node.zone)).map_or("", String::as_str),
+            flavor: &node.kind,
+            cell: node.cell,
+            phase: entry.phase,
+            size: node.size,
+            up_since_ms: entry.since.map_or(0, |at| clock.unix_ms(at)),
+        })
+    });
+    let list = List { revision: update.revision, complete: update.complete, members: members.collect() };
+    simd_json::to_string(&list)
+}
+
+/// The list as it is at the start of a run: what a proxy's configuration gives as `known`.
+///
+/// # Errors
+///
+/// As [`render`].
+pub fn known(
+    plan: &Plan,
+    addresses: &Addresses,
+    clock: &RunClock,
+    proxy: ProxyId,
+) -> Result<String, simd_json::Error> {
+    render(&Registry::new(plan).whole(), plan, addresses, clock, proxy)
+}
--- a/crates/kit/src/emulator/testing.rs
+++ b/crates/kit/src/emulator/testing.rs
@@ -122,4 +122,10 @@
     pub fn into_inner(self) -> TcpStream {
         self.0.into_inner()
     }
+
+    pub fn read_exact(&mut self, bytes: usize) -> String {
+        let mut text = vec![0; bytes];
+        self.0.read_exact(&mut text).unwrap();
+        String::from_utf8(text).unwrap()
+    }
 }
--- a/crates/kit/src/model/mod.rs
+++ b/crates/kit/src/model/mod.rs
@@ -2,8 +2,10 @@
 //! inputs at the same times give the same outputs.
 
 pub mod cold;
+pub mod discovery;
 pub mod first_line;
 pub mod node;
 pub mod pile;
+pub mod registry;
 #[cfg(test)]
 pub(crate) mod testing;
