Merge render nodes and discovery

Vanishing needs no privilege: the listening socket's backlog is filled, so that new connections never come up. Discovery speaks the protocol with each fault of it.

--- a/crates/kit/src/emulator/mod.rs
+++ b/crates/kit/src/emulator/mod.rs
@@ -1,11 +1,27 @@
 //! The stand-ins on real sockets: each a loop of the project's reactor on a thread of its own, that plays its part of a
-//! plan and returns what it saw.
+//! plan on the run's clock and returns what it saw.
 
 pub mod clients;
+pub mod discovery;
+mod discovery_connection;
+pub mod discovery_list;
+pub mod fault;
 pub mod front;
 pub mod network;
+pub mod nodes;
+mod nodes_connection;
+mod nodes_post;
+mod nodes_talk;
 pub mod rude;
 mod rude_script;
 
+#[cfg(test)]
+mod discovery_tests;
+#[cfg(test)]
+mod nodes_load;
+#[cfg(test)]
+mod nodes_tests;
+#[cfg(test)]
+mod testing;
 #[cfg(test)]
 mod tests_of_clients;
--- a/crates/kit/src/model/mod.rs
+++ b/crates/kit/src/model/mod.rs
@@ -1,3 +1,12 @@
-//! What stand-ins do, sans-io: time is a parameter, and nothing here opens a socket.
+//! What the stand-ins do, without sockets and clocks: `handle(now, input) -> outputs` and `next_timeout()`. The same
+//! inputs at the same times give the same outputs.
 
 pub mod client;
+pub mod cold;
+pub mod discovery;
+pub mod first_line;
+pub mod node;
+pub mod pile;
+pub mod registry;
+#[cfg(test)]
+pub(crate) mod testing;
