Kit: the binary cottonnotch-kit: demo, rehearse, load, compare, prove, show

The parts become a run: stand-ins on their threads, proxies as processes whose timeline the conductor carries out, the judge afterwards.

--- /dev/null
+++ b/crates/kit/src/cli/demo.rs
@@ -0,0 +1,81 @@
+//! `demo`: for a newcomer, with nothing to start and no file to write.
+
+use super::rehearse::Progress;
+use super::{DaemonArgs, Ended, interrupt, progress_over};
+use clap::Args;
+use cottonnotch_kit::rehearse::{self, Setup};
+use cottonnotch_kit::scenario::Scenario;
+use cottonnotch_kit::time::S;
+use std::io::IsTerminal;
+use std::time::{Duration, Instant};
+
+/// What is played.
+const SCENARIO: &str = include_str!("demo.toml");
+/// Where nobody watches a line being rewritten, one is printed this often.
+const PRINTED: Duration = Duration::from_secs(2);
+
+/// Two proxies and eight render nodes under load for under half a minute: one render node is killed, one drains.
+#[derive(Debug, Args)]
+pub struct Demo {
+    /// What is drawn.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[command(flatten)]
+    daemon: DaemonArgs,
+}
+
+impl Demo {
+    /// Plays it and explains.
+    pub fn run(self) -> Result<Ended, String> {
+        let daemon = self.daemon.daemon()?;
+        let scenario = Scenario::read("demo".as_ref(), SCENARIO).map_err(|error| error.to_string())?;
+        let plan = scenario.draw(self.seed);
+        println!(
+            "{} proxies, {} render nodes, {} sessions in {:.0} s, all on 127.0.0.0/8 of this machine.",
+            plan.proxies.len(),
+            plan.nodes.len(),
+            plan.sessions.len(),
+            plan.ends as f64 / S as f64
+        );
+        println!("service: worth of the connection seconds that were well served, over those asked for.\n");
+        let setup = Setup { daemon, keep: None, interrupted: interrupt()? };
+        let watched = std::io::stderr().is_terminal();
+        let (mut line, mut printed, mut mark) = (Progress::default(), Instant::now(), 0);
+        let run = rehearse::run(plan, &setup, |plan, board| {
+            let now = board.clock.now();
+            while let Some(happening) = plan.timeline.get(mark).filter(|happening| happening.at <= now) {
+                mark += 1;
+                if let cottonnotch_kit::plan::What::Mark(text) = &happening.what {
+                    clear_if(watched);
+                    println!("{:>5.1} s  {text}", happening.at as f64 / S as f64);
+                }
+            }
+            if watched {
+                line.show(plan, board);
+            } else if printed.elapsed() >= PRINTED {
+                printed = Instant::now();
+                println!("{}", line.line(plan, board));
+            }
+        });
+        clear_if(watched);
+        let run = run.map_err(|error| error.to_string())?;
+        println!("\n{}", run.verdict);
+        if run.interrupted {
+            return Ok(Ended::Interrupted);
+        }
+        println!(
+            "Next: `cottonnotch-kit rehearse rehearsals/quarter-dies.toml`; docs/ops/rehearsal.md says which when."
+        );
+        Ok(match (run.verdict.is_void(), run.verdict.passed()) {
+            (true, _) => Ended::Void,
+            (false, true) => Ended::Well,
+            (false, false) => Ended::Broken,
+        })
+    }
+}
+
+fn clear_if(watched: bool) {
+    if watched {
+        progress_over();
+    }
+}
--- /dev/null
+++ b/crates/kit/src/cli/load.rs
@@ -0,0 +1,78 @@
+//! `load`: what one proxy bears.
+
+use super::{DaemonArgs, Ended, interrupt, write_json};
+use clap::Args;
+use cottonnotch_kit::load::{self, BothWays, LoadError, LoadSetup};
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Measures what one proxy bears, through it and directly to a render node in one run. Open loop: work is due at
+/// fixed times, and latency counts from then.
+#[derive(Debug, Args)]
+pub struct Load {
+    /// Standing connections.
+    #[arg(long, default_value_t = 1000)]
+    connections: usize,
+    /// Lines in flight on each of them at most.
+    #[arg(long, default_value_t = 1)]
+    in_flight: usize,
+    /// Seconds of each step.
+    #[arg(long, default_value_t = 2.0)]
+    step_s: f64,
+    /// Threads that make the load, and as many that answer it.
+    #[arg(long, default_value_t = 2)]
+    threads: usize,
+    /// Writes the figures here, as JSON.
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// Says nothing while it measures.
+    #[arg(long)]
+    quiet: bool,
+    #[command(flatten)]
+    daemon: DaemonArgs,
+}
+
+impl Load {
+    /// Measures and prints.
+    pub fn run(self) -> Result<Ended, String> {
+        let step = Duration::try_from_secs_f64(self.step_s).map_err(|_| "--step-s is no length of time")?;
+        let setup = LoadSetup {
+            daemon: self.daemon.daemon()?,
+            step,
+            connections: self.connections.max(1),
+            in_flight: self.in_flight.max(1),
+            threads: self.threads.max(1),
+            interrupted: interrupt()?,
+        };
+        let say = |line: &str| {
+            if !self.quiet {
+                eprintln!("{line}");
+            }
+        };
+        let load = match load::measure(&setup, say) {
+            Err(LoadError::Interrupted) => return Ok(Ended::Interrupted),
+            other => other.map_err(|error| error.to_string())?,
+        };
+        print_both("set-ups", &load.setups);
+        print_both("line round trips", &load.lines);
+        println!(
+            "each of {} standing connections: {:.0} bytes of memory, {:.2} descriptors",
+            load.connections, load.memory_each, load.descriptors_each
+        );
+        if let Some(path) = &self.json {
+            write_json(path, &load)?;
+        }
+        Ok(Ended::Well)
+    }
+}
+
+fn print_both(what: &str, both: &BothWays) {
+    for (name, way) in [("through the proxy", &both.through), ("directly", &both.direct)] {
+        let [p50, p99, p999, longest] = way.latency_us;
+        println!(
+            "{what} a second {name:<18} {:>8.0}; at 0.7 of it p50 {p50} us, p99 {p99}, p99.9 {p999}, longest {longest}; CPU each: proxy {:.1} us, kit {:.1} us",
+            way.ceiling, way.proxy_cpu_us, way.kit_cpu_us
+        );
+    }
+    println!("{what}: the kit bears {:.1} times what the proxy does", both.headroom());
+}
--- /dev/null
+++ b/crates/kit/src/cli/show.rs
@@ -0,0 +1,53 @@
+//! `show`: what a scenario draws, without playing it.
+
+use super::Ended;
+use super::rehearse::scenarios;
+use clap::Args;
+use cottonnotch_kit::plan::What;
+use cottonnotch_kit::rehearse;
+use cottonnotch_kit::time::S;
+use std::path::PathBuf;
+
+/// Prints what a scenario draws from a seed.
+#[derive(Debug, Args)]
+pub struct Show {
+    /// Scenario files, or folders of them.
+    #[arg(required = true, value_name = "FILE|DIR")]
+    scenarios: Vec<PathBuf>,
+    /// The seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Each happening, not only the marks.
+    #[arg(long)]
+    all: bool,
+}
+
+impl Show {
+    /// Prints.
+    pub fn run(self) -> Result<Ended, String> {
+        for scenario in scenarios(&self.scenarios)? {
+            let plan = scenario.draw(self.seed);
+            println!("{}: {}", plan.name, scenario.body.about);
+            println!(
+                "  seed {}, plan {:016x}; {:.0} s, {} proxies, {} render nodes ({} from the start), {} sessions, {} rude clients",
+                plan.seed,
+                plan.digest(),
+                rehearse::lasts(&plan),
+                plan.proxies.len(),
+                plan.nodes.len(),
+                plan.nodes.iter().filter(|node| node.from_start).count(),
+                plan.sessions.len(),
+                plan.rude.len(),
+            );
+            for happening in &plan.timeline {
+                let at = happening.at as f64 / S as f64;
+                match &happening.what {
+                    What::Mark(text) => println!("  {at:>9.3} s  {text}"),
+                    what if self.all => println!("  {at:>9.3} s    {what:?}"),
+                    _ => {}
+                }
+            }
+        }
+        Ok(Ended::Well)
+    }
+}
--- a/crates/kit/src/judge/connections.rs
+++ b/crates/kit/src/judge/connections.rs
@@ -33,6 +33,9 @@
         if request.stands() {
             return self.half_cut(at, id, room);
         }
+        if request.moved.is_some() {
+            return;
+        }
         let Some((ended, Gone::Ended(how))) = request.gone else { return };
         let (Some(asked), Some(up)) = (request.asked, request.connection()) else { return };
         let by = ended + room.rules.grace;
--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod addresses;
 pub mod bad_proxy;
 pub mod board;
+pub mod compare;
+pub mod conductor;
 pub mod emulator;
 pub mod judge;
 pub mod load;
@@ -12,6 +14,8 @@
 pub mod observation;
 pub mod plan;
 pub mod processes;
+pub mod prove;
+pub mod rehearse;
 pub mod scenario;
 pub mod settings;
 pub mod time;
--- a/crates/kit/tests/judge/rules.rs
+++ b/crates/kit/tests/judge/rules.rs
@@ -182,6 +182,8 @@
     // Only the render node's side is ended; the client's own end may follow it.
     breaks(Rule::CutWithoutMove, open.clone().over(20_000.0, w, Over::ByProxy));
     passes(open.clone().over(20_000.0, w, Over::ByProxy).left(21_000.0, w, Left::Done));
+    // Moved: the render node's thread noted its side's end before the client's noted the word.
+    passes(open.clone().over(20_000.0, w, Over::ByProxy).moved(20_000.1, w).ended(20_000.2, w));
     // The render node ended it (noted 30 ms late), died, or did not answer.
     passes(open.clone().ended(20_000.0, w).over(20_030.0, w, Over::Bye));
     passes(open.clone().ended(20_000.0, w).condition(20_030.0, 0, Condition::Down));
