Judge: ids that rude clients put, keys that a proxy changed, and what goes with a proxy that stays

A rude client's first line that an honest proxy may have sent on before the rest came was called a line of its own making: rude clients now note their ids. A changed key went unseen, since the render node took it for a rude client's: an attempt now carries the session that its key names. What a proxy that ignores SIGTERM still holds counted as cut as well: one fault, one rule. Each has its trace.

--- a/crates/kit/src/emulator/nodes_talk.rs
+++ b/crates/kit/src/emulator/nodes_talk.rs
@@ -155,7 +155,10 @@
         member.attempts.insert(serial, key);
         let attempt = Attempt { node: member.id, serial };
         let standing = open.at == Some(member.id);
-        self.notes.note(at, Seen::Attempt { attempt, request: open.request, proxy, first_byte });
+        self.notes.note(
+            at,
+            Seen::Attempt { attempt, request: open.request, session: open.session, proxy, first_byte },
+        );
         let way = self.way(i, proxy);
         let opened =
             Opened { serial, request: open.request, session: open.session, wait: open.wait, standing, way };
--- a/crates/kit/src/emulator/rude.rs
+++ b/crates/kit/src/emulator/rude.rs
@@ -73,6 +73,10 @@
         let now = io.now();
         self.by = now + owed;
         io.tell(Told::Note(now, Seen::RudeCame { rude: self.place, proxy: self.proxy, by: self.by }));
+        for request in std::mem::take(&mut self.script.ids) {
+            let (rude, proxy) = (self.place, self.proxy);
+            io.tell(Told::Note(now, Seen::RudeAsked { rude, request, proxy }));
+        }
         io.timer(self.by + LATE, self.key, 0);
         if self.visits == 0 {
             self.again_until = now + AGAIN_FOR;
--- a/crates/kit/src/emulator/rude_script.rs
+++ b/crates/kit/src/emulator/rude_script.rs
@@ -24,11 +24,19 @@
     pieces: VecDeque<(Vec<u8>, usize)>,
     /// Ends its sending after all of it.
     finishes: bool,
+    /// Ids of its own in whole first lines: what may reach a render node if the proxy is taken in.
+    pub ids: Vec<RequestId>,
 }
 
 impl Script {
     fn once(words: impl Into<Vec<u8>>) -> Self {
-        Script { pieces: VecDeque::from([(words.into(), 1)]), finishes: false }
+        Script { pieces: VecDeque::from([(words.into(), 1)]), finishes: false, ids: Vec::new() }
+    }
+
+    /// With these ids of its own.
+    fn asking(mut self, ids: impl IntoIterator<Item = u64>) -> Self {
+        self.ids.extend(ids.into_iter().map(RequestId));
+        self
     }
 
     fn then(mut self, piece: Vec<u8>, times: usize) -> Self {
@@ -82,14 +90,17 @@
         RudeKind::Endless => Script::once("OPEN ").then(vec![b'x'; PIECE], usize::MAX),
         RudeKind::Huge => {
             let head = format!("OPEN {:016x} {key:016x} c={class},t={tenant},d=1000,g=", id(visit));
-            Script::once(head).then(vec![b'7'; PIECE], HUGE.div_ceil(PIECE)).then(b"\r\n".to_vec(), 1)
+            Script::once(head)
+                .then(vec![b'7'; PIECE], HUGE.div_ceil(PIECE))
+                .then(b"\r\n".to_vec(), 1)
+                .asking([id(visit)])
         }
         RudeKind::NoSuchClass | RudeKind::AgainAtOnce => {
-            Script::once(open(id(visit), "no-such-class", "1000"))
+            Script::once(open(id(visit), "no-such-class", "1000")).asking([id(visit)])
         }
         RudeKind::BadDeadline => {
             let waits = ["soon", "-5", "99999999999999999999999999", ""];
-            Script::once(open(id(visit), class, waits[rng.random_range(0..waits.len())]))
+            Script::once(open(id(visit), class, waits[rng.random_range(0..waits.len())])).asking([id(visit)])
         }
         RudeKind::NoId => {
             Script::once(format!("OPEN {key:016x} c={class},t={tenant},d=1000,g={key:016x}\r\n"))
@@ -100,8 +111,9 @@
             Script { finishes: true, ..Script::once(&whole.as_bytes()[..whole.len() / 2]) }
         }
         RudeKind::ManyCommands => {
-            Script::once((0..COMMANDS).map(|number| open(id(number), class, "1000")).collect::<String>())
+            let words = (0..COMMANDS).map(|number| open(id(number), class, "1000")).collect::<String>();
+            Script::once(words).asking((0..COMMANDS).map(id))
         }
-        RudeKind::Silent => Script { pieces: VecDeque::new(), finishes: false },
+        RudeKind::Silent => Script { pieces: VecDeque::new(), finishes: false, ids: Vec::new() },
     }
 }
--- a/crates/kit/src/judge/attempts.rs
+++ b/crates/kit/src/judge/attempts.rs
@@ -8,26 +8,22 @@
 use super::told::Told;
 use super::{millis, seconds};
 use crate::observation::{Answer, Attempt, NodeAnswer, Over, RequestId};
-use crate::plan::ProxyId;
-use crate::time::{Micros, S};
-
-/// An attempt that no usual client asked for may be that of a rude client whose end is not noted yet; this long it
-/// waits for that, in steps.
-const RUDE_WAIT: Micros = 5 * S;
-const RUDE_STEP: Micros = S / 2;
+use crate::plan::{ProxyId, SessionId};
+use crate::time::Micros;
 
 /// An attempt, as it arrived.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Arrival {
     pub attempt: Attempt,
     pub request: RequestId,
+    pub session: Option<SessionId>,
     pub proxy: ProxyId,
     pub first_byte: Micros,
 }
 
 impl Ledger {
     pub fn attempted(&mut self, at: Micros, arrival: Arrival, told: &mut Told, room: &mut Room) {
-        let Arrival { attempt, request: id, proxy, first_byte } = arrival;
+        let Arrival { attempt, request: id, session, proxy, first_byte } = arrival;
         let request = self.requests.entry(id).or_default();
         let known = request.asked.map(|a| a.life.0 == proxy);
         if known == Some(true) && request.answer.is_some() && room.rude.thief_at(at, proxy) {
@@ -40,6 +36,11 @@
             // Another proxy's request has no part in it.
             return;
         }
+        if request.asked.is_some_and(|asked| session != Some(asked.session)) {
+            let what = format!("at {}, with a key that is not its session's", seconds(at));
+            self.accuse(at, Rule::BadFirstLine, id, what, room.desk);
+            return;
+        }
         let generation = room.fleet.generation(attempt.node);
         let out = request.tries.iter().any(|t| t.out(room.fleet));
         let place = request.tries.len();
@@ -134,10 +135,7 @@
         if asked.is_some_and(|a| a.life.0 == proxy) {
             return;
         }
-        if !room.rude.explains(proxy) {
-            if room.rude.open_at(proxy) && at - since < RUDE_WAIT {
-                return room.desk.checks.add(at + RUDE_STEP, Check::Unknown(id, attempt, proxy, since));
-            }
+        if !room.rude.has_asked(id, proxy) {
             let subject = Subject {
                 request: Some(id),
                 node: Some(attempt.node),
--- a/crates/kit/src/judge/mod.rs
+++ b/crates/kit/src/judge/mod.rs
@@ -151,9 +151,10 @@
             Seen::Left { request, why } => ledger.left(at, *request, *why, room),
             Seen::LineSent { request, line } => ledger.line_sent(at, *request, *line, room),
             Seen::LineBack { request, line } => ledger.line_back(*request, *line),
-            Seen::Attempt { attempt, request, proxy, first_byte } => {
-                let (attempt, request, proxy, first_byte) = (*attempt, *request, *proxy, *first_byte);
-                ledger.attempted(at, Arrival { attempt, request, proxy, first_byte }, told, room);
+            Seen::Attempt { attempt, request, session, proxy, first_byte } => {
+                let (attempt, request, session) = (*attempt, *request, *session);
+                let (proxy, first_byte) = (*proxy, *first_byte);
+                ledger.attempted(at, Arrival { attempt, request, session, proxy, first_byte }, told, room);
             }
             Seen::AttemptAnswered { attempt, answer } => ledger.attempt_answered(at, *attempt, *answer, room),
             Seen::AttemptOver { attempt, over } => ledger.attempt_over(at, *attempt, *over, room),
--- a/crates/kit/src/judge/processes.rs
+++ b/crates/kit/src/judge/processes.rs
@@ -19,7 +19,8 @@
     killed: Option<Micros>,
     terminated: Option<Micros>,
     reloaded: Option<Micros>,
-    stayed: bool,
+    /// It was still there when its time to leave was over.
+    stayed: Option<Micros>,
     exited: Option<Micros>,
     /// It exited by itself, not having been told to stop.
     crashed: Option<Micros>,
@@ -61,10 +62,10 @@
 
     /// Whether a request that was taken at `asked` and broken at `broken` (its connection ended, or its time was
     /// up) is down to the death of its proxy: it was held when the kit killed the process, or when the process
-    /// crashed, which is a break of its own. Nothing is forgiven after SIGTERM.
+    /// crashed or stayed, which is a break of its own. Nothing else is forgiven after SIGTERM.
     pub fn forgives(&self, id: LifeId, asked: Micros, broken: Micros) -> bool {
         let Some(life) = self.life(id) else { return false };
-        let (from, death) = match (life.killed, life.crashed) {
+        let (from, death) = match (life.killed.or(life.stayed), life.crashed) {
             (Some(killed), _) => (killed, life.exited.map_or(killed, |x| x.min(killed + EXIT_NOTICE))),
             (None, Some(crashed)) => (crashed - EXIT_NOTICE, crashed),
             (None, None) => return false,
@@ -109,10 +110,11 @@
     pub fn stays(&mut self, at: Micros, id: LifeId, desk: &mut Desk) {
         let limit = self.term_to_kill;
         let life = self.lives.get_mut(usize::from(id.0.0)).and_then(|lives| lives.get_mut(id.1 as usize));
-        let Some(life) = life.filter(|l| l.exited.is_none() && l.killed.is_none() && !l.stayed) else {
+        let Some(life) = life.filter(|l| l.exited.is_none() && l.killed.is_none() && l.stayed.is_none())
+        else {
             return;
         };
-        life.stayed = true;
+        life.stayed = Some(at);
         let told = life.terminated.unwrap_or(at);
         let what = format!("told to stop at {}, still there {} later", seconds(told), seconds(limit));
         desk.accuse(at, Rule::ProxyStayed, Subject { proxy: Some(id.0), ..Subject::default() }, what);
@@ -120,7 +122,7 @@
 
     fn exited(&mut self, at: Micros, proxy: ProxyId, code: Option<i32>, desk: &mut Desk) {
         let Some(life) = self.latest(proxy) else { return };
-        if life.exited.replace(at).is_some() || life.killed.is_some() || life.stayed {
+        if life.exited.replace(at).is_some() || life.killed.is_some() || life.stayed.is_some() {
             return;
         }
         let how = code.map_or("by a signal".to_owned(), |code| format!("with code {code}"));
--- a/crates/kit/src/judge/rude.rs
+++ b/crates/kit/src/judge/rude.rs
@@ -4,9 +4,10 @@
 use super::desk::{Desk, Subject};
 use super::rule::Rule;
 use super::seconds;
-use crate::observation::{RudeEnd, Seen};
+use crate::observation::{RequestId, RudeEnd, Seen};
 use crate::plan::{Plan, ProxyId, RudeKind};
 use crate::time::{MS, Micros};
+use fnv::FnvHashSet;
 use std::collections::BTreeMap;
 
 /// What a rude client set off at a render node is noted at most this long after the rude client was dealt with.
@@ -22,17 +23,15 @@
 /// What one proxy has of them.
 #[derive(Clone, Copy, Debug, Default)]
 struct AtProxy {
-    open: u32,
     thieves: u32,
     last_thief: Option<Micros>,
-    /// Served ones whose first line is not yet matched with an attempt that no usual client asked for.
-    unmatched: u32,
 }
 
 /// All of them.
 #[derive(Debug)]
 pub(super) struct RudeClients {
     open: BTreeMap<u32, Open>,
+    asked: FnvHashSet<(RequestId, ProxyId)>,
     proxies: Vec<AtProxy>,
     kinds: Vec<RudeKind>,
     grace: Micros,
@@ -42,6 +41,7 @@
     pub fn new(plan: &Plan) -> Self {
         RudeClients {
             open: BTreeMap::new(),
+            asked: FnvHashSet::default(),
             proxies: vec![AtProxy::default(); plan.proxies.len()],
             kinds: plan.rude.iter().map(|rude| rude.kind).collect(),
             grace: plan.rules.grace,
@@ -54,17 +54,16 @@
                 let thief = self.kinds.get(rude as usize) == Some(&RudeKind::StolenId);
                 self.open.insert(rude, Open { proxy, by, thief });
                 if let Some(at_proxy) = self.proxies.get_mut(usize::from(proxy.0)) {
-                    at_proxy.open += 1;
                     at_proxy.thieves += u32::from(thief);
                 }
                 desk.checks.add(by + self.grace, Check::Rude(rude));
             }
+            Seen::RudeAsked { request, proxy, .. } => {
+                self.asked.insert((request, proxy));
+            }
             Seen::RudeOver { rude, how } => {
                 let Some(open) = self.close(at, rude) else { return };
                 if how == RudeEnd::Served {
-                    if let Some(at_proxy) = self.proxies.get_mut(usize::from(open.proxy.0)) {
-                        at_proxy.unmatched += 1;
-                    }
                     let what = "it was served; an error or a close was owed".to_owned();
                     desk.accuse(at, Rule::RudeServed, subject(rude, open.proxy), what);
                 }
@@ -76,7 +75,6 @@
     fn close(&mut self, at: Micros, rude: u32) -> Option<Open> {
         let open = self.open.remove(&rude)?;
         if let Some(at_proxy) = self.proxies.get_mut(usize::from(open.proxy.0)) {
-            at_proxy.open -= 1;
             if open.thief {
                 at_proxy.thieves -= 1;
                 at_proxy.last_thief = Some(at);
@@ -108,18 +106,9 @@
             .is_some_and(|p| p.thieves > 0 || p.last_thief.is_some_and(|last| at - last <= AFTERMATH))
     }
 
-    /// Whether rude clients are being dealt with at this proxy.
-    pub fn open_at(&self, proxy: ProxyId) -> bool {
-        self.proxies.get(usize::from(proxy.0)).is_some_and(|p| p.open > 0)
-    }
-
-    /// Sees an attempt that no usual client asked for as that of a rude client who was served; false if there is
-    /// none left.
-    pub fn explains(&mut self, proxy: ProxyId) -> bool {
-        let Some(at_proxy) = self.proxies.get_mut(usize::from(proxy.0)) else { return false };
-        let explained = at_proxy.unmatched > 0;
-        at_proxy.unmatched = at_proxy.unmatched.saturating_sub(1);
-        explained
+    /// Whether a rude client has put a request with that id to this proxy.
+    pub fn has_asked(&self, request: RequestId, proxy: ProxyId) -> bool {
+        self.asked.contains(&(request, proxy))
     }
 }
 
--- a/crates/kit/src/observation.rs
+++ b/crates/kit/src/observation.rs
@@ -191,6 +191,8 @@
     SetupTook { class: u8, took: Micros },
     /// A rude client has connected; it is owed an error or a close until `by`.
     RudeCame { rude: u32, proxy: ProxyId, by: Micros },
+    /// It is about to put a request with an id of its own, among whatever else it says.
+    RudeAsked { rude: u32, request: RequestId, proxy: ProxyId },
     /// It was dealt with.
     RudeOver { rude: u32, how: RudeEnd },
 
@@ -201,8 +203,14 @@
     Condition { node: NodeId, condition: Condition },
     /// It was pushed over: too much came while it was cold. It stays down.
     Fell { node: NodeId },
-    /// A first line's last byte has arrived; its first one arrived at `first_byte`.
-    Attempt { attempt: Attempt, request: RequestId, proxy: ProxyId, first_byte: Micros },
+    /// A first line's last byte has arrived; its first one arrived at `first_byte`. `session` is the one that has its key.
+    Attempt {
+        attempt: Attempt,
+        request: RequestId,
+        session: Option<SessionId>,
+        proxy: ProxyId,
+        first_byte: Micros,
+    },
     /// A first line that no client sent in this form (but for `d`).
     BadFirstLine { node: NodeId, proxy: ProxyId, line: String },
     /// The attempt was answered.
--- a/crates/kit/tests/judge/rules.rs
+++ b/crates/kit/tests/judge/rules.rs
@@ -5,7 +5,7 @@
 use cottonnotch_kit::observation::{
     Answer, Condition, End, Left, NodeAnswer, Over, Phase, RudeEnd, Seen, Signal,
 };
-use cottonnotch_kit::plan::{NodeId, ProxyId};
+use cottonnotch_kit::plan::{NodeId, ProxyId, SessionId};
 
 fn is_end(seen: &Seen) -> bool {
     matches!(seen, Seen::Left { .. } | Seen::AttemptOver { .. })
@@ -272,7 +272,10 @@
     // Served by a render node: the first line there is part of the same fault, for an unheard id and a stolen one.
     let (stray, (mut standing, w)) = (who(77, 0, 2), standing());
     let mut served = Trace::default();
-    served.rude(1000.0, 2, 0).attempt(1001.0, stray).node_says(1009.0, stray, NodeAnswer::Up(5));
+    let asks = Seen::RudeAsked { rude: 2, request: stray.request, proxy: stray.proxy };
+    served.rude(1000.0, 2, 0).add(1000.1, asks);
+    served.attempt(1001.0, stray).node_says(1009.0, stray, NodeAnswer::Up(5));
+    passes(served.clone().rude_over(1900.0, 2, RudeEnd::Error));
     breaks(Rule::RudeServed, served.rude_over(1900.0, 2, RudeEnd::Served));
     standing.rude(5000.0, 1, 0).attempt(5001.0, w.again(1, 2));
     breaks(Rule::RudeServed, standing.rude_over(5005.0, 1, RudeEnd::Served));
@@ -293,6 +296,14 @@
     );
     // Another proxy's request.
     breaks(Rule::BadFirstLine, good.clone().attempt(1005.0, Who { proxy: ProxyId(1), ..w.again(1, 2) }));
+    // The id is right and the key is another session's, or nobody's.
+    for session in [Some(SessionId(40)), None] {
+        let at = |s: &Seen| matches!(s, Seen::Attempt { .. });
+        let mut changed = good.without(at);
+        let (attempt, request, proxy) = (w.attempt, w.request, w.proxy);
+        changed.add(1000.5, Seen::Attempt { attempt, request, session, proxy, first_byte: 1_000_400 });
+        breaks(Rule::BadFirstLine, &changed);
+    }
     // Noted by the render node before the client has noted that it asked.
     let mut early = good.without(|s| matches!(s, Seen::Asked { .. }));
     passes(early.asked(1020.0, w));
@@ -315,6 +326,14 @@
     breaks(Rule::ProxyStayed, &leaving);
     breaks(Rule::ProxyStayed, leaving.clone().signal(33_700.0, 0, Signal::Kill).exited(33_701.0, 0, None));
     passes(leaving.clone().exited(33_600.0, 0, Some(0)));
+    // What it still holds then goes with it: one fault, one rule. What it cut before is a fault of its own.
+    let (mut held, w) = standing();
+    held = held.without(is_end);
+    held.signal(10_000.0, 0, Signal::Terminate).signal(13_760.0, 0, Signal::Kill).exited(13_761.0, 0, None);
+    breaks(Rule::ProxyStayed, held.clone().ended(13_761.0, w).over(13_762.0, w, Over::ByProxy));
+    let mut both = held;
+    let verdict = judge(both.ended(13_000.0, w).over(13_001.0, w, Over::ByProxy));
+    assert_eq!((verdict.broke(Rule::ProxyStayed), verdict.broke(Rule::CutWithoutMove)), (1, 1), "{verdict}");
     // After SIGTERM nothing is excused.
     let mut left = ended(&good, 5000.0);
     breaks(Rule::CutWithoutMove, left.signal(4000.0, 0, Signal::Terminate).exited(5001.0, 0, Some(0)));
--- a/crates/kit/tests/judge/stage.rs
+++ b/crates/kit/tests/judge/stage.rs
@@ -210,7 +210,16 @@
 
     pub fn attempt(&mut self, at: f64, w: Who) -> &mut Self {
         let first_byte = (at * 1e3) as i64 - 100;
-        self.add(at, Seen::Attempt { attempt: w.attempt, request: w.request, proxy: w.proxy, first_byte })
+        self.add(
+            at,
+            Seen::Attempt {
+                attempt: w.attempt,
+                request: w.request,
+                session: Some(w.session),
+                proxy: w.proxy,
+                first_byte,
+            },
+        )
     }
 
     pub fn node_says(&mut self, at: f64, w: Who, answer: NodeAnswer) -> &mut Self {
