--- a/crates/cottonnotch/src/net/driver.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -2,9 +2,10 @@
 //! actions in order. Here the network's terms (subchannel, RPC, call attempt) meet the module's (server,
 //! request, send); nothing is decided.
 
+mod shutdown;
+
 use super::happening::{AttemptOrder, Front, Happening, Io, Object, Wish};
 use super::invariant::invariant;
-use super::lifecycle::{self, Shutdown};
 use super::message_delay::{self, MessageDelays, Note};
 use super::resolver::Watch;
 use super::resolver_result::ResolverResult;
@@ -21,6 +22,7 @@
 use cottonnotch_reactor::signals::{SIGHUP, SIGTERM, Signals};
 use cottonnotch_reactor::{Clock, Key, Reactor};
 use mio::net::TcpListener;
+use shutdown::Shutdown;
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
@@ -604,7 +606,7 @@
         let now = self.reactor.io.now();
         let up: Vec<RequestId> = self.up_calls().map(|(_, id)| id).collect();
         let Some(shutdown) = &mut self.shutdown else { return };
-        self.reactor.io.owner_timer(now + lifecycle::ROUND, ROUND);
+        self.reactor.io.owner_timer(now + shutdown::ROUND, ROUND);
         let (quota, is_last) = (shutdown.quota(now, up.len()), shutdown.is_last(now));
         for id in up.iter().take(quota) {
             self.move_away(*id);
--- a/crates/cottonnotch/src/net/mod.rs
+++ b/crates/cottonnotch/src/net/mod.rs
@@ -4,7 +4,6 @@
 pub mod driver;
 mod happening;
 mod invariant;
-mod lifecycle;
 mod message_delay;
 mod open_line;
 mod relay;
