Driver: one part for each thing that it translates, around a small core

Now Arrivals accepts and makes room, Clients turns what fronts tell into events and what is decided into orders for them, Calls is the table of RPCs, Subchannels holds lists and the watch, Messages the notes, Lifecycle reload and shutdown. The core hands happenings to them, their events to the module and its actions back. Nothing is dispatched dynamically that was not, and log lines keep their part.

--- /dev/null
+++ b/crates/cottonnotch/src/net/driver/arrivals.rs
@@ -0,0 +1,139 @@
+//! Clients that arrive, until they ask for something: accepting them, and the descriptors there are for that.
+
+use super::net::{ACCEPT, Net, PART};
+use crate::net::rpc::Rpc;
+use cottonnotch_decision::Micros;
+use cottonnotch_reactor::Key;
+use mio::net::TcpListener;
+use std::collections::VecDeque;
+use std::io;
+use std::rc::Rc;
+
+/// Descriptors kept for what is no RPC: the listener, the watch, the poll, standard streams, signals, and
+/// clients that are told that there is no room.
+const RESERVED_SOCKETS: usize = 32;
+/// A quarter of the descriptors is not given to clients that have not asked yet ...
+const KEPT_FOR_CALLS: usize = 4;
+/// ... but so many are always let in, the proxy's own few objects included.
+const TOLD_AT_ONCE: usize = 14;
+/// Accepted in one turn before others have theirs.
+const ACCEPTED_AT_ONCE: usize = 32;
+/// Wait before accepting again when there is no descriptor left.
+const ACCEPT_AFTER: Micros = 20_000;
+/// No client is let go for want of room sooner than this after it connected: a usual one has sent its line.
+const DISMISSED_AFTER: Micros = 100_000;
+/// What a client is told when there is no descriptor for it.
+pub const FULL_RETRY_AFTER: Micros = 1_000_000;
+
+/// What room is wanted for.
+#[derive(Clone, Copy, Debug)]
+enum Wanted {
+    /// One more client.
+    Client,
+    /// The subchannel's side of one more RPC.
+    Call,
+}
+
+/// Clients on their way in.
+pub struct Arrivals {
+    listener: Rc<TcpListener>,
+    /// Accepting goes on by a timer.
+    is_due: bool,
+    /// Clients in the order in which they connected, until they are let go or are gone.
+    arrived: VecDeque<(Micros, Key)>,
+}
+
+impl Arrivals {
+    pub fn new(listener: Rc<TcpListener>) -> Self {
+        Arrivals { listener, is_due: false, arrived: VecDeque::new() }
+    }
+
+    /// Clients wait to be accepted; `rpcs` are being served.
+    pub fn acceptable(&mut self, net: &mut Net, rpcs: usize) {
+        // While a timer runs, a new client is no reason to try sooner, nor for a second timer.
+        if !self.is_due {
+            self.accept(net, rpcs);
+        }
+    }
+
+    /// The timer is due.
+    pub fn accept_again(&mut self, net: &mut Net, rpcs: usize) {
+        self.is_due = false;
+        self.accept(net, rpcs);
+    }
+
+    fn accept(&mut self, net: &mut Net, rpcs: usize) {
+        let now = net.now();
+        if self.arrived.len() > 2 * net.config.sockets {
+            self.arrived.retain(|(_, key)| net.reactor.contains(*key));
+        }
+        for _ in 0..ACCEPTED_AT_ONCE {
+            if !self.make_room(net, rpcs, Wanted::Client) {
+                return self.accept_in(net, ACCEPT_AFTER);
+            }
+            match self.listener.accept() {
+                Ok((stream, _)) => {
+                    match net.reactor.insert(|key, io| Ok(Box::new(Rpc::accepted(stream, key, io)?))) {
+                        Ok(key) => self.arrived.push_back((now, key)),
+                        Err(error) => {
+                            log::warn!(target: PART, error:%; "client lost while it was accepted: {error}");
+                        }
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if is_passing(&error) => {}
+                Err(error) => {
+                    // Guards against EMFILE: the edge is told once, so without this timer the waiting
+                    // clients would never be accepted.
+                    let (connections, sockets) = (net.reactor.connections(), net.config.sockets);
+                    log::error!(target: PART, connections, sockets, error:%; "cannot accept: {error}");
+                    return self.accept_in(net, ACCEPT_AFTER);
+                }
+            }
+        }
+        self.accept_in(net, 0);
+    }
+
+    fn accept_in(&mut self, net: &mut Net, wait: Micros) {
+        self.is_due = true;
+        net.timer_in(wait, ACCEPT);
+    }
+
+    /// Lets clients go that have asked nothing until there is room for the subchannel's side of one more RPC;
+    /// false if there is none.
+    pub fn make_room_for_call(&mut self, net: &mut Net, rpcs: usize) -> bool {
+        self.make_room(net, rpcs, Wanted::Call)
+    }
+
+    /// Guards against clients that connect by hundreds and say nothing, or stay when they were answered: they
+    /// would hold the descriptors of others.
+    fn make_room(&mut self, net: &mut Net, rpcs: usize, wanted: Wanted) -> bool {
+        while !has_room(net, rpcs, wanted) {
+            let now = net.now();
+            let Some((at, key)) = self.arrived.front().copied() else { return false };
+            if at + DISMISSED_AFTER > now {
+                return false;
+            }
+            self.arrived.pop_front();
+            net.with_front(key, |front, io| front.dismiss(io, FULL_RETRY_AFTER));
+        }
+        true
+    }
+}
+
+/// For a client, a part is kept for the subchannels of those that ask, and if RPCs have all of it, a few are let
+/// in to be told so.
+fn has_room(net: &Net, rpcs: usize, wanted: Wanted) -> bool {
+    let (connections, sockets) = (net.reactor.connections(), net.config.sockets);
+    // An RPC counts two: the client's, which is among the connections, and the subchannel's.
+    let free = sockets.saturating_sub(RESERVED_SOCKETS + connections + rpcs);
+    match wanted {
+        Wanted::Call => free > 0,
+        Wanted::Client => free > sockets / KEPT_FOR_CALLS || connections - rpcs < TOLD_AT_ONCE,
+    }
+}
+
+/// The client was gone before it was accepted, or a signal came.
+fn is_passing(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted)
+}
--- /dev/null
+++ b/crates/cottonnotch/src/net/driver/calls.rs
@@ -0,0 +1,91 @@
+//! The table of clients' RPCs: one entry for each that is owed an answer or is up.
+
+use cottonnotch_decision::{Request, RequestId, ServerId};
+use cottonnotch_reactor::Key;
+use std::collections::{BTreeMap, HashSet};
+
+/// A client's RPC as the driver knows it.
+#[derive(Debug)]
+pub struct Call {
+    pub id: RequestId,
+    /// Its id on the wire.
+    pub wire_id: u64,
+    /// Where its latest attempt went, and that attempt's number.
+    pub at: Option<(ServerId, u32)>,
+    pub attempts: u32,
+    pub group: Option<u64>,
+    pub stage: Stage,
+}
+
+/// How far it is.
+#[derive(Debug, PartialEq)]
+pub enum Stage {
+    /// One final answer is owed.
+    Owed,
+    /// Open before the start: it goes to one subchannel, and the module hears of it when it is up.
+    Reopening(Box<Request>),
+    /// The connection is up.
+    Up,
+}
+
+/// All of them, found by their object on the loop, by the module's number, or by their id on the wire.
+#[derive(Debug, Default)]
+pub struct Calls {
+    by_key: BTreeMap<Key, Call>,
+    keys: BTreeMap<RequestId, Key>,
+    wire_ids: HashSet<u64>,
+    given: u64,
+}
+
+impl Calls {
+    /// A number that no request had before.
+    pub fn new_id(&mut self) -> RequestId {
+        self.given += 1;
+        RequestId(self.given)
+    }
+
+    pub fn insert(&mut self, key: Key, call: Call) {
+        self.keys.insert(call.id, key);
+        self.wire_ids.insert(call.wire_id);
+        self.by_key.insert(key, call);
+    }
+
+    pub fn remove(&mut self, key: Key) -> Option<Call> {
+        let call = self.by_key.remove(&key)?;
+        self.keys.remove(&call.id);
+        self.wire_ids.remove(&call.wire_id);
+        Some(call)
+    }
+
+    pub fn get(&self, key: Key) -> Option<&Call> {
+        self.by_key.get(&key)
+    }
+
+    pub fn get_mut(&mut self, key: Key) -> Option<&mut Call> {
+        self.by_key.get_mut(&key)
+    }
+
+    /// The RPC's object on the loop, unless it is over.
+    pub fn key(&self, request: RequestId) -> Option<Key> {
+        self.keys.get(&request).copied()
+    }
+
+    /// An RPC has this id on the wire.
+    pub fn has_wire_id(&self, wire_id: u64) -> bool {
+        self.wire_ids.contains(&wire_id)
+    }
+
+    pub fn len(&self) -> usize {
+        self.by_key.len()
+    }
+
+    pub fn keys(&self) -> impl Iterator<Item = Key> {
+        self.by_key.keys().copied()
+    }
+
+    /// Those that are up.
+    pub fn up(&self) -> impl Iterator<Item = (Key, RequestId)> {
+        let up = self.by_key.iter().filter(|(_, call)| call.stage == Stage::Up);
+        up.map(|(key, call)| (*key, call.id))
+    }
+}
--- /dev/null
+++ b/crates/cottonnotch/src/net/driver/messages.rs
@@ -0,0 +1,73 @@
+//! Messages on connections that are up: what loads and delays they show, and the notes that the module gets.
+
+use super::calls::{Call, Calls};
+use super::net::{Net, TICK};
+use crate::net::message_delay::{EVERY, MessageDelays, Note};
+use cottonnotch_decision::settings::Profile;
+use cottonnotch_decision::{Event, Micros, ServerId};
+
+/// How messages fare.
+pub struct Messages {
+    delays: MessageDelays,
+    /// Groups count.
+    groups: bool,
+}
+
+impl Messages {
+    /// Nothing seen yet. Sets the timer of the first [`Self::tick`].
+    pub fn start(net: &mut Net) -> Self {
+        net.timer_in(EVERY, TICK);
+        let settings = &net.config.profile.settings;
+        let delays = MessageDelays::new(settings.nodes, settings.shortest_aim(), settings.weighted);
+        Messages { delays, groups: settings.groups }
+    }
+
+    /// The settings have changed.
+    pub fn set(&mut self, Profile { settings, .. }: &Profile) {
+        self.delays.set(settings.nodes, settings.shortest_aim(), settings.weighted);
+        self.groups = settings.groups;
+    }
+
+    /// A subchannel is listed; `anew` if it is a new life of its process.
+    pub fn listed(&mut self, server: ServerId, weight: f64, anew: bool) {
+        self.delays.listed(server, weight, anew);
+    }
+
+    /// A connection is up; `setup` is how long that took.
+    pub fn opened(&mut self, call: &Call, server: ServerId, setup: Option<Micros>) {
+        let group = call.group.filter(|_| self.groups);
+        self.delays.opened(call.id, server, group, setup);
+    }
+
+    /// An RPC is over, up or not.
+    pub fn over(&mut self, call: &Call) {
+        self.delays.ended(call.id);
+    }
+
+    /// The load of a connection has changed.
+    pub fn load(&mut self, call: &Call, load: f64) -> Event {
+        self.delays.load(call.id, load);
+        Event::LoadNote { request: call.id, load }
+    }
+
+    /// A client's line was answered after this long, or is unanswered for that long by now.
+    pub fn delayed(&mut self, now: Micros, call: &Call, delay: Micros) {
+        if let Some((server, _)) = call.at {
+            self.delays.measured(now, server, delay);
+        }
+    }
+
+    /// The notes that are due; sets the next tick's timer.
+    pub fn tick(&mut self, net: &mut Net, calls: &Calls) -> Vec<Note> {
+        let now = net.now();
+        net.timer_in(EVERY, TICK);
+        for (key, _) in calls.up() {
+            let waited = net.with_front(key, |front, _| front.waiting_for(now)).flatten();
+            // A line that is still unanswered shows a delay as well as a late reply does.
+            if let (Some(waited), Some(call)) = (waited, calls.get(key)) {
+                self.delayed(net.now(), call, waited);
+            }
+        }
+        self.delays.notes(now)
+    }
+}
--- /dev/null
+++ b/crates/cottonnotch/src/net/driver/subchannels.rs
@@ -0,0 +1,123 @@
+//! The render nodes: the lists that a resolver brings, and the watch that brings them.
+
+use super::messages::Messages;
+use super::net::{Net, PART};
+use crate::net::resolver::Watch;
+use crate::net::resolver_result::ResolverResult;
+use cottonnotch_decision::names::{Names, digest};
+use cottonnotch_decision::{Entry, Event, Listed, Micros, ServerId, ZoneId};
+use cottonnotch_reactor::Key;
+use std::net::SocketAddr;
+
+/// A render node, as the resolver has it.
+#[derive(Debug, Default)]
+struct Subchannel {
+    address: Option<SocketAddr>,
+    started: Option<Micros>,
+}
+
+/// All that were ever listed.
+#[derive(Debug, Default)]
+pub struct Subchannels {
+    /// Their ids: the numbers are the module's servers, and are never given anew.
+    names: Names,
+    known: Vec<Subchannel>,
+    watch: Option<Key>,
+    revision: u64,
+}
+
+impl Subchannels {
+    /// Takes a list, or changes of it; `copy` if it came with the start.
+    pub fn take(
+        &mut self,
+        net: &mut Net,
+        messages: &mut Messages,
+        result: ResolverResult,
+        copy: bool,
+    ) -> Event {
+        let ResolverResult { revision, complete: full, members } = result;
+        self.revision = revision;
+        let mut entries = Vec::with_capacity(members.len());
+        for member in members {
+            // Numbers are never given anew: a member that restarts or moves keeps its number.
+            let number = self.names.intern(&member.id);
+            if self.known.len() <= number as usize {
+                self.known.resize_with(number as usize + 1, Subchannel::default);
+            }
+            let subchannel = &mut self.known[number as usize];
+            subchannel.address = member.address.or(subchannel.address);
+            let anew = std::mem::replace(&mut subchannel.started, member.started) != member.started;
+            messages.listed(ServerId(number), member.weight, anew);
+            entries.push(Entry {
+                server: ServerId(number),
+                digest: digest(&member.id),
+                state: member.state,
+                zone: ZoneId(net.config.profile.zones.intern(&member.zone) as u16),
+                cell: member.cell,
+                started: member.started,
+                weight: member.weight,
+            });
+        }
+        let members = entries.len();
+        log::debug!(
+            target: PART, revision, members, complete = full;
+            "resolver result {revision}: {members} members, complete {full}"
+        );
+        for entry in entries.iter().filter(|e| e.state != Listed::Ready) {
+            let (subchannel, state) = (self.name(entry.server), entry.state);
+            log::info!(target: PART, subchannel, state:?, revision; "subchannel {subchannel} is {state:?}");
+        }
+        Event::List { full, copy, entries }
+    }
+
+    /// Begins a watch from the last revision taken, in place of the old one. An event if that fails.
+    pub fn watch(&mut self, net: &mut Net) -> Option<Event> {
+        if let Some(old) = self.watch.take() {
+            net.reactor.remove(old);
+        }
+        let (discovery, from) = (net.config.discovery, self.revision);
+        match net.reactor.insert(|key, io| Ok(Box::new(Watch::start(discovery, from, key, io)?))) {
+            Ok(key) => {
+                self.watch = Some(key);
+                None
+            }
+            Err(error) => {
+                log::warn!(target: PART, discovery:%, error:%; "cannot watch discovery: {error}");
+                Some(Event::ListFailed)
+            }
+        }
+    }
+
+    /// A watch is lost; an event if it was the current one.
+    pub fn lost(&mut self, net: &Net, watch: Key, why: &str) -> Option<Event> {
+        if !self.is_watch(watch) {
+            return None;
+        }
+        let (discovery, revision) = (net.config.discovery, self.revision);
+        log::warn!(target: PART, discovery:%, revision; "watch on discovery lost: {why}");
+        self.watch = None;
+        Some(Event::ListFailed)
+    }
+
+    /// It is the current watch: what another one said is old.
+    pub fn is_watch(&self, watch: Key) -> bool {
+        self.watch == Some(watch)
+    }
+
+    /// The last revision taken.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    pub fn name(&self, server: ServerId) -> &str {
+        self.names.name(server.0)
+    }
+
+    pub fn find(&self, name: &str) -> Option<ServerId> {
+        self.names.find(name).map(ServerId)
+    }
+
+    pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
+        self.known.get(server.0 as usize).and_then(|s| s.address)
+    }
+}
