Front: reasons for turning clients away are typed, and an answer says whether it was given

Each rude client cost a text for its reason, whether or not anybody read it. Now the reason is put into words only for its answer and for the log line that is due.

A client that leaves, or is turned away for sending too early, is reported and waits its turn in the queue. If the decisions came to it first in the same turn, an invariant was reported broken that was not: fronts now say that no answer was given, and the report ends the RPC. The count of clients that have not asked could fall below zero in the same way.

Checked: the stories pass unchanged.

--- a/crates/cottonnotch/src/net/driver/arrivals.rs
+++ b/crates/cottonnotch/src/net/driver/arrivals.rs
@@ -129,7 +129,8 @@
     let free = sockets.saturating_sub(RESERVED_SOCKETS + connections + rpcs);
     match wanted {
         Wanted::Call => free > 0,
-        Wanted::Client => free > sockets / KEPT_FOR_CALLS || connections - rpcs < TOLD_AT_ONCE,
+        // RPCs whose clients have just left may still be counted, and are no connections any more.
+        Wanted::Client => free > sockets / KEPT_FOR_CALLS || connections.saturating_sub(rpcs) < TOLD_AT_ONCE,
     }
 }
 
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -110,7 +110,11 @@
             Happening::Acceptable => self.arrivals.acceptable(net, self.clients.calls().len()),
             Happening::Timer(net::ACCEPT) => self.arrivals.accept_again(net, self.clients.calls().len()),
 
-            Happening::TurnedAway { why } => self.clients.turned_away(net, &why),
+            Happening::TurnedAway { rpc, why } => {
+                for event in self.clients.turned_away(net, messages, rpc, &why) {
+                    self.tell(event);
+                }
+            }
             Happening::Asked(key, wish) => {
                 let event = self.clients.asked(net, &mut self.arrivals, &self.subchannels, key, wish);
                 self.tell(event);
--- a/crates/cottonnotch/src/net/mod.rs
+++ b/crates/cottonnotch/src/net/mod.rs
@@ -5,6 +5,7 @@
 mod happening;
 mod invariant;
 mod message_delay;
+mod objection;
 mod open_line;
 mod relay;
 mod resolver;
