Decisions: the module tells what it believes of each server

Records are to say what a proxy believes of its render nodes: up, paused until, on trial, draining, gone. Only the module knows, so it tells each change as an action of its own, Believe, from one place that looks at a server's state and writes nothing but what was told last. No decision reads that.

Checked: the module's tests, with one for the order of what is told.

--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -252,6 +252,7 @@
                 net.reactor.io.owner_timer(now + after, token);
                 None
             }
+            Action::Believe { .. } => None,
             Action::Log { notice, server } => {
                 self.log(now, notice, server);
                 None
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -348,6 +348,25 @@
     ListUnreachable,
 }
 
+/// What an instance believes of a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Belief {
+    /// It may be used.
+    Up,
+    /// It is left alone.
+    Paused {
+        /// Until then.
+        until: Micros,
+    },
+    /// After a pause, one attempt tries it.
+    Trial,
+    /// It gets nothing new.
+    Draining,
+    /// It is not there, or was never listed.
+    #[default]
+    Gone,
+}
+
 /// What an instance wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -389,4 +408,12 @@
         /// About which server.
         server: Option<ServerId>,
     },
+    /// Nothing is to be done: the instance believes this of a server from now on. Told when it changes. That a pause
+    /// has lapsed shows when the server is next looked at.
+    Believe {
+        /// Which server.
+        server: ServerId,
+        /// What.
+        belief: Belief,
+    },
 }
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -79,6 +79,8 @@
     /// This node's established connections there; when they are to have left.
     open: Vec<RequestId>,
     leave_by: Option<Micros>,
+    /// What was told of it last.
+    told: Belief,
 }
 
 #[derive(Clone, Debug)]
@@ -201,6 +203,9 @@
         let ids = 0..self.servers.len() as u32;
         self.ready = ids.map(ServerId).filter(|id| self.server(*id).is_some_and(|s| s.ready)).collect();
         self.total_weight = self.ready.iter().filter_map(|id| self.server(*id)).map(|s| s.weight).sum();
+        for (number, s) in self.servers.iter_mut().enumerate() {
+            s.believe(now, ServerId(number as u32), out);
+        }
         self.drain(now, out);
         self.release_held(now, out);
     }
@@ -237,9 +242,10 @@
             let phase = f64::from(self.settings.ordinal) / f64::from(self.settings.nodes.max(1));
             let place = (unit(entry.digest) - phase).rem_euclid(1.0);
             let turn = self.rotation + place / weight;
-            let open = std::mem::take(&mut known.open);
+            let (open, told) = (std::mem::take(&mut known.open), known.told);
             let digest = entry.digest;
-            *known = Server { digest, place, turn, budget: place, filled: now, open, ..Server::default() };
+            *known =
+                Server { digest, place, turn, budget: place, filled: now, open, told, ..Server::default() };
         }
         known.ready = entry.state == Listed::Ready;
         let draining = entry.state == Listed::Draining;
@@ -291,6 +297,9 @@
             };
             (job.sent, job.last_sent, job.at) = (job.sent + 1, now, Some(server));
             job.tried.push(server);
+            if let Some(s) = self.server_mut(server) {
+                s.believe(now, server, out);
+            }
             out.push(Action::Send { request: id, server, timeout });
             return;
         }
@@ -493,6 +502,7 @@
         s.trial = None;
         s.strained = Some(now);
         s.paused_until = s.paused_until.max(Some(until));
+        s.believe(now, at, out);
     }
 
     fn went_well(&mut self, now: Micros, at: ServerId, by: RequestId, out: &mut Vec<Action>) {
@@ -503,6 +513,7 @@
         }
         // Half is forgiven, not all: a server that fails most requests passes a trial now and then.
         s.strikes /= 2;
+        s.believe(now, at, out);
         self.release_held(now, out);
     }
 
@@ -518,6 +529,7 @@
         s.slow = Some(now);
         s.strained = Some(now);
         s.paused_until = s.paused_until.max(Some(((now + SECOND) / SECOND + 1) * SECOND));
+        s.believe(now, at, out);
         if delay < aim / 2 || falling {
             return;
         }
@@ -550,6 +562,23 @@
     }
 }
 
+impl Server {
+    /// Tells what is believed of this server, if that has changed.
+    fn believe(&mut self, now: Micros, server: ServerId, out: &mut Vec<Action>) {
+        let belief = match self.paused_until {
+            _ if !self.ready && self.leave_by.is_some() => Belief::Draining,
+            _ if !self.ready => Belief::Gone,
+            Some(until) if until > now => Belief::Paused { until },
+            Some(_) => Belief::Trial,
+            None if self.half_open => Belief::Trial,
+            None => Belief::Up,
+        };
+        if std::mem::replace(&mut self.told, belief) != belief {
+            out.push(Action::Believe { server, belief });
+        }
+    }
+}
+
 impl Job {
     fn new(request: &Request, now: Micros) -> Self {
         Job {
--- a/crates/decision/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -413,3 +413,35 @@
     moved.sort_unstable();
     assert_eq!(moved, there, "each is told to move, once, and no other server's");
 }
+
+#[test]
+fn what_is_believed_of_a_server_is_told_once_for_each_change() {
+    let mut node = Node::new(settings(Effect::Safe), 1);
+    let only = ServerId(0);
+    node.now = 100 * S + 300 * MS;
+    for id in 1..4 {
+        node.place(id);
+    }
+    node.end(1, only, Outcome::Full, false);
+    // Broken by the same blow.
+    node.end(2, only, Outcome::Reset, true);
+    node.tell(Event::DelayNote { request: RequestId(3), server: only, delay: S });
+    node.run_to(103 * S);
+    // Held until then, it is the trial.
+    node.begin(1, only);
+    for state in [Listed::Ready, Listed::Draining, Listed::Draining, Listed::Gone] {
+        node.tell(Event::List { full: false, copy: false, entries: vec![entry(0, state)] });
+    }
+    let mut back = entry(0, Listed::Ready);
+    back.started = Some(node.now);
+    node.tell(Event::List { full: false, copy: false, entries: vec![back] });
+    node.tell(Event::List { full: true, copy: false, entries: vec![] });
+    let told = node.done.iter().filter_map(|action| match action {
+        Action::Believe { server, belief } => Some((*server, *belief)),
+        _ => None,
+    });
+    let paused = |second: Micros| Belief::Paused { until: second * S };
+    use Belief::{Draining, Gone, Trial, Up};
+    let expected = [Up, paused(101), paused(102), Trial, Up, Draining, Gone, Up, Gone];
+    assert_eq!(told.collect::<Vec<_>>(), expected.map(|belief| (only, belief)));
+}
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -353,6 +353,8 @@
                 self.timers.insert(name, *token);
                 Ok(())
             }
+            // The wire has no line for it.
+            Action::Believe { .. } => Ok(()),
             Action::Log { notice, server } => {
                 let text = match notice {
                     Notice::PausedFailing => "server paused, keeps failing",
