Records: the proxy keeps them, from the operator's section [records]

What a proxy took, tried, answered and believed could only be guessed from its log. Now the driver records it where it translates: lists, beliefs, requests, attempts and their ends, answers, clients turned away, moves with their reason, ends, reloads and the shutdown. The target is opened before any socket; one that can't be opened ends the start with exit code 2 and the key, its file and line. On SIGHUP other records are refused with a line in the log. The end waits 100 ms at most for the writer and says what was lost. check shows every key, unset ones as '-'.

An answer is recorded once its front says that it was given, so each request has one answer or one client_left, and each attempt one up or one end. Fronts tell when they moved a client because its render node was silent.

--- a/crates/cottonnotch/src/config/operator.rs
+++ b/crates/cottonnotch/src/config/operator.rs
@@ -6,6 +6,7 @@
 use super::operator_file::OperatorFile;
 use crate::OPERATOR_VARIABLE;
 use crate::logging::LogConfig;
+use cottonnotch_records::RecordsSection;
 use serde::{Deserialize, Serialize};
 use simd_json::OwnedValue;
 use simd_json::prelude::*;
@@ -18,6 +19,8 @@
 pub struct Operator {
     /// `[log]`
     pub log: LogConfig,
+    /// `[records]`
+    pub records: RecordsSection,
 }
 
 impl Operator {
@@ -40,13 +43,20 @@
     /// What serde can't see: bounds, and keys that don't go together. A message begins with the key's full path.
     fn check(&self) -> Result<(), String> {
         self.log.check()?;
+        self.records.check().map_err(|bad| bad.to_string())?;
         Ok(())
     }
 
     /// Takes this in place of the `old` one, as far as that is possible while clients are served; says in the
     /// log what is not. Returns what counts from now on.
     pub fn succeed(self, old: &Operator) -> Operator {
-        Operator { log: self.log.succeed(&old.log) }
+        if self.records != old.records {
+            log::warn!(
+                key = "records";
+                "records cannot change while clients are served, they go on as at the start"
+            );
+        }
+        Operator { log: self.log.succeed(&old.log), records: old.records.clone() }
     }
 
     /// The values as they are written, so that no section is to list its keys a second time.
@@ -117,7 +127,16 @@
         let all = uncommented();
         let set: toml::Table = all.parse().unwrap();
         let read: Operator = toml::from_str(&all).unwrap();
-        read.check().unwrap();
+        // Of the two targets only one may be set.
+        let RecordsSection { file, descriptor, queue_records, flush_ms, .. } = read.records.clone();
+        let to_file = RecordsSection { descriptor: None, ..read.records.clone() };
+        let usual = RecordsSection::default();
+        let to_descriptor = RecordsSection { descriptor, queue_records, flush_ms, ..usual.clone() };
+        assert!(file.is_some() && descriptor.is_some());
+        for records in [to_file, to_descriptor] {
+            Operator { records, ..read.clone() }.check().unwrap();
+        }
+        assert_eq!((queue_records, flush_ms), (usual.queue_records, usual.flush_ms));
         let mut keys = BTreeMap::new();
         leaves("", &simd_json::serde::to_owned_value(Operator::default()).unwrap(), &mut keys);
         for key in keys.keys() {
--- a/crates/cottonnotch/src/main.rs
+++ b/crates/cottonnotch/src/main.rs
@@ -7,12 +7,14 @@
 
 use clap::Parser;
 use command_line::{Command, CommandLine};
-use config::{Config, Effective, Operator};
+use config::{BadConfig, Config, Effective, Operator};
+use cottonnotch_records::{Identity, NoRecorder, Recorder};
 use logging::LogConfig;
 use net::driver::Driver;
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Names the operator's file where the command line doesn't.
 const OPERATOR_VARIABLE: &str = "COTTONNOTCH_OPERATOR";
@@ -32,8 +34,11 @@
     let operator = Operator::read(path.as_deref(), &mut effective);
     // A faulty file is said in the log too, in its usual form.
     logging::install(operator.as_ref().map_or(&LogConfig::usual(), |read| &read.log));
-    let config = match operator.and_then(|operator| Config::start(operator, &mut effective)) {
-        Ok(config) => config,
+    let config = operator.and_then(|operator| Config::start(operator, &mut effective));
+    // Before any socket is opened: an inherited descriptor's number could be given to one.
+    let ready = config.and_then(|config| Ok((recorder(&config, &effective)?, config)));
+    let (recorder, config) = match ready {
+        Ok(ready) => ready,
         Err(error) => {
             log::error!(key = error.key(); "cannot start: {error}");
             return ExitCode::from(FAULTY);
@@ -42,7 +47,7 @@
     drop(effective);
     let name = config.name.clone();
     let reread = Box::new(move || Config::again(path.as_deref()));
-    let served = Driver::start(config, reread).and_then(|mut driver| {
+    let served = Driver::start(config, recorder, reread).and_then(|mut driver| {
         // No key-values: scripts take the last word as the address.
         log::info!("{name} listens on {}", driver.address());
         driver.run()
@@ -59,6 +64,28 @@
     }
 }
 
+/// Begins the records, if they are on.
+fn recorder(config: &Config, effective: &Effective) -> Result<Recorder, BadConfig> {
+    let Some(file) = &effective.operator else { return Ok(Recorder::off()) };
+    let settings = config.operator.records.check().map_err(|bad| file.refuse(&bad.to_string()))?;
+    let Some(settings) = settings else { return Ok(Recorder::off()) };
+    let name = config.name.as_str().into();
+    // The start's time: no two runs under one name begin in the same microsecond.
+    let incarnation =
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as u64);
+    let version = env!("CARGO_PKG_VERSION").into();
+    let recorder = Recorder::open(&settings, Identity { name, incarnation, version });
+    recorder.map_err(|error| {
+        let message = match error {
+            NoRecorder::Target { key, target, error } => {
+                format!("records.{key} cannot be written: '{target}': {error}")
+            }
+            NoRecorder::Thread(error) => format!("records cannot begin, the system gives no thread: {error}"),
+        };
+        file.refuse(&message).into()
+    })
+}
+
 fn check(path: Option<&Path>) -> ExitCode {
     let mut effective = Effective::default();
     let operator = Operator::read(path, &mut effective);
--- a/crates/cottonnotch/src/net/driver/arrivals.rs
+++ b/crates/cottonnotch/src/net/driver/arrivals.rs
@@ -115,7 +115,9 @@
                 return false;
             }
             self.arrived.pop_front();
-            net.with_front(key, |front, io| front.dismiss(io, FULL_RETRY_AFTER));
+            if net.with_front(key, |front, io| front.dismiss(io, FULL_RETRY_AFTER)) == Some(true) {
+                net.records.turned_away(|| "no room for clients that say nothing".into());
+            }
         }
         true
     }
--- a/crates/cottonnotch/src/net/driver/calls.rs
+++ b/crates/cottonnotch/src/net/driver/calls.rs
@@ -1,6 +1,6 @@
 //! The table of clients' RPCs: one entry for each that is owed an answer or is up.
 
-use cottonnotch_decision::{Request, RequestId, ServerId};
+use cottonnotch_decision::{Micros, Request, RequestId, ServerId};
 use cottonnotch_reactor::Key;
 use std::collections::{BTreeMap, HashSet};
 
@@ -12,11 +12,26 @@
     pub wire_id: u64,
     /// Where its latest attempt went, and that attempt's number.
     pub at: Option<(ServerId, u32)>,
+    /// Made so far.
     pub attempts: u32,
+    /// While one is out: since when.
+    pub began: Option<Micros>,
     pub group: Option<u64>,
     pub stage: Stage,
 }
 
+impl Call {
+    /// One that nothing was done for yet.
+    pub fn new(id: RequestId, wire_id: u64, group: Option<u64>) -> Self {
+        Call { id, wire_id, at: None, attempts: 0, began: None, group, stage: Stage::Owed }
+    }
+
+    /// The latest attempt's number among all that were made, those that reopen a connection too.
+    pub fn latest(&self) -> u32 {
+        self.attempts.saturating_sub(1)
+    }
+}
+
 /// How far it is.
 #[derive(Debug, PartialEq)]
 pub enum Stage {
--- a/crates/cottonnotch/src/net/driver/clients.rs
+++ b/crates/cottonnotch/src/net/driver/clients.rs
@@ -14,6 +14,7 @@
 use cottonnotch_decision::{ClassId, Event, Micros, Outcome, Request, RequestId, ServerId, TenantId};
 use cottonnotch_reactor::Key;
 use cottonnotch_reactor::seldom::Seldom;
+use cottonnotch_records::MoveReason;
 
 /// A connection that was open before the start is tried again after this, until its client gives up.
 const REOPEN_AFTER: Micros = 200_000;
@@ -41,7 +42,13 @@
         why: &Objection,
     ) -> [Option<Event>; 2] {
         self.log_rejection(net, why);
-        self.left(messages, key)
+        let Some(mut call) = self.forget(messages, key) else {
+            net.records.turned_away(|| why.to_string().into());
+            return [None, None];
+        };
+        end_attempt(net, &mut call, Outcome::Cancelled);
+        net.records.failed(call.id, why);
+        gone(call)
     }
 
     fn log_rejection(&mut self, net: &Net, why: &Objection) {
@@ -79,6 +86,7 @@
     ) -> Option<Event> {
         if let Some(why) = self.objection(&net.config, &wish) {
             self.log_rejection(net, &why);
+            net.records.turned_away(|| why.to_string().into());
             net.with_front(key, |front, io| front.fail(io, &why));
             return None;
         }
@@ -97,8 +105,8 @@
             group: wish.group,
             again: wish.again,
         };
-        let call =
-            Call { id, wire_id: wish.id, at: None, attempts: 0, group: wish.group, stage: Stage::Owed };
+        net.records.request(&request, wish.id);
+        let call = Call::new(id, wish.id, wish.group);
         // One that names a subchannel which is not known is a new connection like any other.
         match wish.at.and_then(|at| subchannels.find(&at)) {
             None => {
@@ -123,6 +131,7 @@
                 "out of sockets, a client gets the unavailable status ({more} more since)"
             );
         }
+        net.records.turned_away(|| "out of sockets".into());
         net.with_front(key, |front, io| front.unavailable(io, FULL_RETRY_AFTER));
     }
 
@@ -144,8 +153,8 @@
             return None;
         };
         let attempt = call.attempts;
-        (call.at, call.attempts) = (Some((server, attempt)), attempt + 1);
-        if attempt_at(net, subchannels, key, server, timeout) {
+        call.at = Some((server, attempt));
+        if begin_attempt(net, subchannels, key, call, server, timeout) {
             return None;
         }
         Some(Event::Ended { request, attempt, server, outcome: Outcome::NotSent, last: false })
@@ -153,8 +162,9 @@
 
     /// Takes a connection that was open before the start back to its subchannel.
     fn reopen(&mut self, net: &mut Net, subchannels: &Subchannels, key: Key) {
-        let Some(Call { at: Some((server, _)), .. }) = self.calls.get(key) else { return };
-        if !attempt_at(net, subchannels, key, *server, 0) {
+        let Some(call) = self.calls.get_mut(key) else { return };
+        let Some((server, _)) = call.at else { return };
+        if !begin_attempt(net, subchannels, key, call, server, 0) {
             self.reopen_later(net, key);
         }
     }
@@ -173,7 +183,8 @@
 
     /// An attempt has ended without having been up.
     pub fn attempt_ended(&mut self, net: &mut Net, key: Key, outcome: Outcome) -> Option<Event> {
-        let call = self.calls.get(key)?;
+        let call = self.calls.get_mut(key)?;
+        end_attempt(net, call, outcome);
         if let Stage::Reopening(_) = call.stage {
             self.reopen_later(net, key);
             return None;
@@ -183,9 +194,18 @@
     }
 
     /// An attempt's subchannel took it.
-    pub fn up(&mut self, messages: &mut Messages, key: Key, elapsed: Micros) -> Option<Event> {
+    pub fn up(
+        &mut self,
+        net: &Net,
+        messages: &mut Messages,
+        subchannels: &Subchannels,
+        key: Key,
+        elapsed: Micros,
+    ) -> Option<Event> {
         let call = self.calls.get_mut(key)?;
         let (server, attempt) = call.at?;
+        call.began = None;
+        net.records.up(call.id, call.latest(), || subchannels.shared_name(server), elapsed);
         let (event, setup) = match std::mem::replace(&mut call.stage, Stage::Up) {
             Stage::Reopening(request) => (Event::Open { request: *request, server }, None),
             _ => (Event::Established { request: call.id, attempt, server, elapsed }, Some(elapsed)),
@@ -198,67 +218,101 @@
 
     /// A final answer that the module has decided on: the unavailable status.
     pub fn refuse(&mut self, net: &mut Net, messages: &mut Messages, request: RequestId, after: Micros) {
-        self.answer(net, messages, request, |front, io| front.unavailable(io, after));
+        if self.answer(net, messages, request, |front, io| front.unavailable(io, after)) {
+            net.records.refused(request, after);
+        }
     }
 
     /// A final answer that the module has decided on: a failure.
     pub fn fail(&mut self, net: &mut Net, messages: &mut Messages, request: RequestId) {
-        self.answer(net, messages, request, |front, io| front.fail(io, &"no attempt went well"));
+        let why = &"no attempt went well";
+        if self.answer(net, messages, request, |front, io| front.fail(io, why)) {
+            net.records.failed(request, why);
+        }
     }
 
+    /// False: none was given.
     fn answer(
         &mut self,
         net: &mut Net,
         messages: &mut Messages,
         request: RequestId,
         give: impl FnOnce(&mut dyn Front, &mut Io) -> bool,
-    ) {
+    ) -> bool {
         let key = self.calls.key(request);
         invariant!(key.is_some(), "a final answer is given once, to a request that is owed one");
         // One that left or was turned away is forgotten when the report of that has its turn.
-        if let Some(key) = key
-            && net.with_front(key, give) == Some(true)
-        {
-            self.forget(messages, key);
-        }
+        let given = key.filter(|key| net.with_front(*key, give) == Some(true));
+        given.and_then(|key| self.forget(messages, key)).is_some()
+    }
+
+    /// Why the module moves it.
+    pub fn reason_to_move(&self, subchannels: &Subchannels, request: RequestId) -> MoveReason {
+        let at = self.calls.key(request).and_then(|key| self.calls.get(key)?.at);
+        let is_draining = at.is_some_and(|(server, _)| subchannels.is_draining(server));
+        if is_draining { MoveReason::Draining } else { MoveReason::Asked }
     }
 
     /// Moves a client away, if it is up; an event of how its connection ended.
-    pub fn move_away(&mut self, net: &mut Net, messages: &mut Messages, request: RequestId) -> Option<Event> {
+    pub fn move_away(
+        &mut self,
+        net: &mut Net,
+        messages: &mut Messages,
+        subchannels: &Subchannels,
+        request: RequestId,
+        why: MoveReason,
+    ) -> Option<Event> {
         let key = self.calls.key(request)?;
         if net.with_front(key, |front, io| front.move_away(io)) != Some(true) {
             return None;
         }
         let (server, attempt) = self.forget(messages, key)?.at?;
-        Some(Event::Ended { request, attempt, server, outcome: Outcome::Cancelled, last: true })
+        let outcome = Outcome::Cancelled;
+        net.records.moved(request, || subchannels.shared_name(server), why);
+        net.records.ended(request, outcome);
+        Some(Event::Ended { request, attempt, server, outcome, last: true })
+    }
+
+    /// A client was moved since its subchannel returned nothing any more.
+    pub fn silent(&self, net: &Net, subchannels: &Subchannels, key: Key) {
+        if let Some(Call { id, at: Some((server, _)), .. }) = self.calls.get(key) {
+            net.records.moved(*id, || subchannels.shared_name(*server), MoveReason::Silent);
+        }
     }
 
     /// A connection that was up has ended.
-    pub fn ended(&mut self, messages: &mut Messages, key: Key, outcome: Outcome) -> Option<Event> {
+    pub fn ended(&mut self, net: &Net, messages: &mut Messages, key: Key, outcome: Outcome) -> Option<Event> {
         let call = self.forget(messages, key)?;
+        net.records.ended(call.id, outcome);
         let (server, attempt) = call.at?;
         Some(Event::Ended { request: call.id, attempt, server, outcome, last: true })
     }
 
     /// A client left before its answer: that, and the end of its attempt.
-    pub fn left(&mut self, messages: &mut Messages, key: Key) -> [Option<Event>; 2] {
-        let Some(call) = self.forget(messages, key) else { return [None, None] };
-        if let Stage::Reopening(_) = call.stage {
-            return [None, None];
-        }
-        // Each attempt's end is told, or a trial would be out for ever.
-        let (request, outcome) = (call.id, Outcome::Cancelled);
-        let ended =
-            call.at.map(|(server, attempt)| Event::Ended { request, attempt, server, outcome, last: true });
-        [Some(Event::Gone(request)), ended]
+    pub fn left(&mut self, net: &Net, messages: &mut Messages, key: Key) -> [Option<Event>; 2] {
+        let Some(mut call) = self.forget(messages, key) else { return [None, None] };
+        end_attempt(net, &mut call, Outcome::Cancelled);
+        net.records.client_left(call.id);
+        gone(call)
     }
 
     /// The proxy leaves: all are let go.
-    pub fn abandon(&mut self, net: &mut Net, messages: &mut Messages) {
+    pub fn abandon(&mut self, net: &mut Net, messages: &mut Messages, subchannels: &Subchannels) {
         let keys: Vec<Key> = self.calls.keys().collect();
         for key in keys {
-            if net.with_front(key, |front, io| front.abandon(io)) == Some(true) {
-                self.forget(messages, key);
+            if net.with_front(key, |front, io| front.abandon(io)) != Some(true) {
+                continue;
+            }
+            let Some(mut call) = self.forget(messages, key) else { continue };
+            match (&call.stage, call.at) {
+                (Stage::Up, Some((server, _))) => {
+                    net.records.moved(call.id, || subchannels.shared_name(server), MoveReason::Leaving);
+                    net.records.ended(call.id, Outcome::Cancelled);
+                }
+                _ => {
+                    end_attempt(net, &mut call, Outcome::Cancelled);
+                    net.records.refused(call.id, 0);
+                }
             }
         }
     }
@@ -270,10 +324,42 @@
     }
 }
 
-/// False: the attempt could not even be begun.
-fn attempt_at(net: &mut Net, subchannels: &Subchannels, key: Key, server: ServerId, timeout: Micros) -> bool {
-    let Some(address) = subchannels.address(server) else { return false };
+/// Makes a call attempt; false if it could not even be begun.
+fn begin_attempt(
+    net: &mut Net,
+    subchannels: &Subchannels,
+    key: Key,
+    call: &mut Call,
+    server: ServerId,
+    timeout: Micros,
+) -> bool {
+    call.attempts += 1;
+    call.began = Some(net.now());
+    net.records.attempt(call.id, call.latest(), || subchannels.shared_name(server), timeout);
     let connect_timeout = net.config.profile.connect_timeout;
-    let order = AttemptOrder { address, timeout, connect_timeout };
-    net.with_front(key, |front, io| front.attempt(io, order)).unwrap_or(false)
+    let order = subchannels.address(server).map(|address| AttemptOrder { address, timeout, connect_timeout });
+    let begun = order.and_then(|order| net.with_front(key, |front, io| front.attempt(io, order)));
+    if begun != Some(true) {
+        end_attempt(net, call, Outcome::NotSent);
+    }
+    begun == Some(true)
+}
+
+/// An attempt is over, if one is out.
+fn end_attempt(net: &Net, call: &mut Call, outcome: Outcome) {
+    if let Some(began) = call.began.take() {
+        net.records.attempt_ended(call.id, call.latest(), outcome, net.now() - began);
+    }
+}
+
+/// What the module hears of a request whose client is gone: that, and the end of its attempt, which is told of each,
+/// or a trial would be out for ever.
+fn gone(call: Call) -> [Option<Event>; 2] {
+    if let Stage::Reopening(_) = call.stage {
+        return [None, None];
+    }
+    let (request, outcome) = (call.id, Outcome::Cancelled);
+    let ended =
+        call.at.map(|(server, attempt)| Event::Ended { request, attempt, server, outcome, last: true });
+    [Some(Event::Gone(request)), ended]
 }
--- a/crates/cottonnotch/src/net/driver/lifecycle.rs
+++ b/crates/cottonnotch/src/net/driver/lifecycle.rs
@@ -54,6 +54,7 @@
                     target: PART, key = error.key();
                     "configuration kept, the new one is faulty: {error}"
                 );
+                net.records.reload_kept(&error);
                 return None;
             }
         };
@@ -72,6 +73,8 @@
         let moved = new.discovery != old.discovery;
         let profile = new.profile.succeed(&old.profile);
         messages.set(&profile);
+        net.records.set(&profile);
+        net.records.reload_taken();
         net.reactor.io.buffer_bound = new.buffer_bound;
         let event = Event::Settings(Box::new(profile.settings.clone()));
         let known = old.known.clone();
@@ -88,6 +91,7 @@
         let longest = net.config.profile.settings.classes.iter().map(|c| c.deadline).max();
         let (rpcs, up) = (calls.len(), calls.up().count());
         log::info!(target: PART, rpcs, up; "asked to stop: clients are moved");
+        net.records.shutdown();
         self.shutdown = Some(Shutdown::begin(now, longest.unwrap_or(0)));
         true
     }
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -14,6 +14,7 @@
 mod lifecycle;
 mod messages;
 mod net;
+mod records;
 mod shutdown;
 mod subchannels;
 
@@ -28,14 +29,20 @@
 use cottonnotch_reactor::seldom::Seldom;
 use cottonnotch_reactor::signals::{SIGHUP, SIGTERM, Signals};
 use cottonnotch_reactor::{Clock, Reactor};
+use cottonnotch_records::{MoveReason, Recorder};
 use lifecycle::{Lifecycle, Reloaded, Reread, Round};
 use messages::Messages;
 use net::Net;
+use records::Records;
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 use subchannels::Subchannels;
 
+/// The records' writer is waited for so long at the end: a shutdown is over 150 ms before SIGKILL may come.
+const RECORDS_WITHIN: Duration = Duration::from_millis(100);
+
 /// Everything that one proxy holds.
 pub struct Driver {
     net: Net,
@@ -51,7 +58,7 @@
 
 impl Driver {
     /// Opens the sockets and starts the module. `reread` gets the configuration anew on SIGHUP.
-    pub fn start(config: Config, reread: Reread) -> io::Result<Self> {
+    pub fn start(config: Config, recorder: Recorder, reread: Reread) -> io::Result<Self> {
         let mut reactor = Reactor::<dyn Object>::new(Clock::unix())?;
         reactor.io.buffer_bound = config.buffer_bound;
         let mut shared = None;
@@ -70,7 +77,8 @@
         }
         let balancer = Balancer::new(config.profile.settings.clone(), config.seed, reactor.io.now());
         let known = config.known.clone();
-        let mut net = Net { reactor, config };
+        let records = Records::new(recorder, &config.profile);
+        let mut net = Net { reactor, config, records };
         let mut driver = Driver {
             messages: Messages::start(&mut net),
             net,
@@ -91,7 +99,7 @@
         self.lifecycle.address()
     }
 
-    /// Serves until a shutdown is over.
+    /// Serves until a shutdown is over. Records end with it.
     pub fn run(&mut self) -> io::Result<()> {
         loop {
             self.net.reactor.turn()?;
@@ -99,11 +107,22 @@
                 self.take(happening);
             }
             if self.lifecycle.is_over(self.net.now()) {
+                self.close_records();
                 return Ok(());
             }
         }
     }
 
+    fn close_records(&mut self) {
+        let counts = self.net.records.close(RECORDS_WITHIN);
+        // What was not written in time is lost as well, though nobody counted it.
+        let lost = counts.produced.saturating_sub(counts.written);
+        if lost > 0 {
+            let written = counts.written;
+            log::warn!(lost, written; "{lost} records of this run were lost, {written} were written");
+        }
+    }
+
     fn take(&mut self, happening: Happening) {
         let (net, messages) = (&mut self.net, &mut self.messages);
         match happening {
@@ -120,7 +139,7 @@
                 self.tell(event);
             }
             Happening::Up { rpc, elapsed } => {
-                let event = self.clients.up(messages, rpc, elapsed);
+                let event = self.clients.up(net, messages, &self.subchannels, rpc, elapsed);
                 self.tell(event);
             }
             Happening::AttemptEnded { rpc, outcome } => {
@@ -128,14 +147,15 @@
                 self.tell(event);
             }
             Happening::Ended { rpc, outcome } => {
-                let event = self.clients.ended(messages, rpc, outcome);
+                let event = self.clients.ended(net, messages, rpc, outcome);
                 self.tell(event);
             }
             Happening::ClientGone { rpc } => {
-                for event in self.clients.left(messages, rpc) {
+                for event in self.clients.left(net, messages, rpc) {
                     self.tell(event);
                 }
             }
+            Happening::Silent { rpc } => self.clients.silent(net, &self.subchannels, rpc),
             Happening::Timer(net::REOPEN) => self.clients.reopen_all(net, &self.subchannels),
 
             Happening::Load { rpc, load } => {
@@ -201,11 +221,13 @@
         let round = self.lifecycle.round(&mut self.net, self.clients.calls());
         let Some(Round { leaving, is_last }) = round else { return };
         for request in leaving {
-            self.pending.extend(self.clients.move_away(&mut self.net, &mut self.messages, request));
+            let (net, messages, subchannels) = (&mut self.net, &mut self.messages, &self.subchannels);
+            let ended = self.clients.move_away(net, messages, subchannels, request, MoveReason::Leaving);
+            self.pending.extend(ended);
         }
         self.settle();
         if is_last {
-            self.clients.abandon(&mut self.net, &mut self.messages);
+            self.clients.abandon(&mut self.net, &mut self.messages, &self.subchannels);
         }
     }
 
@@ -244,7 +266,10 @@
                 self.clients.fail(net, messages, request);
                 None
             }
-            Action::Move(request) => self.clients.move_away(net, messages, request),
+            Action::Move(request) => {
+                let why = self.clients.reason_to_move(&self.subchannels, request);
+                self.clients.move_away(net, messages, &self.subchannels, request, why)
+            }
             Action::Watch => self.subchannels.watch(net),
             // No probe is made: the module asks for none.
             Action::Probe(server) => Some(Event::Probed { server, report: None }),
@@ -252,7 +277,10 @@
                 net.reactor.io.owner_timer(now + after, token);
                 None
             }
-            Action::Believe { .. } => None,
+            Action::Believe { server, belief } => {
+                net.records.believes(|| self.subchannels.shared_name(server), belief);
+                None
+            }
             Action::Log { notice, server } => {
                 self.log(now, notice, server);
                 None
--- a/crates/cottonnotch/src/net/driver/net.rs
+++ b/crates/cottonnotch/src/net/driver/net.rs
@@ -1,5 +1,6 @@
-//! What every part of the driver uses: the loop, and what the proxy was told.
+//! What every part of the driver uses: the loop, what the proxy was told, and the records.
 
+use super::records::Records;
 use crate::config::Config;
 use crate::net::happening::{Front, Io, Object};
 use cottonnotch_decision::Micros;
@@ -14,10 +15,11 @@
 /// The driver's part in the log, whichever of its files writes the line: filters and collectors know it by this.
 pub const PART: &str = "cottonnotch::net::driver";
 
-/// The loop and the configuration.
+/// The loop, the configuration and the records.
 pub struct Net {
     pub reactor: Reactor<dyn Object>,
     pub config: Config,
+    pub records: Records,
 }
 
 impl Net {
--- /dev/null
+++ b/crates/cottonnotch/src/net/driver/records.rs
@@ -0,0 +1,189 @@
+//! What happens here, for the program's records (`docs/records.md`): the module's terms become the schema's. While
+//! records are off, each call costs a comparison.
+
+use cottonnotch_decision::settings::Profile;
+use cottonnotch_decision::{Belief, Entry, Listed, Micros, Outcome, Request, RequestId};
+use cottonnotch_records as schema;
+use cottonnotch_records::{Answer, Change, Counts, Event, MoveReason, Name, Phase, Recorder, Reload, Why};
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The records, and the names that the settings' numbers stand for: made once, since most records have one.
+pub struct Records {
+    recorder: Recorder,
+    classes: Vec<Name>,
+    tenants: Vec<Name>,
+}
+
+impl Records {
+    pub fn new(recorder: Recorder, profile: &Profile) -> Self {
+        let mut records = Records { recorder, classes: Vec::new(), tenants: Vec::new() };
+        records.set(profile);
+        records
+    }
+
+    /// The settings have changed.
+    pub fn set(&mut self, Profile { settings, classes, tenants, .. }: &Profile) {
+        self.classes = (0..settings.classes.len()).map(|i| classes.name(i as u32).into()).collect();
+        self.tenants = (0..settings.tenants.len()).map(|i| tenants.name(i as u32).into()).collect();
+    }
+
+    /// A list, or changes of it, was taken; each entry with its name and address.
+    pub fn list<'a>(
+        &self,
+        revision: u64,
+        complete: bool,
+        entries: impl Iterator<Item = (&'a Entry, Name, Option<SocketAddr>)>,
+    ) {
+        self.recorder.record_with(|| {
+            let change = |(entry, subchannel, address): (&Entry, Name, Option<SocketAddr>)| {
+                let phase = match entry.state {
+                    Listed::Ready => Phase::Up,
+                    Listed::Draining => Phase::Draining,
+                    Listed::Gone => Phase::Gone,
+                };
+                Change { subchannel, phase, address }
+            };
+            Event::List { revision, complete, changes: entries.map(change).collect() }
+        });
+    }
+
+    pub fn believes(&self, subchannel: impl FnOnce() -> Name, belief: Belief) {
+        self.recorder.record_with(|| Event::Subchannel {
+            subchannel: subchannel(),
+            belief: match belief {
+                Belief::Up => schema::Belief::Up,
+                Belief::Paused { until } => schema::Belief::Paused { until_us: micros(until) },
+                Belief::Trial => schema::Belief::Trial,
+                Belief::Draining => schema::Belief::Draining,
+                Belief::Gone => schema::Belief::Gone,
+            },
+        });
+    }
+
+    pub fn request(&self, request: &Request, wire_id: u64) {
+        self.recorder.record_with(|| {
+            let name = |names: &[Name], number: u16| names.get(usize::from(number)).cloned();
+            Event::Request {
+                request: request.id.0,
+                wire_id: schema::Hex(wire_id),
+                class: name(&self.classes, request.class.0).unwrap_or_else(|| "-".into()),
+                tenant: request.tenant.and_then(|tenant| name(&self.tenants, tenant.0)),
+                deadline_ms: request.left.map(millis),
+                group: request.group.map(schema::Hex),
+                again: request.again,
+            }
+        });
+    }
+
+    pub fn attempt(
+        &self,
+        RequestId(request): RequestId,
+        attempt: u32,
+        subchannel: impl FnOnce() -> Name,
+        timeout: Micros,
+    ) {
+        self.recorder.record_with(|| Event::Attempt {
+            request,
+            attempt,
+            subchannel: subchannel(),
+            timeout_ms: millis(timeout),
+        });
+    }
+
+    pub fn attempt_ended(&self, RequestId(request): RequestId, attempt: u32, outcome: Outcome, took: Micros) {
+        self.recorder.record_with(|| Event::AttemptEnded {
+            request,
+            attempt,
+            outcome: outcome_of(outcome),
+            took_us: micros(took),
+        });
+    }
+
+    /// An attempt brought `UP`, which is the final answer.
+    pub fn up(
+        &self,
+        RequestId(request): RequestId,
+        attempt: u32,
+        subchannel: impl FnOnce() -> Name,
+        took: Micros,
+    ) {
+        self.recorder.record_with(|| Event::Up {
+            request,
+            attempt,
+            subchannel: subchannel(),
+            took_us: micros(took),
+        });
+        self.recorder.record_with(|| Event::Answer { request, answer: Answer::Up });
+    }
+
+    pub fn refused(&self, RequestId(request): RequestId, retry_after: Micros) {
+        let answer = || Answer::Refused { retry_after_ms: millis(retry_after) };
+        self.recorder.record_with(|| Event::Answer { request, answer: answer() });
+    }
+
+    pub fn failed(&self, RequestId(request): RequestId, why: &dyn Display) {
+        let answer = || Answer::Failed { why: why.to_string().into() };
+        self.recorder.record_with(|| Event::Answer { request, answer: answer() });
+    }
+
+    /// A client got an error or the unavailable status, and had no request.
+    pub fn turned_away(&self, why: impl FnOnce() -> Why) {
+        self.recorder.record_with(|| Event::TurnedAway { why: why() });
+    }
+
+    pub fn moved(&self, RequestId(request): RequestId, subchannel: impl FnOnce() -> Name, why: MoveReason) {
+        self.recorder.record_with(|| Event::Moved { request, subchannel: subchannel(), why });
+    }
+
+    pub fn ended(&self, RequestId(request): RequestId, outcome: Outcome) {
+        self.recorder.record_with(|| Event::Ended { request, outcome: outcome_of(outcome) });
+    }
+
+    pub fn client_left(&self, RequestId(request): RequestId) {
+        self.recorder.record_with(|| Event::ClientLeft { request });
+    }
+
+    /// A new configuration counts.
+    pub fn reload_taken(&self) {
+        self.recorder.record_with(|| Event::Reload { reload: Reload::Taken });
+    }
+
+    /// A new configuration is faulty.
+    pub fn reload_kept(&self, why: &dyn Display) {
+        let reload = || Reload::Kept { why: why.to_string().into() };
+        self.recorder.record_with(|| Event::Reload { reload: reload() });
+    }
+
+    pub fn shutdown(&self) {
+        self.recorder.record_with(|| Event::Shutdown {});
+    }
+
+    /// The last of them; waits so long at most for the writer.
+    pub fn close(&mut self, within: Duration) -> Counts {
+        self.recorder.close(within)
+    }
+}
+
+fn micros(time: Micros) -> u64 {
+    time.try_into().unwrap_or(0)
+}
+
+/// As on the wire: rounded up, so that only nothing is 0.
+fn millis(time: Micros) -> u32 {
+    micros(time).div_ceil(1000).try_into().unwrap_or(u32::MAX)
+}
+
+fn outcome_of(outcome: Outcome) -> schema::Outcome {
+    match outcome {
+        Outcome::Served => schema::Outcome::Served,
+        Outcome::Error => schema::Outcome::Error,
+        Outcome::Full => schema::Outcome::Full,
+        Outcome::TimedOut => schema::Outcome::TimedOut,
+        Outcome::ConnectFailed => schema::Outcome::ConnectFailed,
+        Outcome::Reset => schema::Outcome::Reset,
+        Outcome::Cancelled => schema::Outcome::Cancelled,
+        Outcome::NotSent => schema::Outcome::NotSent,
+    }
+}
--- a/crates/cottonnotch/src/net/driver/subchannels.rs
+++ b/crates/cottonnotch/src/net/driver/subchannels.rs
@@ -7,11 +7,14 @@
 use cottonnotch_decision::names::{Names, digest};
 use cottonnotch_decision::{Entry, Event, Listed, Micros, ServerId, ZoneId};
 use cottonnotch_reactor::Key;
+use cottonnotch_records::Name;
 use std::net::SocketAddr;
 
 /// A render node, as the resolver has it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Subchannel {
+    name: Name,
+    state: Listed,
     address: Option<SocketAddr>,
     started: Option<Micros>,
 }
@@ -42,9 +45,12 @@
             // Numbers are never given anew: a member that restarts or moves keeps its number.
             let number = self.names.intern(&member.id);
             if self.known.len() <= number as usize {
-                self.known.resize_with(number as usize + 1, Subchannel::default);
+                // Numbers are given in order, so the new one's place is the next.
+                let name = member.id.as_str().into();
+                self.known.push(Subchannel { name, state: member.state, address: None, started: None });
             }
             let subchannel = &mut self.known[number as usize];
+            subchannel.state = member.state;
             subchannel.address = member.address.or(subchannel.address);
             let anew = std::mem::replace(&mut subchannel.started, member.started) != member.started;
             messages.listed(ServerId(number), member.weight, anew);
@@ -58,6 +64,14 @@
                 weight: member.weight,
             });
         }
+        net.records.list(
+            revision,
+            full,
+            entries.iter().map(|entry| {
+                let subchannel = &self.known[entry.server.0 as usize];
+                (entry, Name::clone(&subchannel.name), subchannel.address)
+            }),
+        );
         let members = entries.len();
         log::debug!(
             target: PART, revision, members, complete = full;
@@ -113,6 +127,16 @@
         self.names.name(server.0)
     }
 
+    /// Its name, to be kept.
+    pub fn shared_name(&self, server: ServerId) -> Name {
+        self.known.get(server.0 as usize).map_or_else(|| "-".into(), |s| Name::clone(&s.name))
+    }
+
+    /// The list says that it drains.
+    pub fn is_draining(&self, server: ServerId) -> bool {
+        self.known.get(server.0 as usize).is_some_and(|s| s.state == Listed::Draining)
+    }
+
     pub fn find(&self, name: &str) -> Option<ServerId> {
         self.names.find(name).map(ServerId)
     }
--- a/crates/cottonnotch/src/net/happening.rs
+++ b/crates/cottonnotch/src/net/happening.rs
@@ -50,6 +50,8 @@
     Up { rpc: Key, elapsed: Micros },
     /// The call attempt has ended without having been up; a final answer is still owed.
     AttemptEnded { rpc: Key, outcome: Outcome },
+    /// The subchannel returned nothing any more, and the client was moved; the connection's end is told next.
+    Silent { rpc: Key },
     /// A connection that was up has ended; nothing more is owed.
     Ended { rpc: Key, outcome: Outcome },
     /// The client left before it had an answer.
@@ -105,8 +107,8 @@
     /// The proxy leaves: an RPC that is up is moved, one that is owed an answer gets the unavailable status. False if
     /// it was over, which is reported.
     fn abandon(&mut self, io: &mut Io) -> bool;
-    /// Room is needed: a client that has not said what it wants, or that was answered, is let go. False if
-    /// it is neither.
+    /// Room is needed: a client that has not said what it wants, or that was answered, is let go. True if it had to be
+    /// told so.
     fn dismiss(&mut self, io: &mut Io, retry_after: Micros) -> bool;
     /// For how long the oldest unanswered line of the client's has waited.
     fn waiting_for(&self, now: Micros) -> Option<Micros>;
--- a/crates/cottonnotch/src/net/rpc.rs
+++ b/crates/cottonnotch/src/net/rpc.rs
@@ -310,6 +310,7 @@
                         "subchannel silent for {waited_ms} ms, client moved"
                     );
                     self.move_away(io);
+                    io.tell(Happening::Silent { rpc: self.key });
                     io.tell(Happening::Ended { rpc: self.key, outcome: Outcome::Reset });
                 }
                 Some(waited) => io.timer(now + SILENT - waited, self.key, SILENCE),
@@ -407,6 +408,7 @@
             // A usual client's line may be there already and only not read yet.
             self.first_line(io);
         }
+        let told = matches!(self.state, State::Reading { pinged: false, .. });
         match self.state {
             State::Reading { pinged: false, .. } => self.answer(io, &busy(retry_after)),
             // It has had its PONG, and would take a BUSY for another one's. Guards against those that ask once
@@ -414,11 +416,10 @@
             State::Reading { pinged: true, .. } => self.end_client(io),
             _ => {}
         }
-        let idle = matches!(self.state, State::Answered);
-        if idle {
+        if let State::Answered = self.state {
             self.state = State::Closed;
         }
-        idle
+        told
     }
 
     fn waiting_for(&self, now: Micros) -> Option<Micros> {
--- a/crates/cottonnotch/tests/configuration.rs
+++ b/crates/cottonnotch/tests/configuration.rs
@@ -74,6 +74,8 @@
         format!("operator = {operator}  # --operator"),
         format!("log.filter = warn  # {operator}, line 3"),
         "log.format = text  # default".to_owned(),
+        "records.file = -  # default".to_owned(),
+        "records.flush_ms = 200  # default".to_owned(),
         "name = n\\n3  # environment GW_NAME".to_owned(),
         format!("listen = 127.0.0.1:0  # {json}, line 2"),
         "discovery = 127.0.0.1:9  # environment GW_DISCOVERY".to_owned(),
--- a/crates/cottonnotch/tests/peers/mod.rs
+++ b/crates/cottonnotch/tests/peers/mod.rs
@@ -134,6 +134,11 @@
 /// A line that opens a connection of class `look`.
 pub const OPEN: &str = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=look,d=2000,g=5c0f\r\n";
 
+/// The id on the wire of a line that opens a connection.
+pub fn id_of(line: &str) -> u64 {
+    u64::from_str_radix(line.split(' ').nth(1).unwrap(), 16).unwrap()
+}
+
 /// The line with an id of its own.
 pub fn fresh(line: &str) -> String {
     static NUMBER: AtomicU32 = AtomicU32::new(0);
@@ -239,10 +244,21 @@
         (client, far)
     }
 
+    /// Its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
 
+    /// Ends it as the system does when there is no time left.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
     /// Replaces the configuration file, with these parts of the first one changed, and sends SIGHUP.
     pub fn reconfigure(&self, changes: &[(&str, &str)]) {
         let changed = changes.iter().fold(self.config.clone(), |text, (from, to)| text.replace(from, to));
--- a/crates/records/src/config.rs
+++ b/crates/records/src/config.rs
@@ -30,16 +30,12 @@
 #[serde(deny_unknown_fields, default)]
 pub struct RecordsSection {
     /// Records go to this file. One proxy a file.
-    #[serde(skip_serializing_if = "Option::is_none")]
     pub file: Option<PathBuf>,
     /// Records go to this inherited descriptor: a pipe, a terminal, a file; a socket only as 1 or 2.
-    #[serde(skip_serializing_if = "Option::is_none")]
     pub descriptor: Option<u32>,
     /// Bytes of a file before it is rotated; 8 MiB unless said. Not for a descriptor, whose owner bounds it.
-    #[serde(skip_serializing_if = "Option::is_none")]
     pub max_bytes: Option<u64>,
     /// Rotated files beside the one that is written; 3 unless said. Not for a descriptor.
-    #[serde(skip_serializing_if = "Option::is_none")]
     pub keep: Option<u32>,
     /// Records that may wait for the writer; more are dropped and counted.
     pub queue_records: u32,
