--- /dev/null
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -0,0 +1,311 @@
+//! Between the sockets and the decisions: turns happenings into the module's events and carries out its
+//! actions in order. Here the network's terms (subchannel, RPC, call attempt) meet the module's (server,
+//! request, send); nothing is decided.
+//!
+//! This file is the core: it hands each happening to the part that translates it, each event to the module, and
+//! each action to the part that carries it out. A request's way: a front reads a client's line and tells its
+//! `Wish` ([`Driver::take`]), [`clients`] makes an event of it, the module answers with an action
+//! ([`Driver::settle`]), [`clients`] asks the front for a call attempt ([`Driver::act`]), and once that is up the
+//! front relays.
+
+mod arrivals;
+mod calls;
+mod clients;
+mod lifecycle;
+mod messages;
+mod net;
+mod records;
+mod shutdown;
+mod subchannels;
+
+use super::happening::{Happening, Object};
+use super::message_delay::Note;
+use super::resolver_result::ResolverResult;
+use crate::config::Config;
+use arrivals::Arrivals;
+use clients::Clients;
+use cottonnotch_decision::{Action, Balancer, Event, Micros, Notice, ServerId};
+use cottonnotch_reactor::listener::Listener;
+use cottonnotch_reactor::seldom::Seldom;
+use cottonnotch_reactor::signals::{SIGHUP, SIGTERM, Signals};
+use cottonnotch_reactor::{Clock, Reactor};
+use cottonnotch_records::{MoveReason, Recorder};
+use lifecycle::{Lifecycle, Reloaded, Reread, Round};
+use messages::Messages;
+use net::Net;
+use records::Records;
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use subchannels::Subchannels;
+
+/// The records' writer is waited for so long at the end: a shutdown is over 150 ms before SIGKILL may come.
+const RECORDS_WITHIN: Duration = Duration::from_millis(100);
+
+/// Everything that one proxy holds.
+pub struct Driver {
+    net: Net,
+    balancer: Balancer,
+    pending: VecDeque<Event>,
+    arrivals: Arrivals,
+    clients: Clients,
+    messages: Messages,
+    subchannels: Subchannels,
+    lifecycle: Lifecycle,
+    holding: Seldom,
+}
+
+impl Driver {
+    /// Opens the sockets and starts the module. `reread` gets the configuration anew on SIGHUP.
+    pub fn start(config: Config, recorder: Recorder, reread: Reread) -> io::Result<Self> {
+        let mut reactor = Reactor::<dyn Object>::new(Clock::unix())?;
+        reactor.io.buffer_bound = config.buffer_bound;
+        let mut shared = None;
+        reactor.insert(|key, io| {
+            let (listener, socket) = Listener::bind(config.listen, |_| Happening::Acceptable, key, io)?;
+            shared = Some(socket);
+            Ok(Box::new(listener))
+        })?;
+        let listener = shared.ok_or(io::ErrorKind::NotConnected)?;
+        let address = listener.local_addr()?;
+        // Guards against the system's own answer to a signal, which is to end the process.
+        let signals: [(i32, fn() -> Happening); 2] =
+            [(SIGTERM, || Happening::Terminate), (SIGHUP, || Happening::Reload)];
+        for (signal, happening) in signals {
+            reactor.insert(|key, io| Ok(Box::new(Signals::register(signal, happening, key, io)?)))?;
+        }
+        let balancer = Balancer::new(config.profile.settings.clone(), config.seed, reactor.io.now());
+        let known = config.known.clone();
+        let records = Records::new(recorder, &config.profile);
+        let mut net = Net { reactor, config, records };
+        let mut driver = Driver {
+            messages: Messages::start(&mut net),
+            net,
+            balancer,
+            pending: VecDeque::new(),
+            arrivals: Arrivals::new(listener),
+            clients: Clients::default(),
+            subchannels: Subchannels::default(),
+            lifecycle: Lifecycle::new(address, reread),
+            holding: Seldom::default(),
+        };
+        driver.resolved(known, true);
+        Ok(driver)
+    }
+
+    /// Where clients connect.
+    pub fn address(&self) -> SocketAddr {
+        self.lifecycle.address()
+    }
+
+    /// Serves until a shutdown is over. Records end with it.
+    pub fn run(&mut self) -> io::Result<()> {
+        loop {
+            self.net.reactor.turn()?;
+            while let Some(happening) = self.net.reactor.io.reports.pop_front() {
+                self.take(happening);
+            }
+            if self.lifecycle.is_over(self.net.now()) {
+                self.close_records();
+                return Ok(());
+            }
+        }
+    }
+
+    fn close_records(&mut self) {
+        let counts = self.net.records.close(RECORDS_WITHIN);
+        // What was not written in time is lost as well, though nobody counted it.
+        let lost = counts.produced.saturating_sub(counts.written);
+        if lost > 0 {
+            let written = counts.written;
+            log::warn!(lost, written; "{lost} records of this run were lost, {written} were written");
+        }
+    }
+
+    fn take(&mut self, happening: Happening) {
+        let (net, messages) = (&mut self.net, &mut self.messages);
+        match happening {
+            Happening::Acceptable => self.arrivals.acceptable(net, self.clients.calls().len()),
+            Happening::Timer(net::ACCEPT) => self.arrivals.accept_again(net, self.clients.calls().len()),
+
+            Happening::TurnedAway { rpc, why } => {
+                for event in self.clients.turned_away(net, messages, rpc, &why) {
+                    self.tell(event);
+                }
+            }
+            Happening::Asked(key, wish) => {
+                let event = self.clients.asked(net, &mut self.arrivals, &self.subchannels, key, wish);
+                self.tell(event);
+            }
+            Happening::Up { rpc, elapsed } => {
+                let event = self.clients.up(net, messages, &self.subchannels, rpc, elapsed);
+                self.tell(event);
+            }
+            Happening::AttemptEnded { rpc, outcome } => {
+                let event = self.clients.attempt_ended(net, rpc, outcome);
+                self.tell(event);
+            }
+            Happening::Ended { rpc, outcome } => {
+                let event = self.clients.ended(net, messages, rpc, outcome);
+                self.tell(event);
+            }
+            Happening::ClientGone { rpc } => {
+                for event in self.clients.left(net, messages, rpc) {
+                    self.tell(event);
+                }
+            }
+            Happening::Silent { rpc } => self.clients.silent(net, &self.subchannels, rpc),
+            Happening::Timer(net::REOPEN) => self.clients.reopen_all(net, &self.subchannels),
+
+            Happening::Load { rpc, load } => {
+                let event = self.clients.calls().get(rpc).map(|call| messages.load(call, load));
+                self.tell(event);
+            }
+            Happening::Message { rpc, delay } => {
+                if let Some(call) = self.clients.calls().get(rpc) {
+                    messages.delayed(net.now(), call, delay);
+                }
+            }
+            Happening::Timer(net::TICK) => self.tick(),
+
+            Happening::Resolved { watch, result } => {
+                if self.subchannels.is_watch(watch) {
+                    self.resolved(result, false);
+                }
+            }
+            Happening::ResolverLost { watch, why } => {
+                let event = self.subchannels.lost(net, watch, &why);
+                self.tell(event);
+            }
+
+            Happening::Terminate => {
+                if self.lifecycle.terminate(net, self.clients.calls()) {
+                    self.round();
+                }
+            }
+            Happening::Timer(net::ROUND) => self.round(),
+            Happening::Reload => self.reload(),
+
+            Happening::Timer(token) => self.tell(Some(Event::Timer(token))),
+        }
+    }
+
+    fn resolved(&mut self, result: ResolverResult, copy: bool) {
+        let event = self.subchannels.take(&mut self.net, &mut self.messages, result, copy);
+        self.tell(Some(event));
+    }
+
+    fn tick(&mut self) {
+        for Note { request, server, delay } in self.messages.tick(&mut self.net, self.clients.calls()) {
+            // What came of an earlier note may have ended it.
+            if self.clients.calls().key(request).is_some() {
+                self.tell(Some(Event::DelayNote { request, server, delay }));
+            }
+        }
+    }
+
+    fn reload(&mut self) {
+        let reloaded = self.lifecycle.reload(&mut self.net, &mut self.messages);
+        let Some(Reloaded { event, moved }) = reloaded else { return };
+        self.tell(Some(event));
+        if moved {
+            // At once, and from the last revision taken: the old address may have told its last already.
+            // That its watch ends is no failure; the module hears only of the new one's.
+            let event = self.subchannels.watch(&mut self.net);
+            self.tell(event);
+        }
+    }
+
+    fn round(&mut self) {
+        let round = self.lifecycle.round(&mut self.net, self.clients.calls());
+        let Some(Round { leaving, is_last }) = round else { return };
+        for request in leaving {
+            let (net, messages, subchannels) = (&mut self.net, &mut self.messages, &self.subchannels);
+            let ended = self.clients.move_away(net, messages, subchannels, request, MoveReason::Leaving);
+            self.pending.extend(ended);
+        }
+        self.settle();
+        if is_last {
+            self.clients.abandon(&mut self.net, &mut self.messages, &self.subchannels);
+        }
+    }
+
+    // ---- the module ----
+
+    fn tell(&mut self, event: Option<Event>) {
+        self.pending.extend(event);
+        self.settle();
+    }
+
+    /// Hands the module what is pending, and what comes of its own actions.
+    fn settle(&mut self) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.pending.pop_front() {
+            let now = self.net.now();
+            log::debug!("event {event:?}");
+            self.balancer.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                log::debug!("action {action:?}");
+                self.act(now, action);
+            }
+        }
+    }
+
+    fn act(&mut self, now: Micros, action: Action) {
+        let (net, messages) = (&mut self.net, &mut self.messages);
+        let event = match action {
+            Action::Send { request, server, timeout } => {
+                self.clients.send(net, &self.subchannels, request, server, timeout)
+            }
+            Action::Refuse { request, retry_after } => {
+                self.clients.refuse(net, messages, request, retry_after);
+                None
+            }
+            Action::Fail(request) => {
+                self.clients.fail(net, messages, request);
+                None
+            }
+            Action::Move(request) => {
+                let why = self.clients.reason_to_move(&self.subchannels, request);
+                self.clients.move_away(net, messages, &self.subchannels, request, why)
+            }
+            Action::Watch => self.subchannels.watch(net),
+            // No probe is made: the module asks for none.
+            Action::Probe(server) => Some(Event::Probed { server, report: None }),
+            Action::Timer { after, token } => {
+                net.reactor.io.owner_timer(now + after, token);
+                None
+            }
+            Action::Believe { server, belief } => {
+                net.records.believes(|| self.subchannels.shared_name(server), belief);
+                None
+            }
+            Action::Log { notice, server } => {
+                self.log(now, notice, server);
+                None
+            }
+        };
+        self.pending.extend(event);
+    }
+
+    fn log(&mut self, now: Micros, notice: Notice, server: Option<ServerId>) {
+        if notice == Notice::Holding && self.holding.due(now).is_none() {
+            return;
+        }
+        let subchannel = server.map_or("-", |server| self.subchannels.name(server));
+        let (discovery, revision) = (self.net.config.discovery, self.subchannels.revision());
+        let rpcs = self.clients.calls().len();
+        match notice {
+            Notice::PausedFailing => log::warn!(subchannel; "subchannel {subchannel} paused, keeps failing"),
+            Notice::Recovered => log::info!(subchannel; "subchannel {subchannel} back after a good trial"),
+            Notice::Holding => log::warn!(rpcs; "no subchannel can be used now, holding RPCs"),
+            Notice::ListUnreachable => {
+                log::error!(
+                    discovery:%, revision;
+                    "discovery cannot be reached, going on with the last list"
+                )
+            }
+        }
+    }
+}
