--- a/crates/kit/src/judge/rude.rs
+++ b/crates/kit/src/judge/rude.rs
@@ -74,11 +74,11 @@
 
     fn close(&mut self, at: Micros, rude: u32) -> Option<Open> {
         let open = self.open.remove(&rude)?;
-        if let Some(at_proxy) = self.proxies.get_mut(usize::from(open.proxy.0)) {
-            if open.thief {
-                at_proxy.thieves -= 1;
-                at_proxy.last_thief = Some(at);
-            }
+        if let Some(at_proxy) = self.proxies.get_mut(usize::from(open.proxy.0))
+            && open.thief
+        {
+            at_proxy.thieves -= 1;
+            at_proxy.last_thief = Some(at);
         }
         Some(open)
     }
