--- a/crates/kit/src/processes.rs
+++ b/crates/kit/src/processes.rs
@@ -175,6 +175,8 @@
             }
             None => Command::new(&daemon.program),
         };
+        // A group of its own: Ctrl-C is for the kit, which ends its proxies itself.
+        command.process_group(0);
         command.args(&daemon.arguments).env_remove("COTTONNOTCH_OPERATOR").stdin(Stdio::null());
         for (name, value) in environment {
             command.env(name, value);
--- a/crates/kit/src/prove.rs
+++ b/crates/kit/src/prove.rs
@@ -14,7 +14,7 @@
 use std::thread;
 
 /// What is played.
-const SCENARIO: &str = include_str!("prove.toml");
+const SCENARIO: &str = include_str!("../../../rehearsals/short/scripted.toml");
 /// A run that was void is played again this often.
 const AGAIN: u32 = 2;
 
@@ -95,7 +95,7 @@
     jobs: usize,
     interrupted: &Arc<AtomicBool>,
 ) -> Result<Vec<Proof>, CannotProve> {
-    let scenario = Scenario::read("prove.toml".as_ref(), SCENARIO)?;
+    let scenario = Scenario::read("rehearsals/short/scripted.toml".as_ref(), SCENARIO)?;
     let queue: Mutex<VecDeque<usize>> = Mutex::new((0..cases.len()).collect());
     let proofs = Mutex::new(Vec::new());
     let play = || -> Result<(), CannotProve> {
