load: ceilings by halving, memory first, and two proxies in turn under the same overload

The first measurement showed three faults of the instrument: with two threads the kit bore only 2.0 times the proxy's set-ups (three bear 4.9 times, the default now), memory read after the load showed 0 bytes a connection (a proxy keeps what it once needed; read first it is 1,499 to 1,524 bytes and 2.00 descriptors), and steps of 15% from the bottom took 2 minutes.

--- a/crates/kit/src/cli/compare.rs
+++ b/crates/kit/src/cli/compare.rs
@@ -30,7 +30,8 @@
     json: Option<PathBuf>,
 }
 
-fn arm(text: &str) -> Result<Arm, String> {
+/// A program with its arguments.
+pub fn arm(text: &str) -> Result<Arm, String> {
     let mut words = text.split_whitespace();
     let program = words.next().ok_or("an arm is a program, and this one is empty")?;
     let daemon = Daemon { program: program.into(), arguments: words.map(Into::into).collect() };
--- a/crates/kit/src/cli/load.rs
+++ b/crates/kit/src/cli/load.rs
@@ -2,7 +2,7 @@
 
 use super::{DaemonArgs, Ended, interrupt, write_json};
 use clap::Args;
-use cottonnotch_kit::load::{self, BothWays, LoadError, LoadSetup};
+use cottonnotch_kit::load::{self, BothWays, LoadError, LoadSetup, versus};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -20,8 +20,15 @@
     #[arg(long, default_value_t = 2.0)]
     step_s: f64,
     /// Threads that make the load, and as many that answer it.
-    #[arg(long, default_value_t = 2)]
+    #[arg(long, default_value_t = 3)]
     threads: usize,
+    /// Measures a second proxy in turn with the first, under the same overload, and prints the ratio: a program, with
+    /// its arguments behind it if quoted.
+    #[arg(long, value_name = "PROXY")]
+    versus: Option<String>,
+    /// Rounds of each, with --versus.
+    #[arg(long, default_value_t = 8)]
+    rounds: usize,
     /// Writes the figures here, as JSON.
     #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
@@ -49,6 +56,28 @@
                 eprintln!("{line}");
             }
         };
+        if let Some(other) = &self.versus {
+            let other = super::compare::arm(other)?.daemon;
+            let versus = match versus::measure(&setup, &other, self.rounds.max(1), say) {
+                Err(LoadError::Interrupted) => return Ok(Ended::Interrupted),
+                result => result.map_err(|error| error.to_string())?,
+            };
+            for (name, ratio) in [("set-ups", &versus.setups), ("line round trips", &versus.lines)] {
+                println!(
+                    "{name}: the second does {:.3} of the first (95% interval {:.3} to {:.3}, {} rounds); CPU each {:.1} and {:.1} us",
+                    ratio.ratio,
+                    ratio.interval.0,
+                    ratio.interval.1,
+                    ratio.rounds.len(),
+                    ratio.cpu_us[0],
+                    ratio.cpu_us[1]
+                );
+            }
+            return match &self.json {
+                Some(path) => write_json(path, &versus).map(|()| Ended::Well),
+                None => Ok(Ended::Well),
+            };
+        }
         let load = match load::measure(&setup, say) {
             Err(LoadError::Interrupted) => return Ok(Ended::Interrupted),
             other => other.map_err(|error| error.to_string())?,
--- a/crates/kit/src/load/generator.rs
+++ b/crates/kit/src/load/generator.rs
@@ -18,7 +18,7 @@
 /// What is under way when a step ends is given this long to be done; it counts as late.
 const AFTER: Micros = 300_000;
 /// Set-ups that are under way at once: beyond, the rate is not borne anyhow.
-const MOST_AT_ONCE: usize = 2000;
+pub(super) const MOST_AT_ONCE: usize = 2000;
 /// Each direction of a connection holds this much.
 const BUFFER: usize = 64 * 1024;
 
@@ -56,8 +56,10 @@
 pub struct Done {
     /// Units that were due.
     pub due: u64,
-    /// Units that were done by the end.
+    /// Units that were done, a little after the end at most.
     pub done: u64,
+    /// Those done before the step's length was over.
+    pub in_time: u64,
     /// Of what was done, in microseconds from when it was due.
     pub latency: Histogram<u64>,
 }
@@ -67,7 +69,7 @@
         let Ok(latency) = Histogram::new_with_bounds(1, LONGEST, 3) else {
             unreachable!("a microsecond to a minute with three figures are bounds that a histogram has")
         };
-        Done { due: 0, done: 0, latency }
+        Done { due: 0, done: 0, in_time: 0, latency }
     }
 
     /// Part that was done.
@@ -89,6 +91,7 @@
     fn add(&mut self, other: &Done) {
         self.due += other.due;
         self.done += other.done;
+        self.in_time += other.in_time;
         // Both have the same bounds.
         let _ = self.latency.add(&other.latency);
     }
@@ -271,6 +274,8 @@
     up: usize,
     open: usize,
     turn: usize,
+    /// When the step's length is over.
+    over: Micros,
 }
 
 impl Shard {
@@ -285,6 +290,7 @@
             up: 0,
             open: 0,
             turn: shard,
+            over: Micros::MAX,
         };
         if let Work::Lines { connections, in_flight } = aim.work {
             this.stand(connections / aim.shards, in_flight)?;
@@ -323,7 +329,10 @@
         while let Some(told) = self.reactor.io.reports.pop_front() {
             match told {
                 Told::Timer => {}
-                Told::Done(due) => self.done.record(now - due),
+                Told::Done(due) => {
+                    self.done.record(now - due);
+                    self.done.in_time += u64::from(now <= self.over);
+                }
                 Told::Up => self.up += 1,
                 Told::Over => self.open -= 1,
             }
@@ -337,6 +346,8 @@
         let began = self.reactor.io.now() + (each * shard as f64 / aim.shards as f64) as Micros;
         let length = aim.length.as_micros() as Micros;
         let total = (length as f64 / each) as u64;
+        let over = began + length;
+        self.over = over;
         loop {
             let now = self.reactor.io.now();
             while self.done.due < total {
@@ -347,7 +358,6 @@
                 self.done.due += 1;
                 self.begin(aim.work, due)?;
             }
-            let over = began + length;
             let finished = self.done.due == total && self.done.done >= total;
             if now > over + AFTER || finished && now >= over {
                 return Ok(());
--- a/crates/kit/src/load/mod.rs
+++ b/crates/kit/src/load/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod echo;
 pub mod generator;
+pub mod versus;
 
 use crate::addresses::{Addresses, NoPlace};
 use crate::plan::{NodeId, ProxyId};
@@ -26,11 +27,18 @@
 const DONE: f64 = 0.98;
 /// ... and 99 of 100 took no longer than this.
 const SLOWEST: Duration = Duration::from_millis(50);
-/// Each step's rate is this multiple of the one before.
-const STEP: f64 = 1.15;
+/// Each step's rate is this multiple of the one before, until one is not borne ...
+const STEP: f64 = 1.6;
+/// ... then the ceiling is sought between the two, by halving so often: to some 4%.
+const HALVINGS: u32 = 4;
+/// What was let go last is given this long to be gone, before memory is read.
+const SETTLES: Duration = Duration::from_millis(300);
 /// Latency is reported at this part of the ceiling: at the ceiling itself there is only the queue to see.
 const AT: f64 = 0.7;
 
+/// Descriptors for all that is no connection.
+const OTHER_DESCRIPTORS: u64 = 512;
+
 /// What is to be measured.
 #[derive(Clone, Debug)]
 pub struct LoadSetup {
@@ -146,8 +154,10 @@
 /// Measures. `say` is told what is being done, for a person who waits.
 pub fn measure(setup: &LoadSetup, mut say: impl FnMut(&str)) -> Result<Load, LoadError> {
     setup.daemon.check()?;
-    let sockets = 3 * setup.connections as u64 + 4096;
-    need_descriptors(3 * sockets)?;
+    // Both ends of all that stands and of all that is being set up; the proxy has two of its own for each as well.
+    let sockets =
+        2 * (setup.connections + generator::MOST_AT_ONCE * setup.threads) as u64 + OTHER_DESCRIPTORS;
+    need_descriptors(sockets)?;
     let addresses = Addresses::take(std::process::id() as u8)?;
     let nodes: Vec<SocketAddr> =
         (0..setup.threads.max(1)).map(|n| addresses.node(NodeId(n as u16), ProxyId(0))).collect();
@@ -159,6 +169,9 @@
 
     let mut load = Load { connections: setup.connections, ..Load::default() };
     let measure = Measure { setup, pid: proxy.pid() };
+    // First of all: what a proxy has once needed it keeps, and later connections would seem to cost nothing.
+    say("memory of standing connections");
+    (load.memory_each, load.descriptors_each) = measure.memory(listen)?;
     say("set-ups, directly to a render node");
     load.setups.direct = measure.way(Work::Setups, &nodes, 4000.0, false, &mut say)?;
     say("set-ups, through the proxy");
@@ -168,8 +181,6 @@
     load.lines.direct = measure.way(lines, &nodes, 20_000.0, false, &mut say)?;
     say("lines, through the proxy");
     load.lines.through = measure.way(lines, &[listen], 5000.0, true, &mut say)?;
-    say("memory of standing connections");
-    (load.memory_each, load.descriptors_each) = measure.memory(listen)?;
     echo.stop().map_err(system("a render node"))?;
     Ok(load)
 }
@@ -207,22 +218,19 @@
         through: bool,
         say: &mut impl FnMut(&str),
     ) -> Result<Way, LoadError> {
-        let mut ceiling: Option<f64> = None;
-        let mut rate = first;
-        loop {
+        let (mut ceiling, mut above, mut rate, mut halvings) = (0.0, None, first, 0);
+        while halvings <= HALVINGS && rate > 1.0 {
             let done = self.step(work, to, rate)?;
-            let borne = done.borne(DONE, SLOWEST);
             let slow = done.latency.value_at_quantile(0.99);
             say(&format!("  {rate:.0}/s: {:.1}% done, p99 {slow} us", 100.0 * done.part()));
-            match (borne, ceiling) {
-                (true, _) => (ceiling, rate) = (Some(rate), rate * STEP),
-                (false, Some(_)) => break,
-                // Even the first was too much: look below.
-                (false, None) if rate > 10.0 => rate /= 2.0,
-                (false, None) => break,
+            match done.borne(DONE, SLOWEST) {
+                true => ceiling = rate,
+                false => above = Some(rate),
             }
+            halvings += u32::from(above.is_some());
+            // While even the first was too much, the ceiling so far is 0.
+            rate = above.map_or(rate * STEP, |above: f64| f64::midpoint(ceiling, above));
         }
-        let ceiling = ceiling.unwrap_or(0.0);
         if ceiling == 0.0 {
             return Ok(Way::default());
         }
@@ -253,6 +261,7 @@
     fn memory(&self, listen: SocketAddr) -> Result<(f64, f64), LoadError> {
         let before = usage(self.pid).unwrap_or_default();
         let standing = generator::Standing::open(listen, self.setup.connections)?;
+        thread::sleep(SETTLES);
         let after = usage(self.pid).unwrap_or_default();
         let each = |from: u64, to: u64| (to as f64 - from as f64) / standing.len().max(1) as f64;
         let figures = (
