--- a/crates/kit/src/cli/mod.rs
+++ b/crates/kit/src/cli/mod.rs
@@ -13,7 +13,7 @@
 use cottonnotch_kit::bad_proxy::{self, Fault};
 use cottonnotch_kit::processes::{self, Daemon};
 use std::ffi::OsString;
-use std::io::Write;
+use std::io::{IsTerminal, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -169,6 +169,9 @@
     let _ = std::io::stderr().flush();
 }
 
+/// Clears that line, if there is one.
 fn progress_over() {
-    progress("");
+    if std::io::stderr().is_terminal() {
+        progress("");
+    }
 }
--- a/crates/kit/src/cli/rehearse.rs
+++ b/crates/kit/src/cli/rehearse.rs
@@ -30,6 +30,9 @@
     /// How many seeds, from the first one on.
     #[arg(long, default_value_t = 1)]
     seeds: u64,
+    /// Plays each plan so often: what differs then is the machine's doing.
+    #[arg(long, default_value_t = 1)]
+    repeat: u64,
     /// Runs at one time. Each needs about two cores; a run that the machine was too busy for is void.
     #[arg(long, default_value_t = 1)]
     jobs: usize,
@@ -79,7 +82,10 @@
         let mut queue: VecDeque<(Plan, PathBuf)> = VecDeque::new();
         for scenario in &scenarios {
             for seed in self.seed..self.seed + self.seeds {
-                queue.push_back((scenario.draw(seed), format!("{}-{seed}", scenario.body.name).into()));
+                for repeat in 0..self.repeat.max(1) {
+                    let name = format!("{}-{seed}-{repeat}", scenario.body.name);
+                    queue.push_back((scenario.draw(seed), name.into()));
+                }
             }
         }
         let total = queue.len();
--- a/crates/kit/src/rehearse.rs
+++ b/crates/kit/src/rehearse.rs
@@ -149,7 +149,7 @@
 /// pair of render node and proxy, relays for each pair of proxies.
 fn descriptors(plan: &Plan) -> u64 {
     let (nodes, proxies) = (plan.nodes.len() as u64, plan.proxies.len() as u64);
-    let sessions = standing(plan) * 2.5;
+    let sessions = standing(plan) * 2.1;
     OWN_DESCRIPTORS + nodes * proxies + proxies * (proxies + 8) + sessions as u64 + 4 * plan.rude.len() as u64
 }
 
