Decision: words of other nodes as evidence that needs confirmation

A peer's word on a server (well, unwell, unclear) brings a pause forward to the next mark only when two peers agree, or one and own trouble, and never against own success of the last 3 s; once believed it is not believed again before this node has looked for itself; words alone keep a quarter of the fleet paused at most. Two good words bring a long pause's trial forward to the next mark. Nothing sends words yet.

--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -250,6 +250,17 @@
     }
 }
 
+/// What a node met at a server within the last few seconds, as it says itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// Attempts went well, and none failed.
+    Well,
+    /// Attempts failed to connect, timed out or met silence, and none went well.
+    Unwell,
+    /// Neither, or both.
+    Unclear,
+}
+
 /// What an instance is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -324,12 +335,14 @@
         /// The report's values, in the order of the settings; `None`: no answer.
         report: Option<Vec<f64>>,
     },
-    /// A message from another node.
+    /// What another node has met at a server lately. Its own word: it may be wrong, or lie.
     Peer {
         /// Number of the sender.
         from: u32,
-        /// The message.
-        bytes: Vec<u8>,
+        /// The server.
+        server: ServerId,
+        /// What it met.
+        word: Word,
     },
     /// A timer is due.
     Timer(u32),
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -45,6 +45,14 @@
 const DRAIN_WITHIN: Micros = 2 * SECOND;
 const DRAIN_ROUND: Micros = SECOND / 10;
 
+/// Another node's word counts for this long, and own good experience outweighs any for as long.
+const WORD: Micros = 3 * SECOND;
+/// So many nodes must agree, or one and own experience: one alone may itself be cut off.
+const AGREED: usize = 2;
+/// Words alone keep no more than this part of the servers paused at a time: as many as are known to die
+/// together (24%). However many nodes lie, the rest is used, and what is paused is tried at the next mark.
+const MOST_ACCUSED: f64 = 0.25;
+
 /// Timers: held connections may be tried again; the list is to be asked for; draining servers' next round.
 const WAKE: u32 = 0;
 const LIST: u32 = 1;
@@ -81,6 +89,11 @@
     leave_by: Option<Micros>,
     /// What was told of it last.
     told: Belief,
+    /// When an attempt of this node's last went well; what other nodes said last, and when.
+    well: Option<Micros>,
+    words: Vec<(u32, Word, Micros)>,
+    /// Paused by words alone until then; forgotten with the next experience of this node's own.
+    accused: Option<Micros>,
 }
 
 #[derive(Clone, Debug)]
@@ -153,6 +166,7 @@
             Event::Established { request, server, .. } => {
                 self.opened(request, server);
                 self.failing -= self.failing / 8.0;
+                self.server_mut(server).into_iter().for_each(|s| (s.well, s.accused) = (Some(now), None));
                 self.went_well(now, server, request, out);
             }
             Event::Ended { request, server, outcome, last, .. } => {
@@ -178,7 +192,8 @@
             }
             Event::Timer(DRAIN) if self.drain_due.is_some_and(|at| at <= now) => self.drain(now, out),
             Event::Settings(settings) => self.settings = *settings,
-            Event::Probed { .. } | Event::Peer { .. } | Event::Timer(_) => {}
+            Event::Peer { from, server, word } => self.heard(now, from, server, word, out),
+            Event::Probed { .. } | Event::Timer(_) => {}
         }
     }
 
@@ -499,7 +514,7 @@
                 out.push(Action::Log { notice: Notice::PausedFailing, server: Some(at) });
             }
         }
-        s.trial = None;
+        (s.trial, s.accused) = (None, None);
         s.strained = Some(now);
         s.paused_until = s.paused_until.max(Some(until));
         s.believe(now, at, out);
@@ -544,6 +559,35 @@
         }
     }
 
+    /// Another node's word is evidence, no order: it brings a pause or a trial forward where it is confirmed.
+    fn heard(&mut self, now: Micros, from: u32, at: ServerId, word: Word, out: &mut Vec<Action>) {
+        let fresh = |at: Micros| now - at <= WORD;
+        let accused = self.servers.iter().filter(|s| s.accused.is_some_and(|until| until > now)).count();
+        let room = accused as f64 + 1.0 <= self.ready.len() as f64 * MOST_ACCUSED;
+        let mark = (now / SECOND + 1) * SECOND;
+        let Some(s) = self.server_mut(at).filter(|s| s.ready) else { return };
+        s.words.retain(|(node, _, said)| *node != from && fresh(*said));
+        s.words.push((from, word, now));
+        let agree = |word| s.words.iter().filter(|(_, said, _)| *said == word).count();
+        let (well, unwell) = (agree(Word::Well), agree(Word::Unwell));
+        let paused = s.paused_until.is_some_and(|until| until > now);
+        let strained = s.strained.is_some_and(fresh);
+        match word {
+            // Once only: whoever repeats it, this node looks for itself before it believes it again.
+            Word::Unwell if !paused && room && s.accused.is_none() && !s.well.is_some_and(fresh) => {
+                if unwell > well && unwell + usize::from(strained) >= AGREED {
+                    (s.paused_until, s.accused) = (Some(mark), Some(mark));
+                }
+            }
+            // Others serve there: the trial need not wait for a pause that grew with each failure.
+            Word::Well if paused && unwell == 0 && well >= AGREED => {
+                s.paused_until = s.paused_until.min(Some(mark));
+            }
+            _ => {}
+        }
+        s.believe(now, at, out);
+    }
+
     fn server(&self, id: ServerId) -> Option<&Server> {
         self.servers.get(id.0 as usize)
     }
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -292,10 +292,12 @@
             "inbox" => {
                 let from = p.number("originPeer")?;
                 let raw = p.raw("raw")?;
-                match wire::base64(raw) {
-                    Some(bytes) => Event::Peer { from, bytes },
-                    None => return bad("raw", "is not base64"),
+                let _: u32 = from;
+                if wire::base64(raw).is_none() {
+                    return bad("raw", "is not base64");
                 }
+                p.end()?;
+                return Ok(None);
             }
             "ring" => {
                 let name = p.text("name")?;
