--- a/crates/cottonnotch/src/config/fault.rs
+++ b/crates/cottonnotch/src/config/fault.rs
@@ -16,6 +16,9 @@
     /// A value of the platform's can't be used.
     #[error("{fault} ({place})")]
     Platform { fault: Fault, place: String },
+    /// Gossip can't be as it is configured.
+    #[error("{trouble}")]
+    Gossip { trouble: String },
     /// The operator's file is faulty.
     #[error(transparent)]
     Operator(#[from] BadOperator),
@@ -27,6 +30,7 @@
         match self {
             BadConfig::Unreadable { .. } | BadConfig::NotJson { .. } => "GW_CONFIG".to_owned(),
             BadConfig::Platform { fault, .. } => fault.key(),
+            BadConfig::Gossip { trouble } => trouble.split([':', ' ']).next().unwrap_or("gossip").to_owned(),
             BadConfig::Operator(error) => error.key().to_owned(),
         }
     }
--- a/crates/cottonnotch/src/config/mod.rs
+++ b/crates/cottonnotch/src/config/mod.rs
@@ -20,6 +20,7 @@
 
 use crate::net::ResolverResult;
 use cottonnotch_decision::settings::Profile;
+use cottonnotch_gossip::Keys;
 use simd_json::OwnedValue;
 use simd_json::prelude::*;
 use std::net::SocketAddr;
@@ -40,6 +41,10 @@
     pub sockets: usize,
     /// Bytes that each direction of a connection may hold, from the memory limit.
     pub buffer_bound: usize,
+    /// Where the other proxies are, if there are any.
+    pub tier: Tier,
+    /// How it speaks with them, if it does.
+    pub gossip: Option<Gossiping>,
     /// The list as the proxy last had it.
     pub known: ResolverResult,
     /// The settings, in the module's terms.
@@ -48,6 +53,28 @@
     pub operator: Operator,
 }
 
+/// The other proxies, as the platform tells of them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tier {
+    /// This proxy's own end for datagrams.
+    pub listen: Option<SocketAddr>,
+    /// An address for each proxy, this one included, in the order of their numbers.
+    pub peers: Vec<SocketAddr>,
+    /// What is sent here reaches all others.
+    pub all: Option<SocketAddr>,
+}
+
+/// What gossip needs beside the tier.
+#[derive(Clone, Debug)]
+pub struct Gossiping {
+    /// The section's figures.
+    pub settings: cottonnotch_gossip::Settings,
+    /// What proves the members.
+    pub keys: Keys,
+    /// Tells this process from earlier ones of its name: Unix time in milliseconds when it was read.
+    pub life: u64,
+}
+
 impl Config {
     /// Reads what the environment and the JSON file say, once the operator's file is read.
     pub fn start(operator: Operator, effective: &mut Effective) -> Result<Self, BadConfig> {
--- a/crates/cottonnotch/src/config/operator.rs
+++ b/crates/cottonnotch/src/config/operator.rs
@@ -6,6 +6,7 @@
 use super::operator_file::OperatorFile;
 use crate::OPERATOR_VARIABLE;
 use crate::logging::LogConfig;
+use cottonnotch_gossip::GossipSection;
 use cottonnotch_records::RecordsSection;
 use serde::{Deserialize, Serialize};
 use simd_json::OwnedValue;
@@ -21,6 +22,8 @@
     pub log: LogConfig,
     /// `[records]`
     pub records: RecordsSection,
+    /// `[gossip]`
+    pub gossip: GossipSection,
 }
 
 impl Operator {
@@ -44,6 +47,7 @@
     fn check(&self) -> Result<(), String> {
         self.log.check()?;
         self.records.check().map_err(|bad| bad.to_string())?;
+        self.gossip.check().map_err(|bad| bad.to_string())?;
         Ok(())
     }
 
@@ -56,7 +60,17 @@
                 "records cannot change while clients are served, they go on as at the start"
             );
         }
-        Operator { log: self.log.succeed(&old.log), records: old.records.clone() }
+        let gossip = match self.gossip.without_files() == old.gossip.without_files() {
+            true => self.gossip,
+            false => {
+                log::warn!(
+                    key = "gossip";
+                    "of gossip only keys can change while clients are served, the rest goes on as at the start"
+                );
+                old.gossip.clone()
+            }
+        };
+        Operator { log: self.log.succeed(&old.log), records: old.records.clone(), gossip }
     }
 
     /// The values as they are written, so that no section is to list its keys a second time.
--- a/crates/cottonnotch/src/config/platform.rs
+++ b/crates/cottonnotch/src/config/platform.rs
@@ -5,13 +5,16 @@
 use super::fault::{BadConfig, Fault};
 use super::json_file::JsonFile;
 use super::operator::Operator;
-use super::{Config, plain, variable};
+use super::{Config, Gossiping, Tier, plain, variable};
 use crate::net::ResolverResult;
 use cottonnotch_decision::settings::{self, Pairs, Profile};
+use cottonnotch_gossip::{GossipSection, Keys, Settings};
 use simd_json::OwnedValue;
 use simd_json::prelude::*;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Its name, where none is told.
 const DEFAULT_NAME: &str = "cottonnotch";
@@ -49,11 +52,52 @@
     let seed = reader.seed()?;
     let (sockets, memory) = (reader.sockets()?, reader.memory_mb()?);
     let buffer_bound = (memory.saturating_mul(1 << 20) / 4 / sockets).clamp(LEAST_BUFFER, MOST_BUFFER);
+    let tier = reader.tier()?;
     let known = reader.known()?;
     let profile = reader.settings()?;
+    let gossip = gossiping(&operator.gossip, &tier, &profile)?;
     let sockets = usize::try_from(sockets).unwrap_or(usize::MAX);
     let buffer_bound = buffer_bound as usize;
-    Ok(Config { name, listen, discovery, seed, sockets, buffer_bound, known, profile, operator })
+    Ok(Config {
+        name,
+        listen,
+        discovery,
+        seed,
+        sockets,
+        buffer_bound,
+        tier,
+        gossip,
+        known,
+        profile,
+        operator,
+    })
+}
+
+/// What the section `[gossip]` makes of the tier. Keys are read now, so that a fault ends the start or the reload.
+fn gossiping(
+    section: &GossipSection,
+    tier: &Tier,
+    profile: &Profile,
+) -> Result<Option<Gossiping>, BadConfig> {
+    let bad = |trouble: &dyn std::fmt::Display| BadConfig::Gossip { trouble: trouble.to_string() };
+    let Some(settings) = section.check().map_err(|error| bad(&error))? else { return Ok(None) };
+    let read = |path: &PathBuf| {
+        std::fs::read(path)
+            .map_err(|error| bad(&format_args!("gossip.key_files: '{}': {error}", path.display())))
+    };
+    let files = section.key_files.iter().map(read).collect::<Result<Vec<_>, _>>()?;
+    let public = section.public_keys.as_ref().map(read).transpose()?;
+    let (me, members) = (profile.settings.ordinal, tier.peers.len() as u32);
+    if members > 0 && me >= members {
+        return Err(bad(&format_args!(
+            "gossip: settings.ordinal is {me}, and peers names {members} proxies"
+        )));
+    }
+    let keys =
+        Keys::load(settings.strength, &files, public.as_deref(), me, members).map_err(|error| bad(&error))?;
+    let settings = Settings { broadcast: tier.all.is_some(), ..settings };
+    let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64);
+    Ok(Some(Gossiping { settings, keys, life }))
 }
 
 struct Reader<'a> {
@@ -107,6 +151,38 @@
         text.parse().map_err(|_| self.wrong(key, trouble, text, source))
     }
 
+    /// The other proxies. All of it may be left out: such a proxy is alone.
+    fn tier(&mut self) -> Result<Tier, BadConfig> {
+        let listen = self.address_if("peer_listen")?;
+        let all = self.address_if("peers_all")?;
+        let key = "peers";
+        let trouble = "is not a list of addresses and ports";
+        let Some(value) = self.json.get(key) else {
+            self.effective.note(key, "", Source::Default);
+            return Ok(Tier { listen, peers: Vec::new(), all });
+        };
+        let read = |value: &OwnedValue| value.as_str()?.parse().ok();
+        let peers: Option<Vec<SocketAddr>> =
+            value.as_array().and_then(|list| list.iter().map(read).collect());
+        let peers = peers.ok_or_else(|| self.wrong(key, trouble, value.encode(), Source::Json))?;
+        let shown = peers.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
+        self.effective.note(key, shown, Source::Json);
+        Ok(Tier { listen, peers, all })
+    }
+
+    fn address_if(&mut self, key: &'static str) -> Result<Option<SocketAddr>, BadConfig> {
+        let Some(value) = self.json.get(key) else {
+            self.effective.note(key, "", Source::Default);
+            return Ok(None);
+        };
+        let address = value.as_str().and_then(|text| text.parse().ok());
+        let trouble = "is not an address and port";
+        let address: SocketAddr =
+            address.ok_or_else(|| self.wrong(key, trouble, value.encode(), Source::Json))?;
+        self.effective.note(key, address.to_string(), Source::Json);
+        Ok(Some(address))
+    }
+
     fn seed(&mut self) -> Result<u64, BadConfig> {
         let (text, source) = self.text("GW_SEED", "seed", Some(DEFAULT_SEED))?;
         let trouble = "is not a hexadecimal number of 64 bits";
--- /dev/null
+++ b/crates/cottonnotch/src/net/datagrams.rs
@@ -0,0 +1,70 @@
+//! The socket on which proxies hear one another.
+
+use super::happening::{Happening, Io, Object};
+use cottonnotch_reactor::{Connection, Key, Leg};
+use mio::net::UdpSocket;
+use std::io;
+use std::net::SocketAddr;
+
+/// The longest datagram that the platform carries, and what a longer one is cut to: one byte more shows it.
+pub const LONGEST: usize = 256;
+/// Read in one turn before clients have theirs. Guards against a flood: the rest waits in the system's own bounded
+/// buffer, and what does not fit there is lost before it has cost anything.
+const AT_ONCE: usize = 32;
+
+/// The proxy's own end.
+#[derive(Debug)]
+pub struct Datagrams {
+    socket: UdpSocket,
+    key: Key,
+}
+
+impl Datagrams {
+    /// Listens there. Fails as the system's calls do.
+    pub fn bind(address: SocketAddr, key: Key, io: &mut Io) -> io::Result<Self> {
+        let mut socket = UdpSocket::bind(address)?;
+        io.register_reader(&mut socket, key)?;
+        Ok(Datagrams { socket, key })
+    }
+
+    /// Sends one. What can't be sent now is lost, as it may be anywhere on its way.
+    pub fn send(&self, to: SocketAddr, bytes: &[u8]) -> bool {
+        bytes.len() <= LONGEST && self.socket.send_to(bytes, to).is_ok()
+    }
+}
+
+impl Connection for Datagrams {
+    type Report = Happening;
+
+    fn readable(&mut self, io: &mut Io, leg: Leg) {
+        let mut heard = Vec::new();
+        let mut bytes = [0; LONGEST + 1];
+        for _ in 0..AT_ONCE {
+            match self.socket.recv_from(&mut bytes) {
+                Ok((length, from)) => heard.push((from, bytes[..length].to_vec())),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    io.tell(Happening::Datagrams(heard));
+                    return;
+                }
+                // What one was sent to is not there; it says nothing of what may still be read.
+                Err(_) => {}
+            }
+        }
+        io.tell(Happening::Datagrams(heard));
+        io.call_again(self.key, leg);
+    }
+
+    fn writable(&mut self, _: &mut Io, _: Leg) {}
+
+    fn timer(&mut self, _: &mut Io, _: u32) {}
+
+    fn done(&self) -> bool {
+        false
+    }
+}
+
+impl Object for Datagrams {
+    fn datagrams(&mut self) -> Option<&mut Datagrams> {
+        Some(self)
+    }
+}
--- a/crates/cottonnotch/src/net/driver/lifecycle.rs
+++ b/crates/cottonnotch/src/net/driver/lifecycle.rs
@@ -65,6 +65,12 @@
                 "listen cannot change while clients are served, still at {}", self.address
             );
         }
+        if new.tier != old.tier {
+            log::warn!(
+                target: PART, key = "peers";
+                "peers cannot change while clients are served, the old ones go on"
+            );
+        }
         let operator = new.operator.succeed(&old.operator);
         log::info!(
             target: PART, discovery:% = new.discovery;
@@ -77,8 +83,8 @@
         net.records.reload_taken();
         net.reactor.io.buffer_bound = new.buffer_bound;
         let event = Event::Settings(Box::new(profile.settings.clone()));
-        let known = old.known.clone();
-        net.config = Config { listen: old.listen, seed: old.seed, known, profile, operator, ..new };
+        let (known, tier) = (old.known.clone(), old.tier.clone());
+        net.config = Config { listen: old.listen, seed: old.seed, known, tier, profile, operator, ..new };
         Some(Reloaded { event, moved })
     }
 
--- a/crates/cottonnotch/src/net/driver/messages.rs
+++ b/crates/cottonnotch/src/net/driver/messages.rs
@@ -3,8 +3,10 @@
 use super::calls::{Call, Calls};
 use super::net::{Net, TICK};
 use crate::net::message_delay::{EVERY, MessageDelays, Note};
+use crate::net::peer_loads::{PeerLoads, Standing};
 use cottonnotch_decision::settings::Profile;
 use cottonnotch_decision::{Event, Micros, ServerId};
+use std::collections::BTreeMap;
 
 /// How messages fare.
 pub struct Messages {
@@ -33,6 +35,16 @@
         self.delays.listed(server, weight, anew);
     }
 
+    /// What the other proxies say.
+    pub fn peers(&mut self) -> &mut PeerLoads {
+        &mut self.delays.peers
+    }
+
+    /// This proxy's own sums, for the others to hear.
+    pub fn standing(&self) -> BTreeMap<ServerId, (u32, Standing)> {
+        self.delays.standing()
+    }
+
     /// A connection is up; `setup` is how long that took.
     pub fn opened(&mut self, call: &Call, server: ServerId, setup: Option<Micros>) {
         let group = call.group.filter(|_| self.groups);
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -11,6 +11,7 @@
 mod arrivals;
 mod calls;
 mod clients;
+mod gossip;
 mod lifecycle;
 mod messages;
 mod net;
@@ -30,6 +31,7 @@
 use cottonnotch_reactor::signals::{SIGHUP, SIGTERM, Signals};
 use cottonnotch_reactor::{Clock, Reactor};
 use cottonnotch_records::{MoveReason, Recorder};
+use gossip::Peers;
 use lifecycle::{Lifecycle, Reloaded, Reread, Round};
 use messages::Messages;
 use net::Net;
@@ -53,6 +55,7 @@
     messages: Messages,
     subchannels: Subchannels,
     lifecycle: Lifecycle,
+    peers: Peers,
     holding: Seldom,
 }
 
@@ -81,6 +84,7 @@
         let mut net = Net { reactor, config, records };
         let mut driver = Driver {
             messages: Messages::start(&mut net),
+            peers: Peers::start(&mut net)?,
             net,
             balancer,
             pending: VecDeque::new(),
@@ -169,6 +173,15 @@
             }
             Happening::Timer(net::TICK) => self.tick(),
 
+            Happening::Datagrams(heard) => {
+                let events = self.peers.datagrams(net, messages, &heard);
+                self.tell_all(events);
+            }
+            Happening::Timer(net::GOSSIP) => {
+                let events = self.peers.timer(net, messages);
+                self.tell_all(events);
+            }
+
             Happening::Resolved { watch, result } => {
                 if self.subchannels.is_watch(watch) {
                     self.resolved(result, false);
@@ -197,6 +210,8 @@
     }
 
     fn tick(&mut self) {
+        let events = self.peers.tick(&mut self.net, &mut self.messages, &self.subchannels);
+        self.tell_all(events);
         for Note { request, server, delay } in self.messages.tick(&mut self.net, self.clients.calls()) {
             // What came of an earlier note may have ended it.
             if self.clients.calls().key(request).is_some() {
@@ -209,6 +224,7 @@
         let reloaded = self.lifecycle.reload(&mut self.net, &mut self.messages);
         let Some(Reloaded { event, moved }) = reloaded else { return };
         self.tell(Some(event));
+        self.peers.reload(&mut self.net);
         if moved {
             // At once, and from the last revision taken: the old address may have told its last already.
             // That its watch ends is no failure; the module hears only of the new one's.
@@ -227,12 +243,18 @@
         }
         self.settle();
         if is_last {
+            self.peers.leave(&mut self.net, &mut self.messages);
             self.clients.abandon(&mut self.net, &mut self.messages, &self.subchannels);
         }
     }
 
     // ---- the module ----
 
+    fn tell_all(&mut self, events: Vec<Event>) {
+        self.pending.extend(events);
+        self.settle();
+    }
+
     fn tell(&mut self, event: Option<Event>) {
         self.pending.extend(event);
         self.settle();
@@ -244,6 +266,7 @@
         while let Some(event) = self.pending.pop_front() {
             let now = self.net.now();
             log::debug!("event {event:?}");
+            self.peers.witness(now, &event);
             self.balancer.handle(now, event, &mut actions);
             for action in actions.drain(..) {
                 log::debug!("action {action:?}");
--- a/crates/cottonnotch/src/net/driver/records.rs
+++ b/crates/cottonnotch/src/net/driver/records.rs
@@ -3,8 +3,11 @@
 
 use cottonnotch_decision::settings::Profile;
 use cottonnotch_decision::{Belief, Entry, Listed, Micros, Outcome, Request, RequestId};
+use cottonnotch_gossip::State;
 use cottonnotch_records as schema;
-use cottonnotch_records::{Answer, Change, Counts, Event, MoveReason, Name, Phase, Recorder, Reload, Why};
+use cottonnotch_records::{
+    Answer, Change, Counts, Event, MoveReason, Name, PeerState, Phase, Recorder, Reload, Why,
+};
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -156,6 +159,18 @@
         self.recorder.record_with(|| Event::Reload { reload: reload() });
     }
 
+    pub fn peer(&self, peer: u32, state: State, incarnation: u64) {
+        self.recorder.record_with(|| {
+            let state = match state {
+                State::Alive => PeerState::Alive,
+                State::Suspect => PeerState::Suspect,
+                State::Dead => PeerState::Dead,
+                State::Left => PeerState::Left,
+            };
+            Event::Peer { peer, state, incarnation }
+        });
+    }
+
     pub fn shutdown(&self) {
         self.recorder.record_with(|| Event::Shutdown {});
     }
--- a/crates/cottonnotch/src/net/driver/subchannels.rs
+++ b/crates/cottonnotch/src/net/driver/subchannels.rs
@@ -123,6 +123,11 @@
         self.revision
     }
 
+    /// How many have been named so far; their numbers are below this.
+    pub fn count(&self) -> usize {
+        self.names.len()
+    }
+
     pub fn name(&self, server: ServerId) -> &str {
         self.names.name(server.0)
     }
--- a/crates/cottonnotch/src/net/happening.rs
+++ b/crates/cottonnotch/src/net/happening.rs
@@ -2,6 +2,7 @@
 //! of a client protocol. The line protocol of [`rpc`](super::rpc) is one front; one with several channels on
 //! a connection would be another.
 
+use super::datagrams::Datagrams;
 use super::objection::Objection;
 use super::resolver_result::ResolverResult;
 use cottonnotch_decision::{Micros, Outcome};
@@ -64,6 +65,8 @@
     Resolved { watch: Key, result: ResolverResult },
     /// The resolver's call failed or its watch is lost.
     ResolverLost { watch: Key, why: String },
+    /// Datagrams have come from other proxies, each with its sender's address.
+    Datagrams(Vec<(SocketAddr, Vec<u8>)>),
     /// The process was asked to stop.
     Terminate,
     /// The configuration is to be read again.
@@ -87,6 +90,10 @@
     fn front(&mut self) -> Option<&mut dyn Front> {
         None
     }
+    /// The object as the socket between proxies, if it is that.
+    fn datagrams(&mut self) -> Option<&mut Datagrams> {
+        None
+    }
 }
 
 impl Object for Listener<Happening> {}
--- a/crates/cottonnotch/src/net/message_delay.rs
+++ b/crates/cottonnotch/src/net/message_delay.rs
@@ -7,6 +7,7 @@
 //! figures), so the time is estimated as well, from what a proxy does see: the loads of its own connections,
 //! the groups they belong to, and how long set-ups take. The larger of the two is noted.
 
+use super::peer_loads::{PeerLoads, Standing, groups_in, sketch};
 use cottonnotch_decision::{Micros, RequestId, ServerId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -32,9 +33,10 @@
 /// How much smaller a subchannel is taken to be for set-ups that are longer than usual: the power of their
 /// ratio, found by play. A set-up also waits for the session store, which is the same everywhere.
 const SETUP_POWER: f64 = 4.0;
-/// Utilisation at which messages take a third and a half of the shortest aim.
-const BUSY: f64 = 0.6;
-const CROWDED: f64 = 1.0;
+/// Utilisation at which messages take a third and a half of the shortest aim: where the other proxies' part is guessed,
+/// which is biased low, and where it is told.
+const BUSY: (f64, f64) = (0.6, 0.85);
+const CROWDED: (f64, f64) = (1.0, 1.15);
 /// Beyond, each such part of utilisation adds five aims: work piles up.
 const PILE: f64 = 0.7;
 
@@ -88,6 +90,19 @@
     known: BTreeMap<u32, Known>,
     open: BTreeMap<RequestId, Open>,
     setups: Average,
+    /// What the other proxies say.
+    pub peers: PeerLoads,
+}
+
+/// What is thought of a subchannel that holds connections of ours.
+#[derive(Clone, Copy, Debug)]
+struct Use {
+    /// Load over capacity.
+    used: f64,
+    /// Part of the others' load that was told, 0 to 1.
+    told: f64,
+    /// A connection there.
+    one: Option<RequestId>,
 }
 
 /// This proxy's connections on one subchannel.
@@ -109,6 +124,7 @@
             known: BTreeMap::new(),
             open: BTreeMap::new(),
             setups: Average::default(),
+            peers: PeerLoads::default(),
         }
     }
 
@@ -164,10 +180,10 @@
     pub fn notes(&mut self, now: Micros) -> Vec<Note> {
         let Some(aim) = self.aim else { return Vec::new() };
         let mut notes = Vec::new();
-        for (number, here) in self.utilisations() {
-            let (Some(known), (Some(request), used)) = (self.known.get_mut(&number), here) else { continue };
+        for (number, Use { used, told, one }) in self.utilisations(now) {
+            let (Some(known), Some(request)) = (self.known.get_mut(&number), one) else { continue };
             let measured = known.measured.filter(|(at, _)| now - at < BELIEVED).map_or(0, |(_, d)| d);
-            let delay = measured.max(delay_at(used, aim));
+            let delay = measured.max(delay_at(used, told, aim));
             let over = delay as f64 > aim / 3.0;
             if over || known.over {
                 notes.push(Note { request, server: ServerId(number), delay });
@@ -177,10 +193,29 @@
         notes
     }
 
+    /// This proxy's own sums, for the others to hear.
+    pub fn standing(&self) -> BTreeMap<ServerId, (u32, Standing)> {
+        let mean = self.mean();
+        let mut all: BTreeMap<ServerId, (u32, Standing)> = BTreeMap::new();
+        for open in self.open.values() {
+            let (count, standing) = all.entry(open.server).or_default();
+            *count += 1;
+            standing.load += open.load.unwrap_or(mean);
+            standing.groups |= open.group.map_or(0, sketch);
+        }
+        all
+    }
+
+    /// Mean load of a connection, of those that told theirs.
+    fn mean(&self) -> f64 {
+        let loads = self.open.values().filter_map(|open| open.load);
+        let (sum, count) = loads.fold((0.0, 0.0), |(sum, count), load| (sum + load, count + 1.0));
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+
     /// Estimated load over capacity of each subchannel that holds a connection of ours.
-    fn utilisations(&self) -> BTreeMap<u32, (Option<RequestId>, f64)> {
-        let loads: Vec<f64> = self.open.values().filter_map(|open| open.load).collect();
-        let mean = loads.iter().sum::<f64>() / (loads.len().max(1) as f64);
+    fn utilisations(&self, now: Micros) -> BTreeMap<u32, Use> {
+        let mean = self.mean();
         let mut by_server: BTreeMap<u32, Here> = BTreeMap::new();
         let mut by_group: BTreeMap<u64, BTreeMap<u32, f64>> = BTreeMap::new();
         for (request, open) in &self.open {
@@ -200,11 +235,15 @@
             let shares = here.groups.iter().filter_map(|group| by_group.get(group));
             // Connections of ours that one would expect here: those of its groups, spread by size.
             let expected: f64 = shares.map(|on| self.expected(number, on)).sum::<f64>() + here.ungrouped;
-            let other = LIKE_OURS * here.load + (1.0 - LIKE_OURS) * expected * mean;
-            let groups = GROUP_COST * mean * here.groups.len() as f64;
-            let load = here.load + (self.nodes - 1.0) * other + groups;
+            let guess = LIKE_OURS * here.load + (1.0 - LIKE_OURS) * expected * mean;
+            let others = self.peers.others(now, ServerId(number), self.nodes - 1.0, guess);
+            let ours = here.groups.iter().fold(0, |joined, group| joined | sketch(*group));
+            // Groups that only the others hold there cost as much; the sketches tell how many, roughly.
+            let only_theirs = (groups_in(ours | others.groups) - groups_in(ours)).max(0.0);
+            let groups = GROUP_COST * mean * (here.groups.len() as f64 + only_theirs);
+            let load = here.load + others.load + groups;
             let used = if self.sized { load / self.capacity(number) } else { 0.0 };
-            (number, (here.one, used))
+            (number, Use { used, told: others.told, one: here.one })
         };
         by_server.into_iter().map(estimate).collect()
     }
@@ -226,14 +265,16 @@
     }
 }
 
-/// Time of a message at a subchannel that is used so far.
-fn delay_at(used: f64, aim: f64) -> Micros {
-    let aims = if used < BUSY {
-        used / BUSY / 3.0
-    } else if used < CROWDED {
-        0.34 + 0.16 * (used - BUSY) / (CROWDED - BUSY)
+/// Time of a message at a subchannel that is used so far; `told` is the part of that which isn't a guess.
+fn delay_at(used: f64, told: f64, aim: f64) -> Micros {
+    let between = |(guessed, known): (f64, f64)| guessed + (known - guessed) * told;
+    let (busy, crowded) = (between(BUSY), between(CROWDED));
+    let aims = if used < busy {
+        used / busy / 3.0
+    } else if used < crowded {
+        0.34 + 0.16 * (used - busy) / (crowded - busy)
     } else {
-        0.5 + 5.0 * ((used - CROWDED) / PILE).min(3.0)
+        0.5 + 5.0 * ((used - crowded) / PILE).min(3.0)
     };
     (aims * aim) as Micros
 }
--- /dev/null
+++ b/crates/cottonnotch/tests/gossip.rs
@@ -0,0 +1,352 @@
+//! Stories of gossip on sockets: the real proxy, whose peers this file plays with the protocol's own crate.
+
+mod peers;
+use cottonnotch_gossip::{
+    Entry, Evidence, Gossip, GossipSection, Input, Keys, Load, Output, State, Strength, Subchannel, To,
+};
+use peers::*;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::path::Path;
+use std::process::Command;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+const SHARED: [&str; 2] = [
+    "0101010101010101010101010101010101010101010101010101010101010101",
+    "0202020202020202020202020202020202020202020202020202020202020202",
+];
+
+/// An address for each member; the first one is the proxy's. A part of the loopback network for each story.
+fn addresses(members: u8) -> Vec<SocketAddr> {
+    static STORY: AtomicU8 = AtomicU8::new(1);
+    let (story, process) = (STORY.fetch_add(1, Ordering::Relaxed), std::process::id());
+    let at = |member| Ipv4Addr::new(127, 8, story, (process % 120) as u8 * 2 + 1 + member % 2);
+    (0..members).map(|member| SocketAddr::from((at(member), 7946 + u16::from(member)))).collect()
+}
+
+/// A member that a story plays.
+struct Played {
+    gossip: Gossip,
+    socket: UdpSocket,
+    addresses: Vec<SocketAddr>,
+    began: Instant,
+    own: Vec<Entry>,
+    told: Instant,
+    /// What it heard of the proxy's subchannels, the newest of each.
+    heard: Vec<Entry>,
+    states: Vec<State>,
+    datagrams: Vec<usize>,
+}
+
+impl Played {
+    fn new(addresses: &[SocketAddr], me: u32, strength: Strength, keys: Keys) -> Self {
+        let files = ["a".into()].into_iter().take(usize::from(strength != Strength::Address)).collect();
+        let section =
+            GossipSection { strength: Some(strength), key_files: files, ..GossipSection::default() };
+        let settings = section.check().unwrap().unwrap();
+        let members = addresses.len() as u32;
+        let gossip = Gossip::new(settings, keys, me, members, 1_000, u64::from(me), 0);
+        let socket = UdpSocket::bind(addresses[me as usize]).unwrap();
+        socket.set_nonblocking(true).unwrap();
+        let (began, own) = (Instant::now(), Vec::new());
+        let (heard, states, datagrams) = (Vec::new(), Vec::new(), Vec::new());
+        Played {
+            gossip,
+            socket,
+            addresses: addresses.to_vec(),
+            began,
+            own,
+            told: began,
+            heard,
+            states,
+            datagrams,
+        }
+    }
+
+    fn by_address(addresses: &[SocketAddr], me: u32) -> Self {
+        Self::new(addresses, me, Strength::Address, Keys::Address)
+    }
+
+    fn now(&self) -> i64 {
+        self.began.elapsed().as_micros() as i64
+    }
+
+    /// One round: hears, tells, sends.
+    fn play(&mut self) {
+        let mut bytes = [0; 512];
+        while let Ok((length, from)) = self.socket.recv_from(&mut bytes) {
+            self.datagrams.push(length);
+            let from = self.addresses.iter().position(|address| *address == from).map(|i| i as u32);
+            let now = self.now();
+            self.gossip.handle(now, Input::Datagram { from, bytes: &bytes[..length] });
+        }
+        let now = self.now();
+        if self.told.elapsed() > Duration::from_millis(300) {
+            self.told = Instant::now();
+            self.gossip.handle(now, Input::Own(self.own.clone()));
+        }
+        if self.gossip.next_timeout() <= now {
+            self.gossip.handle(now, Input::Tick);
+        }
+        while let Some(output) = self.gossip.poll() {
+            match output {
+                Output::Send { to, bytes } => {
+                    let Some(to) = (match to {
+                        To::One(to) => self.addresses.get(to as usize),
+                        To::All => None,
+                    }) else {
+                        continue;
+                    };
+                    // Whoever is not there hears nothing.
+                    let _ = self.socket.send_to(&bytes, to);
+                }
+                Output::Heard { from: 0, entries } => {
+                    for entry in entries {
+                        self.heard.retain(|old| old.subchannel != entry.subchannel);
+                        self.heard.push(entry);
+                    }
+                }
+                Output::Member { ordinal: 0, state, .. } => self.states.push(state),
+                _ => {}
+            }
+        }
+    }
+
+    fn of(&self, name: &str) -> Option<Entry> {
+        self.heard.iter().find(|entry| entry.subchannel == Subchannel::of(name)).copied()
+    }
+
+    fn tells(&mut self, name: &str, load: u64, evidence: Evidence) {
+        let load = Load::from_micros_per_s(load);
+        let standing = u32::from(load != Load::default());
+        let entry = Entry { subchannel: Subchannel::of(name), standing, load, groups: 0, evidence };
+        self.own.retain(|old| old.subchannel != entry.subchannel);
+        self.own.push(entry);
+    }
+}
+
+/// Plays all members until `look` finds something.
+fn until<T>(what: &str, played: &mut [&mut Played], mut look: impl FnMut(&[&mut Played]) -> Option<T>) -> T {
+    within(PATIENCE, what, || {
+        played.iter_mut().for_each(|one| one.play());
+        look(played)
+    })
+}
+
+/// Plays them for a while.
+fn play_for(time: Duration, played: &mut [&mut Played]) {
+    let begun = Instant::now();
+    until("the time to pass", played, |_| (begun.elapsed() >= time).then_some(()));
+}
+
+/// A proxy of a tier with these addresses, the first one its own.
+fn proxy(folder: &TempDir, addresses: &[SocketAddr], operator: &str, nodes: &[&Scripted]) -> Proxy {
+    let path = folder.path().join("operator.toml");
+    std::fs::write(&path, operator).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cottonnotch"));
+    command.env("COTTONNOTCH_OPERATOR", &path);
+    Proxy::by(command, nodes, 1024, &settings(addresses))
+}
+
+/// The settings, and what else the platform tells of the tier.
+fn settings(addresses: &[SocketAddr]) -> String {
+    let members = addresses.len();
+    let all: Vec<String> = addresses.iter().map(|address| format!("\"{address}\"")).collect();
+    let settings =
+        SETTINGS.replace("\"balancers\":1", &format!("\"weights\":\"nominal\",\"balancers\":{members}"));
+    let settings = settings.replace("\"familyInfo\":{", "\"familyInfo\":{\"groups\":true,");
+    assert!(settings.contains("nominal") && settings.contains("groups"));
+    format!("{settings},\"peer_listen\":\"{}\",\"peers\":[{}]", addresses[0], all.join(","))
+}
+
+const BY_ADDRESS: &str = "[gossip]\nstrength = \"address\"\n";
+
+fn shared(folder: &Path, keys: &[usize]) -> String {
+    let files: Vec<String> = keys
+        .iter()
+        .map(|key| {
+            let path = folder.join(format!("key-{key}"));
+            std::fs::write(&path, SHARED[*key]).unwrap();
+            format!("\"{}\"", path.display())
+        })
+        .collect();
+    format!("[gossip]\nstrength = \"shared\"\nkey_files = [{}]\n", files.join(", "))
+}
+
+fn shared_keys(keys: &[usize]) -> Keys {
+    let files: Vec<Vec<u8>> = keys.iter().map(|key| SHARED[*key].as_bytes().to_vec()).collect();
+    Keys::load(Strength::Shared, &files, None, 1, 2).unwrap()
+}
+
+#[test]
+fn peers_hear_what_stands_and_that_it_is_over() {
+    let (folder, at, node) = (TempDir::new().unwrap(), addresses(2), Scripted::new());
+    let proxy = proxy(&folder, &at, BY_ADDRESS, &[&node]);
+    let mut peer = Played::by_address(&at, 1);
+    let (client, mut far) = proxy.up(&node);
+    far.say("LOAD 500000\r\n");
+    let told = until("the standing connection", &mut [&mut peer], |played| {
+        played[0].of("s0").filter(|entry| entry.load.micros_per_s() > 0)
+    });
+    assert_eq!((told.standing, told.groups.count_ones()), (1, 1));
+    assert!(told.load.micros_per_s().abs_diff(500_000) < 500, "{told:?}");
+    drop((client, far));
+    until("its end", &mut [&mut peer], |played| played[0].of("s0").filter(|entry| entry.standing == 0));
+    assert!(peer.datagrams.iter().all(|length| *length <= 256), "{:?}", peer.datagrams);
+}
+
+/// Loads told by a peer are all that shows a crowd: this proxy has one light connection on each render node.
+#[test]
+fn a_crowd_that_only_a_peer_sees_is_left_alone() {
+    let nodes = [Scripted::new(), Scripted::new(), Scripted::new()];
+    let (folder, at) = (TempDir::new().unwrap(), addresses(2));
+    let proxy = proxy(&folder, &at, BY_ADDRESS, &[&nodes[0], &nodes[1], &nodes[2]]);
+    let mut peer = Played::by_address(&at, 1);
+    let open = || {
+        let mut client = proxy.connect();
+        client.say(&fresh(&OPEN.replace(",g=5c0f", "")));
+        let (at, mut far) = called_at(&nodes);
+        far.hear();
+        far.say("UP 1\r\nLOAD 1000\r\n");
+        assert_eq!((client.hear(), client.hear()), ("UP 1\r\n".to_owned(), "LOAD 1000\r\n".to_owned()));
+        (at, client, far)
+    };
+    let first: Vec<_> = (0..3).map(|_| open()).collect();
+    peer.tells("s1", 3_000_000, Evidence::default());
+    peer.tells("s0", 1_000, Evidence::default());
+    peer.tells("s2", 1_000, Evidence::default());
+    // It takes a datagram and a look once a second, whenever these come.
+    let mut kept = Vec::new();
+    until("a round without it", &mut [&mut peer], |_| {
+        let round: Vec<_> = (0..6).map(|_| open()).collect();
+        let avoided = round.iter().all(|(at, ..)| *at != 1);
+        kept.extend(round);
+        std::thread::sleep(Duration::from_millis(100));
+        avoided.then_some(())
+    });
+    drop(first);
+}
+
+#[test]
+fn strangers_and_rubbish_are_not_heard_and_stop_nothing() {
+    let nodes = [Scripted::new(), Scripted::new(), Scripted::new()];
+    let (folder, at) = (TempDir::new().unwrap(), addresses(2));
+    let proxy = proxy(&folder, &at, BY_ADDRESS, &[&nodes[0], &nodes[1], &nodes[2]]);
+    // A stranger that keeps the protocol: only its address gives it away.
+    let mut elsewhere = at.clone();
+    elsewhere[1] = addresses(2)[1];
+    let mut stranger = Played::by_address(&elsewhere, 1);
+    for name in ["s0", "s1", "s2"] {
+        stranger.tells(name, 9_000_000, Evidence { failed: 9, ..Evidence::default() });
+    }
+    let known = UdpSocket::bind(at[1]).unwrap();
+    for length in [0, 1, 20, 255, 256, 257, 500] {
+        known.send_to(&vec![0x5a; length], at[0]).unwrap();
+    }
+    play_for(Duration::from_millis(1500), &mut [&mut stranger]);
+    let placed: Vec<usize> = (0..6)
+        .map(|_| {
+            let client = proxy.open();
+            let (at, mut far) = called_at(&nodes);
+            far.hear();
+            far.say("UP 1\r\n");
+            std::mem::forget((client, far));
+            at
+        })
+        .collect();
+    assert!((0..3).all(|node| placed.contains(&node)), "all are used: {placed:?}");
+    let mut front = proxy.connect();
+    front.say("PING\r\n");
+    assert_eq!(front.hear(), "PONG\r\n");
+}
+
+#[test]
+fn a_proxy_that_stops_says_that_it_leaves() {
+    let (folder, at, node) = (TempDir::new().unwrap(), addresses(2), Scripted::new());
+    let mut proxy = proxy(&folder, &at, BY_ADDRESS, &[&node]);
+    let mut peer = Played::by_address(&at, 1);
+    until("the proxy", &mut [&mut peer], |played| played[0].states.contains(&State::Alive).then_some(()));
+    proxy.terminate();
+    until("its farewell", &mut [&mut peer], |played| played[0].states.contains(&State::Left).then_some(()));
+    assert!(proxy.exited().success());
+    assert!(!peer.states.contains(&State::Dead), "{:?}", peer.states);
+}
+
+#[test]
+fn keys_change_without_a_gap_and_a_wrong_one_is_not_heard() {
+    let (folder, at, node) = (TempDir::new().unwrap(), addresses(2), Scripted::new());
+    let proxy = proxy(&folder, &at, &shared(folder.path(), &[0]), &[&node]);
+    let _up = proxy.up(&node);
+    let hears = |peer: &mut Played| {
+        peer.heard.clear();
+        peer.play();
+        peer.heard.clear();
+        let begun = Instant::now();
+        while begun.elapsed() < Duration::from_millis(2500) {
+            peer.play();
+            if peer.of("s0").is_some() {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        false
+    };
+    let mut peer = Played::new(&at, 1, Strength::Shared, shared_keys(&[0]));
+    until("the first key", &mut [&mut peer], |played| played[0].of("s0"));
+    // The new one is added as second, then put first, then the old one goes: both sides hear all the while.
+    for (theirs, ours) in
+        [([0, 1].as_slice(), [0].as_slice()), (&[0, 1], &[0, 1]), (&[1, 0], &[0, 1]), (&[1, 0], &[1, 0])]
+    {
+        std::fs::write(folder.path().join("operator.toml"), shared(folder.path(), theirs)).unwrap();
+        proxy.reload();
+        proxy.logged("configuration read again");
+        let now = peer.now();
+        peer.gossip.handle(now, Input::Keys(shared_keys(ours)));
+        let _more = proxy.up(&node);
+        assert!(hears(&mut peer), "{theirs:?} {ours:?}");
+    }
+    let now = peer.now();
+    peer.gossip.handle(now, Input::Keys(shared_keys(&[0])));
+    let _more = proxy.up(&node);
+    assert!(!hears(&mut peer), "the proxy speaks by the new key, which this one does not know");
+}
+
+#[test]
+fn a_faulty_section_ends_the_start_and_names_its_key() {
+    let folder = TempDir::new().unwrap();
+    let at = addresses(2);
+    std::fs::write(folder.path().join("short"), "abc").unwrap();
+    let short = folder.path().join("short");
+    for (operator, named) in [
+        ("[gossip]\nstrength = \"shared\"\n".to_owned(), "gossip.key_files: strength 'shared' needs"),
+        (
+            "[gossip]\nstrength = \"shared\"\nkey_files = [\"/nowhere\"]\n".to_owned(),
+            "gossip.key_files: '/nowhere'",
+        ),
+        (
+            format!("[gossip]\nstrength = \"shared\"\nkey_files = [\"{}\"]\n", short.display()),
+            "64 hexadecimal digits",
+        ),
+        ("[gossip]\nperiod_ms = 5\n".to_owned(), "gossip.period_ms"),
+        ("[gossip]\nstrenght = \"shared\"\n".to_owned(), "strength"),
+    ] {
+        let path = folder.path().join("operator.toml");
+        std::fs::write(&path, &operator).unwrap();
+        let config = folder.path().join("config.json");
+        std::fs::write(
+            &config,
+            format!(r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{}}}"#, settings(&at)),
+        )
+        .unwrap();
+        let output = Command::new(env!("CARGO_BIN_EXE_cottonnotch"))
+            .args(["check", "--operator"])
+            .arg(&path)
+            .env("GW_CONFIG", &config)
+            .output()
+            .unwrap();
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(2), "{operator}: {said}");
+        assert!(said.contains(named), "{operator}: {said}");
+    }
+}
--- a/crates/decision/src/names.rs
+++ b/crates/decision/src/names.rs
@@ -28,6 +28,16 @@
         self.numbers.get(name).copied()
     }
 
+    /// How many names have a number.
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    /// None has.
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+
     /// The name that a number stands for.
     pub fn name(&self, number: u32) -> &str {
         self.names.get(number as usize).map_or("-", String::as_str)
--- a/crates/kit/src/emulator/mod.rs
+++ b/crates/kit/src/emulator/mod.rs
@@ -7,6 +7,7 @@
 pub mod discovery_list;
 pub mod fault;
 pub mod front;
+mod liar;
 pub mod network;
 pub mod nodes;
 mod nodes_connection;
--- a/crates/kit/src/emulator/network.rs
+++ b/crates/kit/src/emulator/network.rs
@@ -2,6 +2,7 @@
 //! what a parted network would not carry. Every relay belongs to one pair, so a proxy sees the sender as the address
 //! that its configuration has for it.
 
+use super::liar::Liar;
 use crate::addresses::Addresses;
 use crate::board::Board;
 use crate::notes::Notes;
@@ -94,6 +95,8 @@
     next: usize,
     on_their_way: BTreeMap<(Micros, u64), OnItsWay>,
     number: u64,
+    /// Members that are no proxies, by their numbers.
+    liars: BTreeMap<ProxyId, Liar>,
     notes: Notes,
 }
 
@@ -110,6 +113,7 @@
         next: 0,
         on_their_way: BTreeMap::new(),
         number: 0,
+        liars: liars(&plan, &board),
         notes: Notes::default(),
     };
     network.bind()?;
@@ -127,11 +131,18 @@
     Ok(network.notes.into_inner())
 }
 
+/// The liars, who know the protocol's clock as processes do.
+fn liars(plan: &Plan, board: &Board) -> BTreeMap<ProxyId, Liar> {
+    let now = board.clock.now();
+    let numbered = (plan.proxies.len() as u16..).map(ProxyId).zip(&plan.network.liars);
+    numbered.map(|(id, lie)| (id, Liar::new(plan, id, *lie, board.clock.unix_ms(now), now))).collect()
+}
+
 impl Network<'_> {
     fn bind(&mut self) -> io::Result<()> {
         let proxies: Vec<ProxyId> = (0..self.plan.proxies.len() as u16).map(ProxyId).collect();
         for seen_by in &proxies {
-            for of in proxies.iter().copied().map(Some).chain([None]) {
+            for of in (0..self.plan.members()).map(|of| Some(ProxyId(of))).chain([None]) {
                 let address = match of {
                     Some(of) => self.addresses.relay(of, *seen_by),
                     None => self.addresses.relay_to_all(*seen_by),
@@ -156,6 +167,12 @@
     fn look(&mut self) {
         let now = self.reactor.io.now();
         self.reactor.io.owner_timer(now + LOOK, LOOKS);
+        let plan = self.plan;
+        let said: Vec<(ProxyId, Vec<_>)> =
+            self.liars.iter_mut().map(|(liar, it)| (*liar, it.tick(now, plan))).collect();
+        for (liar, said) in said {
+            said.into_iter().for_each(|(to, bytes)| self.carry(liar, to, &bytes));
+        }
         while let Some(happening) = self.plan.timeline.get(self.next).filter(|h| h.at <= now) {
             self.next += 1;
             let What::Network(change) = &happening.what else { continue };
@@ -170,33 +187,44 @@
     }
 
     fn came(&mut self, from: ProxyId, to: Option<ProxyId>, bytes: &[u8]) {
-        let now = self.reactor.io.now();
-        let all = (0..self.plan.proxies.len() as u16).map(ProxyId);
+        let all = (0..self.plan.members()).map(ProxyId);
         let receivers: Vec<ProxyId> = match to {
             Some(to) => vec![to],
             None => all.filter(|to| *to != from).collect(),
         };
         for to in receivers {
+            let now = self.reactor.io.now();
             self.notes.note(now, Seen::Datagram { from, to, bytes: bytes.len() as u32 });
-            let parted = self.apart.as_ref().is_some_and(|set| set.contains(&from) != set.contains(&to));
-            let lost = self.chance.random::<f64>() < self.loss;
-            let (least, most) = self.plan.network.datagram;
-            let delay = self.chance.random_range(least..=most.max(least));
-            if parted || lost || to == from {
-                continue;
-            }
-            self.number += 1;
-            self.on_their_way
-                .insert((now + delay, self.number), OnItsWay { from, to, bytes: bytes.to_vec() });
-            self.reactor.io.owner_timer(now + delay, DELIVERS);
+            self.carry(from, to, bytes);
         }
     }
 
+    /// On its way, unless it is lost.
+    fn carry(&mut self, from: ProxyId, to: ProxyId, bytes: &[u8]) {
+        let now = self.reactor.io.now();
+        let parted = self.apart.as_ref().is_some_and(|set| set.contains(&from) != set.contains(&to));
+        let lost = self.chance.random::<f64>() < self.loss;
+        let (least, most) = self.plan.network.datagram;
+        let delay = self.chance.random_range(least..=most.max(least));
+        if parted || lost || to == from {
+            return;
+        }
+        self.number += 1;
+        self.on_their_way.insert((now + delay, self.number), OnItsWay { from, to, bytes: bytes.to_vec() });
+        self.reactor.io.owner_timer(now + delay, DELIVERS);
+    }
+
     fn deliver(&mut self) {
         let now = self.reactor.io.now();
         let later = self.on_their_way.split_off(&(now + 1, 0));
         for (_, datagram) in std::mem::replace(&mut self.on_their_way, later) {
             let OnItsWay { from, to, bytes } = datagram;
+            let liar_id = to;
+            if let Some(liar) = self.liars.get_mut(&to) {
+                let said = liar.hear(now, from, &bytes);
+                said.into_iter().for_each(|(to, bytes)| self.carry(liar_id, to, &bytes));
+                continue;
+            }
             let Some(key) = self.relays.get(&(from, to)).copied() else { continue };
             let address = self.addresses.peer(to);
             // Late or never: one that can't be sent now is lost.
--- a/crates/kit/src/judge/figures.rs
+++ b/crates/kit/src/judge/figures.rs
@@ -6,6 +6,7 @@
 use crate::plan::{Plan, SessionId};
 use crate::time::Micros;
 use serde::Serialize;
+use std::collections::VecDeque;
 
 /// Answers to requests, by kind; second answers left out.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
@@ -31,6 +32,26 @@
     pub datagrams: u64,
     /// Their bytes.
     pub bytes: u64,
+    /// Most bytes of them in any second.
+    pub most_bytes_in_a_second: u64,
+    /// Those of the last second.
+    #[serde(skip)]
+    recent: VecDeque<(Micros, u64)>,
+    #[serde(skip)]
+    recent_bytes: u64,
+}
+
+impl ProxyFigures {
+    fn sent(&mut self, at: Micros, bytes: u64) {
+        self.datagrams += 1;
+        self.bytes += bytes;
+        self.recent.push_back((at, bytes));
+        self.recent_bytes += bytes;
+        while let Some((_, old)) = self.recent.pop_front_if(|(then, _)| *then <= at - crate::time::S) {
+            self.recent_bytes -= old;
+        }
+        self.most_bytes_in_a_second = self.most_bytes_in_a_second.max(self.recent_bytes);
+    }
 }
 
 /// One second of the measured part, for plots: worth of connection seconds.
@@ -144,8 +165,7 @@
             Seen::Attempt { .. } => self.figures.attempts += 1,
             Seen::Datagram { from, bytes, .. } => {
                 if let Some(figures) = self.figures.proxies.get_mut(usize::from(from.0)) {
-                    figures.datagrams += 1;
-                    figures.bytes += u64::from(bytes);
+                    figures.sent(at, u64::from(bytes));
                 }
             }
             _ => {}
--- a/crates/kit/src/judge/verdict.rs
+++ b/crates/kit/src/judge/verdict.rs
@@ -48,7 +48,7 @@
 /// A demand that was not reached.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Unreached {
-    /// Which: `service` or `worst_window`.
+    /// Which: `service`, `worst_window`, or `datagram_bytes_per_s`, which is a bound from above.
     pub demand: &'static str,
     /// What was demanded.
     pub demanded: f64,
@@ -92,6 +92,7 @@
             .into_iter()
             .filter(|(_, demanded, reached)| *demanded > 0.0 && reached.is_none_or(|r| r < *demanded))
             .map(|(demand, demanded, reached)| Unreached { demand, demanded, reached })
+            .chain(too_many_bytes(plan, &figures))
             .collect();
         let void = lateness.void();
         let outcome = match &void {
@@ -139,6 +140,14 @@
     }
 }
 
+/// The proxy that sent most in a second, if that was more than is allowed.
+fn too_many_bytes(plan: &Plan, figures: &Figures) -> Option<Unreached> {
+    let most = figures.proxies.iter().map(|proxy| proxy.most_bytes_in_a_second).max()?;
+    let allowed = plan.demands.datagram_bytes_per_s;
+    let (demanded, reached) = (allowed as f64, Some(most as f64));
+    (allowed > 0 && most > allowed).then_some(Unreached { demand: "datagram_bytes_per_s", demanded, reached })
+}
+
 fn finding(plan: &Plan, found: Found) -> Finding {
     let subject = found.subject;
     let node = |i: u16| plan.nodes.get(usize::from(i)).map_or_else(|| i.to_string(), |n| n.name.clone());
@@ -263,8 +272,8 @@
         for p in &self.proxies {
             writeln!(
                 f,
-                "proxy {}: requests {}, datagrams {}, {} bytes",
-                p.proxy, p.requests, p.datagrams, p.bytes
+                "proxy {}: requests {}, datagrams {}, {} bytes, at most {} in a second",
+                p.proxy, p.requests, p.datagrams, p.bytes, p.most_bytes_in_a_second
             )?;
         }
         Ok(())
--- a/crates/kit/src/model/testing.rs
+++ b/crates/kit/src/model/testing.rs
@@ -69,7 +69,13 @@
             marks_retry: true,
         },
         front: Front { every: 500 * MS, notice: 2 * S, leaves_after: 300 * MS },
-        network: Network { node_ms: (0.0, 0.0), datagram: (MS, 2 * MS), loss: 0.0, datagrams: true },
+        network: Network {
+            node_ms: (0.0, 0.0),
+            datagram: (MS, 2 * MS),
+            loss: 0.0,
+            datagrams: true,
+            liars: Vec::new(),
+        },
         rules: Rules {
             answer_slack: 8 * MS,
             stop_within: S,
--- a/crates/kit/src/plan.rs
+++ b/crates/kit/src/plan.rs
@@ -189,6 +189,13 @@
     pub seed: u64,
 }
 
+impl Plan {
+    /// Members of the tier: proxies, and liars behind them.
+    pub fn members(&self) -> u16 {
+        (self.proxies.len() + self.network.liars.len()) as u16
+    }
+}
+
 impl Session {
     /// Its load this long after it came.
     pub fn load_at(&self, since: Micros) -> f64 {
@@ -389,6 +396,20 @@
     pub loss: f64,
     /// Datagrams are allowed at all.
     pub datagrams: bool,
+    /// Members of the tier that serve no client and say this; they stand behind the proxies in the list of peers.
+    pub liars: Vec<Lie>,
+}
+
+/// What a member of the tier says though it isn't so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Lie {
+    /// Nothing: it is there and tells nothing. The control of the others.
+    Nothing,
+    /// That each render node fails to connect.
+    AllUnwell,
+    /// That each render node is loaded with many times what it can do by its connections.
+    AllCrowded,
 }
 
 /// The figures of the rules.
@@ -435,4 +456,6 @@
     pub service: f64,
     /// Service of the worst 10 s.
     pub worst_window: f64,
+    /// Bytes of datagrams that a proxy may send in any second, as delivered; 0: nothing is demanded.
+    pub datagram_bytes_per_s: u64,
 }
--- a/crates/kit/src/scenario/check.rs
+++ b/crates/kit/src/scenario/check.rs
@@ -156,6 +156,13 @@
         return wrong("fleet.nodes", format!("must be 1 to {most}, the spare ones included: {all}"));
     }
     let count = body.proxies.count;
+    let liars = body.proxies.liars.len();
+    if liars > usize::from(Addresses::MOST_PROXIES.saturating_sub(count)) {
+        return wrong(
+            "proxies.liars",
+            format!("with the proxies at most {}: {liars}", Addresses::MOST_PROXIES),
+        );
+    }
     if count == 0 || count > Addresses::MOST_PROXIES {
         return wrong("proxies.count", format!("must be 1 to {}: {count}", Addresses::MOST_PROXIES));
     }
--- a/crates/kit/src/scenario/draw/mod.rs
+++ b/crates/kit/src/scenario/draw/mod.rs
@@ -72,7 +72,11 @@
         front: front(&draw),
         network: network(&draw),
         rules: rules(body),
-        demands: Demands { service: body.demand.service, worst_window: body.demand.worst_window },
+        demands: Demands {
+            service: body.demand.service,
+            worst_window: body.demand.worst_window,
+            datagram_bytes_per_s: body.demand.datagram_bytes_per_s,
+        },
     }
 }
 
@@ -118,6 +122,7 @@
         datagram: (micros(network.datagram_ms.least / 1e3), micros(network.datagram_ms.most / 1e3)),
         loss: network.loss,
         datagrams: network.datagrams,
+        liars: draw.body.proxies.liars.clone(),
     }
 }
 
--- a/crates/kit/src/scenario/format/fleet.rs
+++ b/crates/kit/src/scenario/format/fleet.rs
@@ -1,5 +1,6 @@
 //! The sections about machines.
 
+use crate::plan::Lie;
 use crate::scenario::range::{Range, Span};
 use serde::Deserialize;
 
@@ -108,10 +109,12 @@
     pub sockets: u32,
     /// Memory of each.
     pub memory_mb: u32,
+    /// Further members of the tier, who serve nobody and lie to the proxies: `nothing`, `all-unwell`, `all-crowded`.
+    pub liars: Vec<Lie>,
 }
 
 impl Default for Proxies {
     fn default() -> Self {
-        Proxies { count: 5, sockets: 4096, memory_mb: 192 }
+        Proxies { count: 5, sockets: 4096, memory_mb: 192, liars: Vec::new() }
     }
 }
--- a/crates/kit/src/scenario/format/mod.rs
+++ b/crates/kit/src/scenario/format/mod.rs
@@ -271,4 +271,6 @@
     pub service: f64,
     /// Service of the worst 10 s.
     pub worst_window: f64,
+    /// Bytes of datagrams that a proxy may send in any second, as delivered; 0: nothing is demanded.
+    pub datagram_bytes_per_s: u64,
 }
--- a/crates/kit/src/testing.rs
+++ b/crates/kit/src/testing.rs
@@ -42,7 +42,13 @@
             marks_retry: true,
         },
         front: Front { every: 100 * MS, notice: 400 * MS, leaves_after: 300 * MS },
-        network: Network { node_ms: (0.0, 0.0), datagram: (0, 0), loss: 0.0, datagrams: false },
+        network: Network {
+            node_ms: (0.0, 0.0),
+            datagram: (0, 0),
+            loss: 0.0,
+            datagrams: false,
+            liars: Vec::new(),
+        },
         rules: Rules {
             answer_slack: 8 * MS,
             stop_within: S,
--- a/crates/kit/tests/judge/stage.rs
+++ b/crates/kit/tests/judge/stage.rs
@@ -84,7 +84,13 @@
             marks_retry: true,
         },
         front: Front { every: S, notice: 2 * S, leaves_after: 300 * MS },
-        network: Network { node_ms: (0.2, 1.0), datagram: (MS, 30 * MS), loss: 0.0, datagrams: true },
+        network: Network {
+            node_ms: (0.2, 1.0),
+            datagram: (MS, 30 * MS),
+            loss: 0.0,
+            datagrams: true,
+            liars: Vec::new(),
+        },
         rules: Rules {
             answer_slack: 8 * MS,
             stop_within: S,
--- a/crates/kit/tests/scenarios.rs
+++ b/crates/kit/tests/scenarios.rs
@@ -137,7 +137,7 @@
 #[test]
 fn all_shipped_scenarios_can_be_drawn() {
     let files = shipped();
-    assert_eq!(files.len(), 23, "{files:?}");
+    assert_eq!(files.len(), 26, "{files:?}");
     for file in files {
         let scenario = Scenario::load(&file).unwrap_or_else(|error| panic!("{error}"));
         let name = file.display().to_string();
--- a/crates/records/src/record.rs
+++ b/crates/records/src/record.rs
@@ -177,6 +177,15 @@
         #[serde(flatten)]
         reload: Reload,
     },
+    /// What is believed of another proxy has changed.
+    Peer {
+        /// Its number in the list of peers.
+        peer: u32,
+        /// What is believed.
+        state: PeerState,
+        /// Tells this run of its process from any other, as it says; 0: not heard yet.
+        incarnation: u64,
+    },
     /// A shutdown began.
     Shutdown {},
     /// The last record of an incarnation that ended in order; written by [`Recorder::close`](crate::Recorder::close).
@@ -193,7 +202,7 @@
 
 impl Event {
     /// Every event's name, as lines have it.
-    pub const NAMES: [&str; 16] = [
+    pub const NAMES: [&str; 17] = [
         "start",
         "list",
         "subchannel",
@@ -207,12 +216,27 @@
         "ended",
         "client_left",
         "reload",
+        "peer",
         "shutdown",
         "stop",
         "dropped",
     ];
 }
 
+/// What a proxy is believed to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PeerState {
+    /// It lives.
+    Alive,
+    /// It may be gone; counts as alive.
+    Suspect,
+    /// It does not answer, directly or through others.
+    Dead,
+    /// It said that it leaves.
+    Left,
+}
+
 /// What the list says of a subchannel.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
--- a/crates/records/tests/reading.rs
+++ b/crates/records/tests/reading.rs
@@ -24,6 +24,15 @@
     })
 }
 
+fn peer_state() -> impl Strategy<Value = PeerState> {
+    prop_oneof![
+        Just(PeerState::Alive),
+        Just(PeerState::Suspect),
+        Just(PeerState::Dead),
+        Just(PeerState::Left)
+    ]
+}
+
 fn belief() -> impl Strategy<Value = Belief> {
     prop_oneof![
         prop::sample::select(vec![Belief::Up, Belief::Trial, Belief::Draining, Belief::Gone]),
@@ -83,6 +92,11 @@
         (u64s(), outcome()).prop_map(|(request, outcome)| Event::Ended { request, outcome }),
         u64s().prop_map(|request| Event::ClientLeft { request }),
         reload.prop_map(|reload| Event::Reload { reload }),
+        (any::<u32>(), any::<u64>(), peer_state()).prop_map(|(peer, incarnation, state)| Event::Peer {
+            peer,
+            state,
+            incarnation
+        }),
         Just(Event::Shutdown {}),
         Just(Event::Stop {}),
     ]
