--- a/crates/cottonnotch/src/net/peer_loads.rs
+++ b/crates/cottonnotch/src/net/peer_loads.rs
@@ -30,7 +30,7 @@
     pub load: f64,
     /// Their groups, as far as told.
     pub groups: u32,
-    /// Part of it that was told and not guessed, 0 to 1; 1 if nobody else is there.
+    /// Part of it that was told and not guessed, 0 to 1.
     pub told: f64,
 }
 
@@ -98,7 +98,12 @@
         // More may have been heard than are alive for a moment, when one has just left.
         let heard = heard.min(count);
         let unheard = (guess * GUESS + load) / (GUESS + heard);
-        let told = if count > 0.0 { heard / count } else { 1.0 };
+        let told = match () {
+            () if count > 0.0 => heard / count,
+            // Nobody else is there, as has been told; without gossip it is only the settings' word.
+            () if self.alive.is_some() => 1.0,
+            () => 0.0,
+        };
         Others { load: load + (count - heard) * unheard, groups, told }
     }
 }
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -572,12 +572,13 @@
         let (well, unwell) = (agree(Word::Well), agree(Word::Unwell));
         let paused = s.paused_until.is_some_and(|until| until > now);
         let strained = s.strained.is_some_and(fresh);
+        let agreed = unwell > well && unwell + usize::from(strained) >= AGREED;
         match word {
             // Once only: whoever repeats it, this node looks for itself before it believes it again.
-            Word::Unwell if !paused && room && s.accused.is_none() && !s.well.is_some_and(fresh) => {
-                if unwell > well && unwell + usize::from(strained) >= AGREED {
-                    (s.paused_until, s.accused) = (Some(mark), Some(mark));
-                }
+            Word::Unwell
+                if agreed && !paused && room && s.accused.is_none() && !s.well.is_some_and(fresh) =>
+            {
+                (s.paused_until, s.accused) = (Some(mark), Some(mark));
             }
             // Others serve there: the trial need not wait for a pause that grew with each failure.
             Word::Well if paused && unwell == 0 && well >= AGREED => {
--- a/crates/kit/src/judge/figures.rs
+++ b/crates/kit/src/judge/figures.rs
@@ -47,8 +47,8 @@
         self.bytes += bytes;
         self.recent.push_back((at, bytes));
         self.recent_bytes += bytes;
-        while let Some((_, old)) = self.recent.pop_front_if(|(then, _)| *then <= at - crate::time::S) {
-            self.recent_bytes -= old;
+        while self.recent.front().is_some_and(|(then, _)| *then <= at - crate::time::S) {
+            self.recent_bytes -= self.recent.pop_front().map_or(0, |(_, old)| old);
         }
         self.most_bytes_in_a_second = self.most_bytes_in_a_second.max(self.recent_bytes);
     }
