--- a/crates/cottonnotch/src/net/driver/gossip.rs
+++ b/crates/cottonnotch/src/net/driver/gossip.rs
@@ -8,22 +8,17 @@
 use crate::net::datagrams::Datagrams;
 use crate::net::peer_loads::Standing;
 use cottonnotch_decision::{Event, Micros, Outcome, ServerId, Word};
-use cottonnotch_gossip::{Entry, Evidence, Gossip, Input, Load, Output, State, Strength, Subchannel, To};
+use cottonnotch_gossip::{
+    Entry, Evidence, Gossip, Input, Ledger, Load, Met, Output, State, Strength, Subchannel, To,
+};
 use cottonnotch_reactor::Key;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 
-/// What was met at a subchannel is told for this long: the module's peers weigh no older word.
-const TOLD_FOR: Micros = 3_000_000;
-/// Of what was met lately, so much is kept for each subchannel: the counts that are told end at 255.
-const MOST_MET: usize = 256;
 /// Peers' words are as old as they say; older ones are no evidence.
 const MOST_AGE_TENTHS: u8 = 30;
 
-/// What was met at one subchannel lately, oldest first.
-type Met = VecDeque<(Micros, Outcome)>;
-
 /// The tier, as far as this proxy takes part in it.
 pub struct Peers {
     member: Option<Member>,
@@ -37,7 +32,7 @@
     /// The module's numbers of subchannels by the digests of their names; none where two names share one.
     numbers: BTreeMap<Subchannel, Option<ServerId>>,
     known: usize,
-    met: BTreeMap<ServerId, Met>,
+    met: Ledger<ServerId>,
     armed: Option<Micros>,
 }
 
@@ -55,7 +50,7 @@
         let socket = net.reactor.insert(|key, io| Ok(Box::new(Datagrams::bind(listen, key, io)?)))?;
         let strength = settings.strength;
         let gossip = Gossip::new(settings, keys, me, members, life, seed, now);
-        let (numbers, met) = (BTreeMap::new(), BTreeMap::new());
+        let (numbers, met) = (BTreeMap::new(), Ledger::default());
         let mut member = Member { gossip, strength, socket, ordinals, numbers, known: 0, met, armed: None };
         log::info!(target: PART, peers = members, listen:%; "gossip with {} other proxies", members.saturating_sub(1));
         member.arm(net);
@@ -82,11 +77,15 @@
             }
             _ => return,
         };
-        let met = member.met.entry(server).or_default();
-        if met.len() == MOST_MET {
-            met.pop_front();
-        }
-        met.push_back((now, outcome));
+        let met = match outcome {
+            Outcome::Full => Met::Full,
+            Outcome::ConnectFailed => Met::Failed,
+            Outcome::TimedOut | Outcome::Error => Met::TimedOut,
+            Outcome::Reset => Met::Silent,
+            Outcome::Served => Met::Served,
+            Outcome::Cancelled | Outcome::NotSent => return,
+        };
+        member.met.met(now, server, met);
     }
 
     /// Once a second: what this proxy has to tell.
@@ -153,18 +152,13 @@
 
     fn entries(&mut self, now: Micros, messages: &Messages, subchannels: &Subchannels) -> Vec<Entry> {
         let standing = messages.standing();
-        self.met.retain(|_, met| {
-            while met.front().is_some_and(|(at, _)| now - at > TOLD_FOR) {
-                met.pop_front();
-            }
-            !met.is_empty()
-        });
-        let servers: BTreeSet<ServerId> = standing.keys().chain(self.met.keys()).copied().collect();
+        self.met.forget_old(now);
+        let servers: BTreeSet<ServerId> = standing.keys().copied().chain(self.met.subchannels()).collect();
         let entry = |server: ServerId| {
             let subchannel = Subchannel::of(subchannels.name(server));
             self.numbers.get(&subchannel)?.as_ref()?;
             let (count, Standing { load, groups }) = standing.get(&server).copied().unwrap_or_default();
-            let evidence = self.met.get(&server).map_or(Evidence::default(), |met| evidence(now, met));
+            let evidence = self.met.evidence(now, server);
             let load = Load::from_micros_per_s(load.max(0.0) as u64);
             Some(Entry { subchannel, standing: count, load, groups, evidence })
         };
@@ -215,34 +209,6 @@
     }
 }
 
-/// What was met, counted.
-fn evidence(now: Micros, met: &Met) -> Evidence {
-    let mut evidence = Evidence::default();
-    let mut newest: Option<(Micros, bool)> = None;
-    for (at, outcome) in met {
-        let count = match outcome {
-            Outcome::Full => &mut evidence.full,
-            Outcome::ConnectFailed => &mut evidence.failed,
-            Outcome::TimedOut | Outcome::Error => &mut evidence.timed_out,
-            Outcome::Reset => &mut evidence.silent,
-            Outcome::Served => &mut evidence.served,
-            Outcome::Cancelled | Outcome::NotSent => continue,
-        };
-        *count = count.saturating_add(1);
-        let trouble = *outcome != Outcome::Served;
-        if trouble {
-            // What went well before the newest trouble says nothing of now.
-            evidence.served = 0;
-        }
-        if trouble || newest.is_none_or(|(_, before)| !before) {
-            newest = Some((*at, trouble));
-        }
-    }
-    let age = newest.map_or(0, |(at, _)| (now - at).max(0) / 100_000);
-    evidence.age_tenths = u8::try_from(age).unwrap_or(u8::MAX);
-    evidence
-}
-
 /// What a peer's evidence says. That a render node is full shows nothing of its health, and who was refused tells the
 /// others nothing that they would not be told at once.
 fn word(evidence: &Evidence) -> Word {
@@ -267,28 +233,6 @@
 mod tests {
     use super::*;
 
-    fn met(outcomes: &[(Micros, Outcome)]) -> Met {
-        outcomes.iter().copied().collect()
-    }
-
-    #[test]
-    fn what_is_told_is_what_was_met_since_the_newest_trouble() {
-        let now = 10_000_000;
-        let told = evidence(
-            now,
-            &met(&[
-                (now - 2_500_000, Outcome::Served),
-                (now - 2_000_000, Outcome::ConnectFailed),
-                (now - 1_500_000, Outcome::TimedOut),
-                (now - 500_000, Outcome::Served),
-                (now - 100_000, Outcome::Cancelled),
-            ]),
-        );
-        assert_eq!((told.failed, told.timed_out, told.served, told.age_tenths), (1, 1, 1, 15));
-        let well = evidence(now, &met(&[(now - 900_000, Outcome::Served), (now - 200_000, Outcome::Served)]));
-        assert_eq!((well.trouble(), well.served, well.age_tenths), (0, 2, 2));
-    }
-
     #[test]
     fn words_need_one_kind_of_evidence_and_a_fresh_one() {
         let sick = Evidence { failed: 2, age_tenths: 5, ..Evidence::default() };
--- a/crates/gossip/src/ceiling.rs
+++ b/crates/gossip/src/ceiling.rs
@@ -1,40 +1,76 @@
 //! What may be sent, and what is looked at.
 
-use crate::Micros;
+use crate::{Micros, Purpose, Settings};
 use std::collections::VecDeque;
 
 const SECOND: Micros = 1_000_000;
 
 /// A ceiling on what is sent in any second. A token bucket with a full second's burst would let almost two seconds' worth
 /// through within one; so the sendings of the last second are kept and summed, which the ceiling itself bounds.
+///
+/// What is for digests is kept free for them, and answers and probes have half of the rest each: neither those who ask much
+/// nor many to be asked may make a proxy mute, for then it would be doubted itself.
 #[derive(Debug)]
 pub(crate) struct Ceiling {
+    all: Lane,
+    /// By purpose.
+    lanes: [Lane; 3],
+    last_second: VecDeque<Sending>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Sending {
+    at: Micros,
+    purpose: Purpose,
+    copies: u64,
+    /// Of all copies.
+    bytes: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lane {
     datagrams: u64,
     bytes: u64,
-    /// When, copies, bytes of all copies.
-    last_second: VecDeque<(Micros, u64, u64)>,
     sent: (u64, u64),
 }
 
+impl Lane {
+    fn has_room(&self, copies: u64, bytes: u64) -> bool {
+        self.sent.0 + copies <= self.datagrams && self.sent.1 + bytes <= self.bytes
+    }
+}
+
 impl Ceiling {
-    pub(crate) fn new(datagrams: u64, bytes: u64) -> Self {
-        Ceiling { datagrams, bytes, last_second: VecDeque::new(), sent: (0, 0) }
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let all = (u64::from(settings.datagrams_per_s), u64::from(settings.bytes_per_s));
+        let digests = settings.digests_per_s();
+        let rest =
+            (all.0.saturating_sub(digests), all.1.saturating_sub(digests * settings.datagram_bytes as u64));
+        let lane = |datagrams, bytes| Lane { datagrams, bytes, sent: (0, 0) };
+        // However low the ceiling is, one at a time can pass.
+        let half = lane((rest.0 / 2).max(1), (rest.1 / 2).max(settings.datagram_bytes as u64));
+        let all = lane(all.0, all.1);
+        Ceiling { all, lanes: [all, half, half], last_second: VecDeque::new() }
     }
 
-    /// Takes room for so many copies of so many bytes, if it is there below this part (of 8) of the ceiling.
-    pub(crate) fn take(&mut self, now: Micros, copies: u64, bytes: u64, eighths: u64) -> bool {
-        while let Some(&(at, copies, bytes)) = self.last_second.front().filter(|s| s.0 <= now - SECOND) {
-            debug_assert!(at <= now);
-            self.sent = (self.sent.0 - copies, self.sent.1 - bytes);
+    /// Whether there is room for so many copies of so many bytes.
+    pub(crate) fn has_room(&mut self, now: Micros, purpose: Purpose, copies: u64, bytes: u64) -> bool {
+        while let Some(old) = self.last_second.front().copied().filter(|old| old.at <= now - SECOND) {
+            for lane in [&mut self.all, &mut self.lanes[old.purpose as usize]] {
+                lane.sent = (lane.sent.0 - old.copies, lane.sent.1 - old.bytes);
+            }
             self.last_second.pop_front();
         }
-        let wanted = (self.sent.0 + copies, self.sent.1 + copies * bytes);
-        if wanted.0 * 8 > self.datagrams * eighths || wanted.1 * 8 > self.bytes * eighths {
-            return false;
+        [&self.all, &self.lanes[purpose as usize]].iter().all(|lane| lane.has_room(copies, copies * bytes))
+    }
+
+    /// Notes what is sent.
+    pub(crate) fn note(&mut self, now: Micros, purpose: Purpose, copies: u64, bytes: u64) {
+        let bytes = copies * bytes;
+        for lane in [&mut self.all, &mut self.lanes[purpose as usize]] {
+            lane.sent = (lane.sent.0 + copies, lane.sent.1 + bytes);
         }
-        self.sent = wanted;
-        self.last_second.push_back((now, copies, copies * bytes));
-        true
+        self.last_second.push_back(Sending { at: now, purpose, copies, bytes });
     }
 }
 
--- a/crates/gossip/src/config.rs
+++ b/crates/gossip/src/config.rs
@@ -35,7 +35,7 @@
 /// logarithm, as the time does in which a contradiction gets round.
 const SUSPICION_PERIODS: u32 = 3;
 const SUSPICION_WITHIN: (u32, u32) = (1, 100);
-/// Digests and probes leave a quarter of the ceiling to answers and leaving.
+/// Digests by configuration leave a quarter of the ceiling to answers and probes.
 const DIGEST_EIGHTHS: u64 = 6;
 
 /// The section as it is written. Off unless `strength` is set.
@@ -150,6 +150,18 @@
     },
 }
 
+/// In any second: a period that isn't a divisor of it may fall into it once more.
+fn digests_per_s(fan_out: u32, parts: u32, period: i64) -> u64 {
+    u64::from(fan_out) * u64::from(parts) * (1_000_000 / period + i64::from(1_000_000 % period != 0)) as u64
+}
+
+impl Settings {
+    /// Datagrams that digests may need in a second.
+    pub(crate) fn digests_per_s(&self) -> u64 {
+        digests_per_s(self.fan_out as u32, self.digest_datagrams, self.period)
+    }
+}
+
 impl GossipSection {
     /// The section but for the files of keys, which may change while it is in use.
     pub fn without_files(&self) -> GossipSection {
@@ -162,6 +174,7 @@
             _ if (least..=most).contains(&value) => Ok(value),
             _ => Err(BadGossip::OutOfBounds { key, least, most, value }),
         };
+        let micros = |ms: u32| i64::from(ms) * 1_000;
         let period = within("period_ms", self.period_ms, PERIOD_WITHIN)?;
         let fan_out = within("fan_out", self.fan_out, FAN_OUT_WITHIN)?;
         let parts = within("digest_datagrams", self.digest_datagrams, DIGEST_DATAGRAMS_WITHIN)?;
@@ -171,8 +184,7 @@
         let probe = within("probe_timeout_ms", self.probe_timeout_ms, PROBE_TIMEOUT_WITHIN)?;
         let silent = within("silent_periods", self.silent_periods, SILENT_WITHIN)?;
         let suspicion = within("suspicion_periods", self.suspicion_periods, SUSPICION_WITHIN)?;
-        // In any second: a period that isn't a divisor of it may fall into it once more.
-        let needed = u64::from(fan_out * parts) * u64::from(1_000u32.div_ceil(period));
+        let needed = digests_per_s(fan_out, parts, micros(period));
         for (key, ceiling, needed) in
             [("datagrams_per_s", datagrams, needed), ("bytes_per_s", bytes, needed * u64::from(longest))]
         {
@@ -181,7 +193,6 @@
             }
         }
         self.check_files()?;
-        let micros = |ms: u32| i64::from(ms) * 1_000;
         Ok(self.strength.map(|strength| Settings {
             strength,
             period: micros(period),
--- a/crates/gossip/src/counts.rs
+++ b/crates/gossip/src/counts.rs
@@ -41,15 +41,15 @@
     ];
 }
 
-/// What a datagram was for, from the first to be sent to the first to be left out when the ceiling is near.
+/// What a datagram was for. Each has its part of the ceiling.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Purpose {
-    /// Answers, contradictions, leaving.
+    /// Digests, which are the beats, and farewells.
+    Digest,
+    /// Answers, contradictions, asking on another's behalf.
     Answer,
     /// Asking for a sign of life, directly or through others.
     Probe,
-    /// Digests.
-    Digest,
 }
 
 /// Sums since the start. Bytes are those of datagrams, without the network's headers.
--- a/crates/gossip/src/gossip.rs
+++ b/crates/gossip/src/gossip.rs
@@ -16,6 +16,8 @@
 
 /// Members at most; ordinals have 16 bits on the wire, and one value stands for all.
 const MOST_MEMBERS: u32 = u16::MAX as u32;
+/// Time-outs of probes fall on multiples of this, so that hundreds of suspects don't wake the loop one by one.
+const GRAIN: Micros = 10_000;
 /// Datagrams looked at from all peers, in multiples of what one may send: with the dearest proof (55 us) 256 a second are
 /// 1.4% of a core.
 const INBOUND: u32 = 8;
@@ -89,6 +91,8 @@
     pub(crate) counter: u64,
     /// By ordinal; the place of this member itself is unused.
     pub(crate) peers: Vec<Peer>,
+    /// How many of the others take part.
+    pub(crate) live: usize,
     pub(crate) suspicions: BTreeMap<u16, Suspicion>,
     pub(crate) probes: Probes,
     pub(crate) rumours: Rumours,
@@ -130,12 +134,13 @@
             jumped: None,
             counter: 0,
             peers: Vec::new(),
+            live: 0,
             suspicions: BTreeMap::new(),
             probes: Probes::default(),
             rumours: Rumours::default(),
             own: Own::default(),
             health: Health::default(),
-            ceiling: Ceiling::new(settings.datagrams_per_s.into(), settings.bytes_per_s.into()),
+            ceiling: Ceiling::new(&settings),
             inbound: Bucket::new(settings.datagrams_per_s.saturating_mul(INBOUND), now),
             receivers: Rotation::default(),
             asked: Rotation::default(),
@@ -187,7 +192,7 @@
     /// How many members take part, this one included, as far as is known: suspects do. An unheard one does until it had
     /// its time to speak; so this errs upwards.
     pub fn alive(&self) -> u32 {
-        1 + self.others().filter(|other| self.peers[usize::from(*other)].state.takes_part()).count() as u32
+        1 + self.live as u32
     }
 
     /// The other members: ordinal, state, incarnation.
@@ -251,10 +256,15 @@
         if peer.state == state {
             return;
         }
-        peer.state = state;
+        let before = std::mem::replace(&mut peer.state, state);
         if !state.takes_part() {
             peer.told = Default::default();
         }
+        match (before.takes_part(), state.takes_part()) {
+            (true, false) => self.live -= 1,
+            (false, true) => self.live += 1,
+            _ => {}
+        }
         if state != State::Suspect {
             self.suspicions.remove(&ordinal);
         }
@@ -263,7 +273,7 @@
 
     /// Others that take part.
     pub(crate) fn live_others(&self) -> usize {
-        self.alive() as usize - 1
+        self.live
     }
 
     /// Whether all that take part hear from this member each period, and it from them.
@@ -282,6 +292,7 @@
         self.suspicions.retain(|ordinal, _| *ordinal < members);
         self.probes.keep_below(members);
         self.peers.resize_with(members.into(), || Peer::new(now, per_s));
+        self.live = self.others().filter(|other| self.peers[usize::from(*other)].state.takes_part()).count();
         self.receivers = Rotation::new(members, self.me, &mut self.chance);
         self.asked = Rotation::new(members, self.me, &mut self.chance);
     }
@@ -317,7 +328,10 @@
     fn set_timeout(&mut self) {
         let due = match &self.leaving {
             Some(leaving) => leaving.next().unwrap_or(Micros::MAX),
-            None => self.next_probe_timeout().unwrap_or(Micros::MAX).min(self.next_period),
+            None => {
+                let asked = self.next_probe_timeout().unwrap_or(Micros::MAX);
+                asked.saturating_add((-asked).rem_euclid(GRAIN)).min(self.next_period)
+            }
         };
         self.timeout = due.max(self.now);
     }
--- a/crates/gossip/src/hearsay.rs
+++ b/crates/gossip/src/hearsay.rs
@@ -7,6 +7,9 @@
 /// A life of its own that is said to be later than it is, is believed this often at most: a liar would use numbers up.
 const JUMP_EVERY: Micros = 10_000_000;
 
+/// A member that all others doubt is asked so often: half of the answers that the ceiling lets it give where nothing is said.
+const BETWEEN_QUESTIONS: Micros = 125_000;
+
 impl Gossip {
     pub(crate) fn told_of(&mut self, from: u16, rumour: Rumour) {
         let Rumour { subject, incarnation, word } = rumour;
@@ -24,18 +27,16 @@
         if incarnation < known || !incarnation.plausible_after(known) {
             return;
         }
-        if incarnation > known {
-            peer.incarnation = incarnation;
-            peer.alive_tellers.clear();
-        }
         match word {
-            Word::Alive => self.said_alive(from, rumour, incarnation > known),
-            Word::Suspect { own } => {
-                if own {
-                    self.peer_mut(subject).accused_by(from);
+            // Only this raises the number known: an accuser that could would have every contradiction come too late.
+            Word::Alive => {
+                if incarnation > known {
+                    peer.incarnation = incarnation;
+                    peer.alive_tellers.clear();
                 }
-                self.said_suspect(subject);
+                self.said_alive(from, rumour, incarnation > known);
             }
+            Word::Suspect => self.said_suspect(from, subject),
             Word::Left => self.said_left(from, subject),
         }
     }
@@ -48,7 +49,11 @@
         let by_many = !state.takes_part() && peer.said_alive_by(from);
         match state {
             State::Alive | State::Suspect if !news => {}
-            State::Alive => self.rumours.put(rumour),
+            State::Alive => {
+                peer.contradicted();
+                self.probes.end_unasked(subject);
+                self.rumours.put(rumour);
+            }
             State::Suspect => {
                 self.gave_sign(subject);
                 self.rumours.put(rumour);
@@ -58,36 +63,65 @@
                 self.gave_sign(subject);
                 self.rumours.put(rumour);
             }
-            State::Dead | State::Left => self.probe_within(subject, true, self.spread()),
+            State::Dead | State::Left => self.probe_within(subject, false, self.spread()),
         }
     }
 
-    fn said_suspect(&mut self, subject: u16) {
+    /// Whoever says so found it itself: accusations are not passed on by those who only heard them. So is this: it is asked,
+    /// and accused by this member too only if it does not answer.
+    fn said_suspect(&mut self, from: u16, subject: u16) {
         let (now, silence) = (self.now, self.settings.silence);
         let peer = self.peer_mut(subject);
+        peer.accused_by(from);
         if peer.state != State::Alive {
             return;
         }
-        if now - peer.sign < silence {
-            // Own fresh hearing outweighs any number of words, while it is fresh.
-            peer.to_ask = true;
-        } else {
-            self.suspect(subject, false);
+        // Own fresh hearing outweighs any number of words, while it is fresh.
+        peer.to_ask = true;
+        if now - peer.sign >= silence {
+            self.ask_because_of(from, subject);
         }
     }
 
-    /// It may have left a moment after it was heard last, so that does not contradict this: it is asked itself.
+    /// It may have left a moment after it was heard last, so that does not contradict this: it is asked itself. But if it
+    /// has answered such a question lately, that does.
     fn said_left(&mut self, from: u16, subject: u16) {
         let peer = self.peer_mut(subject);
-        if peer.state.takes_part() && peer.said_left_by(from) {
-            self.probe_within(subject, true, self.spread());
+        if !peer.state.takes_part() {
+            return;
+        }
+        peer.said_left_by(from);
+        peer.to_ask = true;
+        if peer.state == State::Alive {
+            self.ask_because_of(from, subject);
         }
     }
 
+    /// Asks a member because of what another said. Each moves this one to so many questions only, and nobody is asked again
+    /// and again: liars could have all ask all, or one, and no answer would come in time.
+    fn ask_because_of(&mut self, from: u16, subject: u16) {
+        let now = self.now;
+        if self.probes.running(subject)
+            || !self.may_ask_by_word(subject)
+            || !self.peer_mut(from).heeded.take(now)
+        {
+            return;
+        }
+        self.peer_mut(subject).asked_by_word = Some(now);
+        self.probe_within(subject, true, self.spread());
+    }
+
+    /// Whether it is long enough that this member asked that one because of others' words. If all do so, it can still
+    /// answer.
+    pub(crate) fn may_ask_by_word(&self, subject: u16) -> bool {
+        let interval = self.settings.silence.max(self.peers.len() as Micros * BETWEEN_QUESTIONS);
+        self.peers[usize::from(subject)].asked_by_word.is_none_or(|at| self.now - at >= interval)
+    }
+
     fn told_of_me(&mut self, said: Incarnation, word: Word) {
         let must_exceed = match word {
             Word::Alive => said > self.incarnation,
-            Word::Suspect { .. } | Word::Left => said >= self.incarnation,
+            Word::Suspect | Word::Left => said >= self.incarnation,
         };
         if self.leaving.is_some() || !said.plausible_after(self.incarnation) {
             return;
@@ -121,13 +155,12 @@
         }
     }
 
-    /// Believes for the present that a member may be gone: by own experience, or by hearsay that nothing here contradicts.
-    pub(crate) fn suspect(&mut self, subject: u16, own: bool) {
-        debug_assert_eq!(self.peers[usize::from(subject)].state, State::Alive);
+    /// Believes for the present that a member may be gone: it did not answer, directly or through others.
+    pub(crate) fn suspect(&mut self, subject: u16) {
         let incarnation = self.peers[usize::from(subject)].incarnation;
         self.set_state(subject, State::Suspect);
-        self.rumours.put(Rumour { subject, incarnation, word: Word::Suspect { own } });
-        self.begin_suspicion(subject, own);
+        self.rumours.put(Rumour { subject, incarnation, word: Word::Suspect });
+        self.begin_suspicion(subject);
     }
 
     /// Ends a suspicion for good.
--- /dev/null
+++ b/crates/gossip/src/ledger.rs
@@ -0,0 +1,123 @@
+//! What an embedder met at each subchannel lately, and the evidence that it makes.
+
+use crate::{Evidence, Micros};
+use std::collections::{BTreeMap, VecDeque};
+
+/// What was met longer ago is no evidence of now: three periods of a second.
+const TOLD_FOR: Micros = 3_000_000;
+/// So much is kept for each subchannel: the counts that are told end at 255.
+const MOST_MET: usize = 256;
+
+/// How an attempt at a subchannel, or a connection there, came out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Met {
+    /// Turned away as full.
+    Full,
+    /// It could not connect.
+    Failed,
+    /// It got no answer, or an error.
+    TimedOut,
+    /// A connection was lost or went silent.
+    Silent,
+    /// It was served.
+    Served,
+}
+
+/// What was met lately, by the embedder's own names of subchannels.
+#[derive(Clone, Debug)]
+pub struct Ledger<K> {
+    met: BTreeMap<K, VecDeque<(Micros, Met)>>,
+}
+
+impl<K: Copy + Ord> Default for Ledger<K> {
+    fn default() -> Self {
+        Ledger { met: BTreeMap::new() }
+    }
+}
+
+impl<K: Copy + Ord> Ledger<K> {
+    /// This was met there.
+    pub fn met(&mut self, now: Micros, at: K, met: Met) {
+        let all = self.met.entry(at).or_default();
+        if all.len() == MOST_MET {
+            all.pop_front();
+        }
+        all.push_back((now, met));
+    }
+
+    /// Forgets what is too old to be told.
+    pub fn forget_old(&mut self, now: Micros) {
+        self.met.retain(|_, met| {
+            while met.front().is_some_and(|(at, _)| now - at > TOLD_FOR) {
+                met.pop_front();
+            }
+            !met.is_empty()
+        });
+    }
+
+    /// Where anything was met.
+    pub fn subchannels(&self) -> impl Iterator<Item = K> {
+        self.met.keys().copied()
+    }
+
+    /// What was met there, counted. What went well before the newest trouble says nothing of now and is left out.
+    pub fn evidence(&self, now: Micros, at: K) -> Evidence {
+        let mut evidence = Evidence::default();
+        let mut newest: Option<(Micros, bool)> = None;
+        for (at, met) in self.met.get(&at).into_iter().flatten() {
+            let count = match met {
+                Met::Full => &mut evidence.full,
+                Met::Failed => &mut evidence.failed,
+                Met::TimedOut => &mut evidence.timed_out,
+                Met::Silent => &mut evidence.silent,
+                Met::Served => &mut evidence.served,
+            };
+            *count = count.saturating_add(1);
+            let trouble = *met != Met::Served;
+            if trouble {
+                evidence.served = 0;
+            }
+            if trouble || newest.is_none_or(|(_, before)| !before) {
+                newest = Some((*at, trouble));
+            }
+        }
+        let age = newest.map_or(0, |(at, _)| (now - at).max(0) / 100_000);
+        evidence.age_tenths = u8::try_from(age).unwrap_or(u8::MAX);
+        evidence
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const NOW: Micros = 10_000_000;
+
+    fn evidence(all: &[(Micros, Met)]) -> Evidence {
+        let mut ledger = Ledger::default();
+        all.iter().for_each(|(ago, met)| ledger.met(NOW - ago, 'a', *met));
+        ledger.forget_old(NOW);
+        ledger.evidence(NOW, 'a')
+    }
+
+    #[test]
+    fn what_is_told_is_what_was_met_since_the_newest_trouble() {
+        let told = evidence(&[
+            (3_500_000, Met::Failed),
+            (2_500_000, Met::Served),
+            (2_000_000, Met::Failed),
+            (1_500_000, Met::TimedOut),
+            (500_000, Met::Served),
+        ]);
+        assert_eq!((told.failed, told.timed_out, told.served, told.age_tenths), (1, 1, 1, 15));
+        let well = evidence(&[(900_000, Met::Served), (200_000, Met::Served)]);
+        assert_eq!((well.trouble(), well.served, well.age_tenths), (0, 2, 2));
+        assert_eq!(evidence(&[(4_000_000, Met::Silent)]), Evidence::default());
+    }
+
+    #[test]
+    fn a_flood_is_kept_in_bounds() {
+        let told = evidence(&[(1_000, Met::Full); 5000]);
+        assert_eq!(told.full, 255);
+    }
+}
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -14,6 +14,7 @@
 mod hearsay;
 mod incarnation;
 mod keys;
+mod ledger;
 mod own;
 mod peer;
 mod probing;
@@ -31,6 +32,7 @@
 pub use gossip::{Gossip, Input, Output};
 pub use incarnation::Incarnation;
 pub use keys::{BadKeys, Keys, SharedKey, Strength};
+pub use ledger::{Ledger, Met};
 pub use peer::State;
 pub use wire::To;
 
--- a/crates/gossip/src/peer.rs
+++ b/crates/gossip/src/peer.rs
@@ -9,6 +9,13 @@
 /// reckoned with: of three, one heard it from the member, or checked for itself.
 pub(crate) const MOST_TELLERS: usize = 3;
 
+/// Questions of one peer that are answered a second. In doubt one asks twice in half a second, on its own behalf and on each
+/// of a few others'; one that asks more wants to use up this member's ceiling.
+const QUESTIONS_PER_S: u32 = 4;
+
+/// Members that this one asks a second because of one peer's words. Deaths are rarer, and of many at once, many tell.
+const HEEDED_PER_S: u32 = 2;
+
 /// What a member is believed to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum State {
@@ -52,12 +59,18 @@
     pub(crate) alive_tellers: Vec<u16>,
     /// Who says that it left, since the last sign.
     pub(crate) left_tellers: Vec<u16>,
-    /// Somebody doubts it, and it was heard too lately to ask it.
+    /// Somebody doubts it: to be asked once it is silent.
     pub(crate) to_ask: bool,
     /// Who says that it could not reach it itself, since the last sign.
     pub(crate) accusers: Vec<u16>,
     pub(crate) told: Told,
     pub(crate) inbound: Bucket,
+    /// What it may ask.
+    pub(crate) questions: Bucket,
+    /// What its words on others move this member to ask.
+    pub(crate) heeded: Bucket,
+    /// When this member last asked it because of others' words.
+    pub(crate) asked_by_word: Option<Micros>,
     /// When it was last told that it is known by a newer incarnation.
     pub(crate) corrected: Option<Micros>,
 }
@@ -76,6 +89,9 @@
             accusers: Vec::new(),
             told: Told::default(),
             inbound: Bucket::new(per_s, now),
+            questions: Bucket::new(QUESTIONS_PER_S, now),
+            heeded: Bucket::new(HEEDED_PER_S, now),
+            asked_by_word: None,
             corrected: None,
         }
     }
@@ -91,18 +107,23 @@
         self.alive_tellers.len() == MOST_TELLERS
     }
 
-    /// Notes that this member says the peer has left; whether it is the first.
-    pub(crate) fn said_left_by(&mut self, teller: u16) -> bool {
+    /// Notes that this member says the peer has left.
+    pub(crate) fn said_left_by(&mut self, teller: u16) {
+        add(&mut self.accusers, teller);
         add(&mut self.left_tellers, teller);
-        self.left_tellers.len() == 1
     }
 
     /// A sign of life: what was held against it is void.
     pub(crate) fn gave_sign(&mut self, now: Micros) {
         self.sign = now;
+        self.contradicted();
+    }
+
+    /// What was held against it was of an older incarnation.
+    pub(crate) fn contradicted(&mut self) {
+        self.to_ask = false;
         self.alive_tellers.clear();
         self.left_tellers.clear();
-        self.to_ask = false;
         self.accusers.clear();
     }
 }
--- a/crates/gossip/src/receiving.rs
+++ b/crates/gossip/src/receiving.rs
@@ -84,7 +84,13 @@
         if !self.heard(&header, leaves) {
             return;
         }
+        let now = self.now;
         for part in parts {
+            let asks = matches!(part, Part::Ping { .. } | Part::Ask { .. });
+            if asks && !self.peer_mut(from).questions.take(now) {
+                self.counts.withhold(Purpose::Answer);
+                continue;
+            }
             match part {
                 Part::Ping { nonce } => {
                     self.send(To::One(from.into()), Purpose::Answer, &[Part::Ack { nonce }]);
@@ -95,7 +101,6 @@
                 Part::Leave => {}
                 Part::Rumours(rumours) => rumours.into_iter().for_each(|rumour| self.told_of(from, rumour)),
                 Part::Digest { of, entries } if !leaves => {
-                    let now = self.now;
                     let news = self.peer_mut(from).told.take(header.counter, now, of, &entries);
                     if !news.is_empty() {
                         self.output(Output::Heard { from: from.into(), entries: news });
--- a/crates/gossip/src/rumours.rs
+++ b/crates/gossip/src/rumours.rs
@@ -3,9 +3,9 @@
 use crate::wire::Rumour;
 use std::collections::BTreeMap;
 
-/// News is told this many times the logarithm of the members (SWIM's lambda; memberlist has 4): each that hears it passes it
-/// on as often, and all but one in some thousands hear it.
-const LAMBDA: u32 = 4;
+/// News is told this many times the logarithm of the members (SWIM's lambda; memberlist has 4, with which one of 50 members
+/// once heard too little, and took 22 s where the others took 10).
+const LAMBDA: u32 = 5;
 
 /// The newest word on each member, and how often it was told.
 #[derive(Debug, Default)]
--- a/crates/gossip/src/telling.rs
+++ b/crates/gossip/src/telling.rs
@@ -30,17 +30,6 @@
     }
 }
 
-impl Purpose {
-    /// The part (of 8) of the ceiling that it may use.
-    fn eighths(self) -> u64 {
-        match self {
-            Purpose::Answer => 8,
-            Purpose::Probe => 7,
-            Purpose::Digest => 6,
-        }
-    }
-}
-
 impl Gossip {
     /// A datagram with these sections and what news has room; whether the ceiling let it through.
     pub(crate) fn send(&mut self, to: To, purpose: Purpose, parts: &[Part]) -> bool {
@@ -59,6 +48,12 @@
             To::One(ordinal) => Some(ordinal as u16),
             To::All => None,
         };
+        let copies = if receiver.is_some() { 1 } else { self.others().count() as u64 };
+        // Before anything is written: a proxy that has to ask many is at its ceiling for long.
+        if !self.ceiling.has_room(self.now, purpose, copies, 0) {
+            self.counts.withhold(purpose);
+            return None;
+        }
         let header = Header {
             strength: self.settings.strength,
             to_all: receiver.is_none(),
@@ -79,12 +74,12 @@
             rumours.truncate(fitted);
         }
         let entries = digest.map_or(0, |(of, entries)| draft.entries(of, entries));
-        let copies = if receiver.is_some() { 1 } else { self.others().count() as u64 };
         let bytes = (draft.written() + self.settings.strength.proof_bytes()) as u64;
-        if !self.ceiling.take(self.now, copies, bytes, purpose.eighths()) {
+        if !self.ceiling.has_room(self.now, purpose, copies, bytes) {
             self.counts.withhold(purpose);
             return None;
         }
+        self.ceiling.note(self.now, purpose, copies, bytes);
         self.counter += 1;
         self.counts.sent += copies;
         self.counts.sent_bytes += copies * bytes;
@@ -101,8 +96,7 @@
     /// Who is not believed alive is told so with whatever it is sent, so that it can contradict.
     fn accusation(&self, receiver: u16) -> Option<Rumour> {
         let peer = &self.peers[usize::from(receiver)];
-        let own = self.suspicions.get(&receiver).is_some_and(|suspicion| suspicion.own());
-        let word = Word::Suspect { own };
+        let word = Word::Suspect;
         (peer.state != State::Alive).then_some(Rumour {
             subject: receiver,
             incarnation: peer.incarnation,
@@ -184,12 +178,12 @@
                 leaving.pending =
                     self.others().filter(|o| self.peers[usize::from(*o)].state.takes_part()).collect();
                 leaving.pending.shuffle(&mut self.chance);
-                if self.settings.broadcast && self.send(To::All, Purpose::Answer, &[Part::Leave]) {
+                if self.settings.broadcast && self.send(To::All, Purpose::Digest, &[Part::Leave]) {
                     leaving.pending.clear();
                 }
             }
             while let Some(receiver) = leaving.pending.last() {
-                if !self.send(To::One((*receiver).into()), Purpose::Answer, &[Part::Leave]) {
+                if !self.send(To::One((*receiver).into()), Purpose::Digest, &[Part::Leave]) {
                     break;
                 }
                 leaving.pending.pop();
--- a/crates/gossip/src/wire.rs
+++ b/crates/gossip/src/wire.rs
@@ -60,11 +60,8 @@
 pub enum Word {
     /// It lives, and was heard to say so.
     Alive,
-    /// It may be gone.
-    Suspect {
-        /// The sender itself could not reach it, directly or through others. Each member can say so once.
-        own: bool,
-    },
+    /// The sender itself could not reach it, directly or through others. Nobody passes that on who only heard it.
+    Suspect,
     /// It said that it leaves.
     Left,
 }
--- a/crates/gossip/src/wire/read.rs
+++ b/crates/gossip/src/wire/read.rs
@@ -51,9 +51,8 @@
     fn rumour(&mut self) -> Read<Rumour> {
         let word = match self.byte()? {
             0 => Word::Alive,
-            1 => Word::Suspect { own: false },
+            1 => Word::Suspect,
             2 => Word::Left,
-            5 => Word::Suspect { own: true },
             _ => return Err(Malformed),
         };
         Ok(Rumour { subject: self.number()?, incarnation: self.incarnation()?, word })
--- a/crates/gossip/src/wire/tests.rs
+++ b/crates/gossip/src/wire/tests.rs
@@ -19,11 +19,7 @@
 }
 
 fn rumour() -> impl Strategy<Value = Rumour> {
-    let word = prop_oneof![
-        Just(Word::Alive),
-        Just(Word::Left),
-        any::<bool>().prop_map(|own| Word::Suspect { own }),
-    ];
+    let word = prop_oneof![Just(Word::Alive), Just(Word::Left), Just(Word::Suspect),];
     (any::<u16>(), incarnation(), word).prop_map(|(subject, incarnation, word)| Rumour {
         subject,
         incarnation,
--- a/crates/gossip/src/wire/write.rs
+++ b/crates/gossip/src/wire/write.rs
@@ -20,9 +20,8 @@
 fn rumour(bytes: &mut Vec<u8>, rumour: &Rumour) {
     bytes.push(match rumour.word {
         Word::Alive => 0,
-        Word::Suspect { own: false } => 1,
+        Word::Suspect => 1,
         Word::Left => 2,
-        Word::Suspect { own: true } => 5,
     });
     number(bytes, u64::from(rumour.subject));
     incarnation(bytes, rumour.incarnation);
