--- /dev/null
+++ b/crates/gossip/benches/cost.rs
@@ -0,0 +1,156 @@
+//! What gossip costs a proxy: reading a datagram by each strength, dropping one that is not worth reading, and a whole
+//! period with few and many members and subchannels.
+#![allow(missing_docs)]
+
+use cottonnotch_gossip::wire::{Draft, Header};
+use cottonnotch_gossip::*;
+use criterion::{BatchSize, Criterion, Throughput, criterion_group, criterion_main};
+use std::hint::black_box;
+
+const S: Micros = 1_000_000;
+const LIFE: u64 = 1_796_000_000_000;
+
+fn key(byte: u8) -> Vec<u8> {
+    format!("{byte:02x}").repeat(32).into_bytes()
+}
+
+fn keys(strength: Strength, me: u32) -> Keys {
+    let public: Vec<String> = (1..=5).map(|byte| Keys::public_of(&key(byte)).unwrap()).collect();
+    let public = public.join("\n");
+    match strength {
+        Strength::Address => Keys::Address,
+        Strength::Shared => Keys::load(strength, &[key(9), key(8)], None, me, 5).unwrap(),
+        Strength::Signed => {
+            Keys::load(strength, &[key(me as u8 + 1)], Some(public.as_bytes()), me, 5).unwrap()
+        }
+    }
+}
+
+fn settings(strength: Strength) -> Settings {
+    // Ceilings out of the way: what is measured is the work that they bound.
+    Settings {
+        strength,
+        datagrams_per_s: 1 << 30,
+        bytes_per_s: u32::MAX,
+        ..GossipSection { strength: Some(Strength::Address), ..Default::default() }.check().unwrap().unwrap()
+    }
+}
+
+fn entries(count: u32, change: u32) -> Vec<Entry> {
+    let entry = |number: u32| Entry {
+        subchannel: Subchannel::from_bits(number.wrapping_mul(2_654_435_761)),
+        standing: number % 30 + 1 + (number + change) % 3,
+        load: Load::from_micros_per_s(u64::from(number + change) * 9_000 + 5_000),
+        groups: number.wrapping_mul(0x9e37_79b9),
+        evidence: Evidence { served: 3, age_tenths: 2, ..Default::default() },
+    };
+    (0..count).map(entry).collect()
+}
+
+fn datagram(strength: Strength, counter: u64) -> Vec<u8> {
+    let incarnation = Incarnation::first(LIFE);
+    let header = Header { strength, to_all: false, sender: 1, incarnation, counter };
+    let mut draft = Draft::new(&header, 256);
+    draft.entries(16, &entries(16, counter as u32));
+    draft.finish(&keys(strength, 1), To::One(0))
+}
+
+fn member(strength: Strength, members: u32) -> Gossip {
+    Gossip::new(settings(strength), keys(strength, 0), 0, members, LIFE, 1, 0)
+}
+
+fn receive(c: &mut Criterion) {
+    let mut group = c.benchmark_group("receive");
+    group.throughput(Throughput::Elements(1));
+    for strength in [Strength::Address, Strength::Shared, Strength::Signed] {
+        let name = format!("{strength:?}").to_lowercase();
+        let datagrams: Vec<Vec<u8>> = (1..=1_000).map(|counter| datagram(strength, counter)).collect();
+        group.bench_function(&name, |b| {
+            let (mut gossip, mut n) = (member(strength, 5), 0);
+            b.iter(|| {
+                if n == datagrams.len() {
+                    (gossip, n) = (member(strength, 5), 0);
+                }
+                gossip.handle(0, Input::Datagram { from: Some(1), bytes: &datagrams[n] });
+                n += 1;
+                while let Some(output) = gossip.poll() {
+                    black_box(output);
+                }
+            });
+        });
+        group.bench_function(format!("{name}-replayed"), |b| {
+            let mut gossip = member(strength, 5);
+            b.iter(|| gossip.handle(0, Input::Datagram { from: Some(1), bytes: &datagrams[0] }));
+        });
+        let mut forged = datagrams[0].clone();
+        *forged.last_mut().unwrap() ^= 1;
+        group.bench_function(format!("{name}-forged"), |b| {
+            let mut gossip = member(strength, 5);
+            b.iter(|| gossip.handle(0, Input::Datagram { from: Some(1), bytes: &forged }));
+        });
+    }
+    group.bench_function("stranger", |b| {
+        let mut gossip = member(Strength::Signed, 5);
+        let bytes = datagram(Strength::Signed, 1);
+        b.iter(|| gossip.handle(0, Input::Datagram { from: None, bytes: &bytes }));
+    });
+    group.finish();
+}
+
+/// One period of one member: its list told anew, the digests and what else is due sent, and as many digests read as come
+/// from the others. Nobody answers pings here, so among many some tens are doubted at any time: the dear case.
+fn period(c: &mut Criterion) {
+    let mut group = c.benchmark_group("period");
+    for members in [5u32, 50, 300] {
+        for subchannels in [16, 200] {
+            group.bench_function(format!("{members}-members-{subchannels}-subchannels"), |b| {
+                let mut gossip = member(Strength::Address, members);
+                let (mut now, mut counters) = (0, vec![0u64; members as usize]);
+                let mut round = 0u32;
+                b.iter_batched(
+                    || {
+                        round += 1;
+                        let from: Vec<(u32, Vec<u8>)> = (0..4)
+                            .map(|n| {
+                                let sender = 1 + (round * 4 + n) % (members - 1);
+                                counters[sender as usize] += 1;
+                                let header = Header {
+                                    strength: Strength::Address,
+                                    to_all: false,
+                                    sender: sender as u16,
+                                    incarnation: Incarnation::first(LIFE),
+                                    counter: counters[sender as usize],
+                                };
+                                let mut draft = Draft::new(&header, 256);
+                                draft.entries(16, &entries(16, round));
+                                (sender, draft.finish(&Keys::Address, To::One(0)))
+                            })
+                            .collect();
+                        (from, entries(subchannels, round))
+                    },
+                    |(datagrams, own)| {
+                        now += S;
+                        gossip.handle(now.min(gossip.next_timeout()), Input::Own(own));
+                        for (from, bytes) in &datagrams {
+                            gossip.handle(
+                                now.min(gossip.next_timeout()),
+                                Input::Datagram { from: Some(*from), bytes },
+                            );
+                        }
+                        while gossip.next_timeout() <= now {
+                            gossip.handle(gossip.next_timeout(), Input::Tick);
+                        }
+                        while let Some(output) = gossip.poll() {
+                            black_box(output);
+                        }
+                    },
+                    BatchSize::SmallInput,
+                );
+            });
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, receive, period);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/gossip/src/entry.rs
@@ -0,0 +1,186 @@
+//! What a proxy tells of one subchannel.
+
+use std::collections::BTreeMap;
+
+/// A digest of a subchannel's name: 24 bits of BLAKE3. 16 bits would collide on 9 of 100 lists of 110 names; with 24 it is 1
+/// list of 840 with 200 names, and a byte less than 32 in each entry. [`Directory`] keeps such pairs out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Subchannel(u32);
+
+impl Subchannel {
+    /// The digest of this name.
+    pub fn of(name: &str) -> Self {
+        let [a, b, c, ..] = *blake3::hash(name.as_bytes()).as_bytes();
+        Subchannel(u32::from_le_bytes([a, b, c, 0]))
+    }
+
+    /// By the digest's value; only its lowest 24 bits count.
+    pub fn from_bits(bits: u32) -> Self {
+        Subchannel(bits & 0xff_ffff)
+    }
+
+    /// The digest's value.
+    pub fn bits(self) -> u32 {
+        self.0
+    }
+}
+
+/// The embedder's names by their digests. Two names of one digest are both left out: nothing is told of them, and what
+/// peers tell is not taken. Peers with the same list leave out the same two.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    names: BTreeMap<Subchannel, Option<String>>,
+}
+
+impl Directory {
+    /// Of these names.
+    pub fn new<'a>(names: impl IntoIterator<Item = &'a str>) -> Self {
+        let mut by_digest: BTreeMap<Subchannel, Option<String>> = BTreeMap::new();
+        for name in names {
+            by_digest
+                .entry(Subchannel::of(name))
+                .and_modify(|known| {
+                    if known.as_deref() != Some(name) {
+                        *known = None;
+                    }
+                })
+                .or_insert_with(|| Some(name.to_owned()));
+        }
+        Directory { names: by_digest }
+    }
+
+    /// The name with this digest; `None` if there is none, or two.
+    pub fn name(&self, subchannel: Subchannel) -> Option<&str> {
+        self.names.get(&subchannel)?.as_deref()
+    }
+
+    /// The digest of a name; `None` if it isn't here or shares its digest.
+    pub fn digest(&self, name: &str) -> Option<Subchannel> {
+        let digest = Subchannel::of(name);
+        (self.name(digest) == Some(name)).then_some(digest)
+    }
+}
+
+/// Work in microseconds a second, as 5 bits of exponent and 11 of mantissa: exact up to 4,095, then within 1/4096.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Load(pub(crate) u16);
+
+impl Load {
+    const MANTISSA: u32 = 11;
+    const ONE: u64 = 1 << Self::MANTISSA;
+
+    /// The nearest that can be told; what is beyond 4.4e12 is told as that.
+    pub fn from_micros_per_s(micros: u64) -> Self {
+        if micros < Self::ONE {
+            return Load(micros as u16);
+        }
+        let shift = 63 - Self::MANTISSA - micros.leading_zeros();
+        let rounded = micros.saturating_add((1 << shift) >> 1) >> shift;
+        // Rounded up to the next power of 2.
+        let (mantissa, shift) =
+            if rounded == 2 * Self::ONE { (Self::ONE, shift + 1) } else { (rounded, shift) };
+        if shift > 30 {
+            return Load(u16::MAX);
+        }
+        Load(((shift + 1) << Self::MANTISSA) as u16 | (mantissa - Self::ONE) as u16)
+    }
+
+    /// Microseconds of work a second.
+    pub fn micros_per_s(self) -> u64 {
+        let (exponent, mantissa) = (u32::from(self.0) >> Self::MANTISSA, u64::from(self.0) & (Self::ONE - 1));
+        match exponent {
+            0 => mantissa,
+            _ => (mantissa + Self::ONE) << (exponent - 1),
+        }
+    }
+}
+
+/// What a proxy met at a subchannel within the last few seconds (4 is a good span): evidence, not a verdict. Counts stay
+/// at 255.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Evidence {
+    /// Call attempts refused as full.
+    pub full: u8,
+    /// Failed to connect.
+    pub failed: u8,
+    /// Timed out.
+    pub timed_out: u8,
+    /// Connections that went silent.
+    pub silent: u8,
+    /// Call attempts served; where there is trouble, only those since the newest of it.
+    pub served: u8,
+    /// Age in tenths of a second of the newest trouble, or of the newest served where there is none.
+    pub age_tenths: u8,
+}
+
+impl Evidence {
+    /// Pieces of trouble.
+    pub fn trouble(&self) -> u32 {
+        [self.full, self.failed, self.timed_out, self.silent].into_iter().map(u32::from).sum()
+    }
+}
+
+/// What one proxy tells of one subchannel. Replaces what the same proxy told of it before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Which one.
+    pub subchannel: Subchannel,
+    /// The proxy's own standing connections there.
+    pub standing: u32,
+    /// Their load, summed.
+    pub load: Load,
+    /// A sketch of the groups that they belong to: bit (digest of the group modulo 32).
+    pub groups: u32,
+    /// Fresh evidence.
+    pub evidence: Evidence,
+}
+
+impl Entry {
+    /// Nothing to tell of it: also how it is told that there is nothing any more.
+    pub fn empty(subchannel: Subchannel) -> Self {
+        Entry { subchannel, standing: 0, load: Load(0), groups: 0, evidence: Evidence::default() }
+    }
+
+    /// Whether it says nothing.
+    pub fn is_empty(&self) -> bool {
+        *self == Entry::empty(self.subchannel)
+    }
+
+    /// How much a peer that heard that one last would be wrong. In units of 1% of a core; one connection counts as much, a
+    /// piece of trouble as eight: it is worth most while it is fresh.
+    pub(crate) fn differs(&self, told: &Entry) -> u64 {
+        let load = self.load.micros_per_s().abs_diff(told.load.micros_per_s()) / 10_000;
+        let trouble = u64::from(self.evidence.trouble().saturating_sub(told.evidence.trouble()));
+        load + u64::from(self.standing.abs_diff(told.standing)) + 8 * trouble
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn names_that_share_a_digest_are_left_out() {
+        // Found by trying: among 20,000 names about 12 pairs share 24 bits.
+        let names: Vec<String> = (0..20_000).map(|n| format!("s-{n}")).collect();
+        let mut digests: Vec<_> = names.iter().map(|name| (Subchannel::of(name), name)).collect();
+        digests.sort();
+        let pair = digests.windows(2).find(|two| two[0].0 == two[1].0).expect("a pair");
+        let directory = Directory::new([pair[0].1.as_str(), pair[1].1, "another", "another"]);
+        assert_eq!(directory.digest(pair[0].1), None);
+        assert_eq!(directory.name(pair[1].0), None);
+        assert_eq!(directory.name(directory.digest("another").unwrap()), Some("another"));
+        assert_eq!(directory.digest("stranger"), None);
+    }
+
+    proptest! {
+        #[test]
+        fn loads_are_near_and_in_order(one in 0u64..4_000_000_000_000, other in 0u64..4_000_000_000_000) {
+            let told = Load::from_micros_per_s(one);
+            prop_assert!(told.micros_per_s().abs_diff(one) <= one / 4096, "{} told as {}", one, told.micros_per_s());
+            prop_assert_eq!(Load::from_micros_per_s(told.micros_per_s()), told);
+            prop_assert!(one > other || told <= Load::from_micros_per_s(other));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/keys.rs
@@ -0,0 +1,307 @@
+//! How a datagram proves who sent it, and to whom.
+
+use crate::wire::To;
+use ed25519_dalek::{Signature, Signer, SigningKey, VerifyingKey};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Bytes of a key of either kind, written as twice as many hexadecimal digits.
+const KEY: usize = 32;
+/// Bytes of a tag: 128 bits, as strong as the key is against who may try only so many datagrams a second.
+const TAG: usize = 16;
+/// Keys of one use are not keys of another.
+const CONTEXT: &str = "cottonnotch 2026 gossip, shared key of datagrams, version 1";
+/// Stands for "all" where a receiver's ordinal would: no member has it.
+const ALL: u16 = u16::MAX;
+
+/// How a sender is proven.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Strength {
+    /// By its address alone, for where nobody hands out keys: who can send from a peer's address speaks for it.
+    Address,
+    /// By a tag under a key that all members share: a member that can send from another's address speaks for it.
+    Shared,
+    /// By a signature: a liar lies in its own name only.
+    Signed,
+}
+
+impl Strength {
+    /// Bytes at the end of each datagram.
+    pub const fn proof_bytes(self) -> usize {
+        match self {
+            Strength::Address => 0,
+            Strength::Shared => TAG,
+            Strength::Signed => Signature::BYTE_SIZE,
+        }
+    }
+}
+
+/// What proves senders. Two keys are valid at a time, so that they can be changed without a gap: add the new one as second
+/// everywhere, swap, drop the old one; one reload for each step.
+#[derive(Clone)]
+pub enum Keys {
+    /// None.
+    Address,
+    /// The first is used, both are taken.
+    Shared(Vec<SharedKey>),
+    /// This proxy's own, and what is taken from each member, by ordinal.
+    Signed {
+        /// Signs.
+        own: Box<SigningKey>,
+        /// One or two for each member.
+        public: Vec<Vec<VerifyingKey>>,
+    },
+}
+
+/// A key made for this use from the operator's.
+#[derive(Clone, PartialEq, Eq)]
+pub struct SharedKey([u8; KEY]);
+
+impl fmt::Debug for Keys {
+    /// Never shows a secret.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Keys::Address => f.write_str("Address"),
+            Keys::Shared(keys) => write!(f, "Shared({} keys)", keys.len()),
+            Keys::Signed { public, .. } => write!(f, "Signed({} members)", public.len()),
+        }
+    }
+}
+
+/// What is wrong with the keys. Never holds any of their text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BadKeys {
+    /// Not 64 hexadecimal digits.
+    #[error(
+        "gossip.key_files: file {0} does not hold 64 hexadecimal digits and nothing else (`openssl rand -hex 32` makes a key)"
+    )]
+    Secret(usize),
+    /// The wrong number of files.
+    #[error("gossip.key_files: strength '{strength}' needs {needs}")]
+    Files {
+        /// The strength.
+        strength: &'static str,
+        /// What it needs.
+        needs: &'static str,
+    },
+    /// Two files, one key.
+    #[error("gossip.key_files: both files hold the same key")]
+    Same,
+    /// No file of public keys, or one where none is used.
+    #[error("gossip.public_keys: needed for strength 'signed', and only for it")]
+    Public,
+    /// A line of it.
+    #[error(
+        "gossip.public_keys: line {0} does not hold one or two public keys of 64 hexadecimal digits each"
+    )]
+    Line(usize),
+    /// Not one line a member.
+    #[error(
+        "gossip.public_keys: {lines} lines for {members} members: one line a member, in the order of the list of peers"
+    )]
+    Lines {
+        /// Lines.
+        lines: usize,
+        /// Members.
+        members: usize,
+    },
+    /// This proxy's line does not hold its public key: nobody would believe it.
+    #[error("gossip.public_keys: line {0}, this proxy's, does not hold the public key of gossip.key_files")]
+    NotMine(usize),
+}
+
+fn hex(text: &[u8]) -> Option<[u8; KEY]> {
+    let digit = |c: u8| char::from(c).to_digit(16).map(|digit| digit as u8);
+    let mut key = [0; KEY];
+    let pairs = text.chunks_exact(2);
+    if text.len() != 2 * KEY {
+        return None;
+    }
+    for (byte, pair) in key.iter_mut().zip(pairs) {
+        *byte = digit(pair[0])? << 4 | digit(pair[1])?;
+    }
+    Some(key)
+}
+
+impl Keys {
+    /// The keys from the contents of their files. `me` and `members` as for [`crate::Gossip::new`].
+    pub fn load(
+        strength: Strength,
+        key_files: &[Vec<u8>],
+        public_keys: Option<&[u8]>,
+        me: u32,
+        members: u32,
+    ) -> Result<Keys, BadKeys> {
+        if public_keys.is_some() != (strength == Strength::Signed) {
+            return Err(BadKeys::Public);
+        }
+        let wrong = |strength, needs| Err(BadKeys::Files { strength, needs });
+        let secrets = key_files
+            .iter()
+            .enumerate()
+            .map(|(n, text)| hex(text.trim_ascii()).ok_or(BadKeys::Secret(n + 1)))
+            .collect::<Result<Vec<_>, _>>()?;
+        match (strength, secrets.as_slice(), public_keys) {
+            (Strength::Address, [], _) => Ok(Keys::Address),
+            (Strength::Address, ..) => wrong("address", "none"),
+            (Strength::Shared, [one, two], _) if one == two => Err(BadKeys::Same),
+            (Strength::Shared, [_] | [_, _], _) => Ok(Keys::Shared(
+                secrets.iter().map(|key| SharedKey(blake3::derive_key(CONTEXT, key))).collect(),
+            )),
+            (Strength::Shared, ..) => {
+                wrong("shared", "one file, or two while keys change: the first is used")
+            }
+            (Strength::Signed, [secret], Some(public)) => {
+                let own = Box::new(SigningKey::from_bytes(secret));
+                let public = public_lines(public)?;
+                if public.len() != members as usize {
+                    return Err(BadKeys::Lines { lines: public.len(), members: members as usize });
+                }
+                if !public.get(me as usize).is_some_and(|mine| mine.contains(&own.verifying_key())) {
+                    return Err(BadKeys::NotMine(me as usize + 1));
+                }
+                Ok(Keys::Signed { own, public })
+            }
+            (Strength::Signed, ..) => wrong("signed", "one file: this proxy's own secret key"),
+        }
+    }
+
+    /// The public key that belongs to a secret one, in the form of `gossip.public_keys`; `None` if that isn't a key.
+    pub fn public_of(key_file: &[u8]) -> Option<String> {
+        let public = SigningKey::from_bytes(&hex(key_file.trim_ascii())?).verifying_key();
+        Some(public.as_bytes().iter().map(|byte| format!("{byte:02x}")).collect())
+    }
+
+    /// Which strength they give.
+    pub fn strength(&self) -> Strength {
+        match self {
+            Keys::Address => Strength::Address,
+            Keys::Shared(_) => Strength::Shared,
+            Keys::Signed { .. } => Strength::Signed,
+        }
+    }
+
+    /// Adds the proof. The receiver is proven too, but not sent: a datagram shown to somebody else proves nothing.
+    pub(crate) fn seal(&self, datagram: &mut Vec<u8>, to: To) {
+        let to = match to {
+            To::One(ordinal) => ordinal as u16,
+            To::All => ALL,
+        };
+        match self {
+            Keys::Address => {}
+            Keys::Shared(keys) => {
+                if let Some(key) = keys.first() {
+                    let tag = tag(key, to, datagram);
+                    datagram.extend_from_slice(&tag.as_bytes()[..TAG]);
+                }
+            }
+            Keys::Signed { own, .. } => {
+                let signature = own.sign(&for_receiver(to, datagram));
+                datagram.extend_from_slice(&signature.to_bytes());
+            }
+        }
+    }
+
+    /// Whether the end of a datagram proves that this sender wrote it for that receiver (`None`: for all).
+    pub(crate) fn proves(&self, sender: u16, to: Option<u16>, datagram: &[u8]) -> bool {
+        let to = to.unwrap_or(ALL);
+        let Some(length) = datagram.len().checked_sub(self.strength().proof_bytes()) else { return false };
+        let (written, proof) = datagram.split_at(length);
+        match self {
+            Keys::Address => true,
+            Keys::Shared(keys) => keys.iter().any(|key| {
+                let tag = tag(key, to, written);
+                // Both ends alike, so that the comparison in constant time is that of the hash's own type.
+                let mut shown = *tag.as_bytes();
+                shown[..TAG].copy_from_slice(proof);
+                tag == blake3::Hash::from_bytes(shown)
+            }),
+            Keys::Signed { public, .. } => {
+                let Ok(signature) = Signature::from_slice(proof) else { return false };
+                let written = for_receiver(to, written);
+                let keys = public.get(usize::from(sender)).map_or(&[][..], Vec::as_slice);
+                keys.iter().any(|key| key.verify_strict(&written, &signature).is_ok())
+            }
+        }
+    }
+}
+
+fn public_lines(text: &[u8]) -> Result<Vec<Vec<VerifyingKey>>, BadKeys> {
+    let mut members = Vec::new();
+    for (n, line) in text.trim_ascii().split(|byte| *byte == b'\n').enumerate() {
+        let keys = line
+            .split(u8::is_ascii_whitespace)
+            .filter(|word| !word.is_empty())
+            .map(|word| VerifyingKey::from_bytes(&hex(word)?).ok().filter(|key| !key.is_weak()));
+        match keys.collect::<Option<Vec<_>>>() {
+            Some(keys) if (1..=2).contains(&keys.len()) => members.push(keys),
+            _ => return Err(BadKeys::Line(n + 1)),
+        }
+    }
+    Ok(members)
+}
+
+fn tag(key: &SharedKey, to: u16, written: &[u8]) -> blake3::Hash {
+    blake3::keyed_hash(&key.0, &for_receiver(to, written))
+}
+
+fn for_receiver(to: u16, written: &[u8]) -> Vec<u8> {
+    [&to.to_le_bytes(), written].concat()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn file(byte: u8) -> Vec<u8> {
+        format!("{}\n", format!("{byte:02x}").repeat(KEY)).into_bytes()
+    }
+
+    fn signed(me: u32) -> Keys {
+        let public: Vec<String> = (1..=3).map(|n| Keys::public_of(&file(n)).unwrap()).collect();
+        let lines = public.join("\n");
+        Keys::load(Strength::Signed, &[file(me as u8 + 1)], Some(lines.as_bytes()), me, 3).unwrap()
+    }
+
+    #[test]
+    fn proves_the_sender_and_the_receiver_and_every_byte() {
+        let shared = Keys::load(Strength::Shared, &[file(9)], None, 0, 3).unwrap();
+        for (keys, binds_sender) in [(shared, false), (signed(1), true)] {
+            let mut datagram = b"whatever".to_vec();
+            keys.seal(&mut datagram, To::One(2));
+            assert_eq!(datagram.len(), 8 + keys.strength().proof_bytes());
+            assert!(keys.proves(1, Some(2), &datagram));
+            assert!(!keys.proves(1, Some(0), &datagram), "{keys:?} shown to another");
+            assert!(!keys.proves(1, None, &datagram), "{keys:?} shown to all");
+            assert_eq!(keys.proves(0, Some(2), &datagram), !binds_sender, "{keys:?} in another's name");
+            for place in 0..datagram.len() {
+                let mut changed = datagram.clone();
+                changed[place] ^= 1;
+                assert!(!keys.proves(1, Some(2), &changed), "{keys:?} changed at {place}");
+                assert!(!keys.proves(1, Some(2), &datagram[..place]), "{keys:?} cut at {place}");
+            }
+        }
+    }
+
+    #[test]
+    fn faulty_files_are_named_and_never_shown() {
+        let load = |strength, files: &[Vec<u8>], public: Option<&str>| {
+            Keys::load(strength, files, public.map(str::as_bytes), 0, 1).map(|keys| keys.strength())
+        };
+        use Strength::*;
+        assert_eq!(load(Shared, &[file(1), b"secret-but-not-hex".to_vec()], None), Err(BadKeys::Secret(2)));
+        assert_eq!(load(Shared, &[file(1), file(1)], None), Err(BadKeys::Same));
+        assert!(matches!(load(Shared, &[], None), Err(BadKeys::Files { .. })));
+        assert!(matches!(load(Address, &[file(1)], None), Err(BadKeys::Files { .. })));
+        assert!(matches!(load(Signed, &[file(1), file(2)], Some("")), Err(BadKeys::Files { .. })));
+        assert_eq!(load(Signed, &[file(1)], None), Err(BadKeys::Public));
+        assert_eq!(load(Signed, &[file(1)], Some("")), Err(BadKeys::Line(1)));
+        let other = Keys::public_of(&file(2)).unwrap();
+        assert_eq!(load(Signed, &[file(1)], Some(&other)), Err(BadKeys::NotMine(1)));
+        let two = format!("{other}\n{other}");
+        assert_eq!(load(Signed, &[file(1)], Some(&two)), Err(BadKeys::Lines { lines: 2, members: 1 }));
+        let shown = format!("{:?}", Keys::load(Shared, &[file(0xab)], None, 0, 1).unwrap());
+        assert!(!shown.contains("ab") && !shown.contains("171"), "{shown}");
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/own.rs
@@ -0,0 +1,151 @@
+//! What this proxy tells of its subchannels, and which of it first.
+
+use crate::entry::{Entry, Subchannel};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Entries at most: five times the subchannels that the fleet has. Of more, those with the least load are not told.
+pub(crate) const MOST_ENTRIES: usize = 1_024;
+/// A change is told to each member so often at least, and so is that something is no more: at 30% loss one of 37 members
+/// misses it, until the rotation comes round.
+const TELL_CHANGES: u32 = 3;
+
+#[derive(Debug)]
+struct Mine {
+    now: Entry,
+    told: Entry,
+    /// How much it changed when it did.
+    weight: u64,
+    /// Rounds in which that is still to be told.
+    untold: u32,
+    /// When it was last told.
+    round: u64,
+}
+
+/// Own entries.
+#[derive(Debug, Default)]
+pub(crate) struct Own {
+    entries: BTreeMap<Subchannel, Mine>,
+    round: u64,
+}
+
+impl Own {
+    /// The whole present list. Telling all members once takes so many rounds.
+    pub(crate) fn set(&mut self, mut list: Vec<Entry>, rounds: u32) {
+        list.retain(|entry| !entry.is_empty());
+        if list.len() > MOST_ENTRIES {
+            list.sort_by_key(|entry| {
+                std::cmp::Reverse((entry.load, entry.evidence.trouble(), entry.standing))
+            });
+            list.truncate(MOST_ENTRIES);
+        }
+        let mut list: BTreeMap<Subchannel, Entry> =
+            list.into_iter().map(|entry| (entry.subchannel, entry)).collect();
+        for (subchannel, mine) in &mut self.entries {
+            mine.update(list.remove(subchannel).unwrap_or(Entry::empty(*subchannel)), rounds);
+        }
+        for (subchannel, entry) in list {
+            let told = Entry::empty(subchannel);
+            let mut mine = Mine { now: told, told, weight: 0, untold: 0, round: 0 };
+            mine.update(entry, rounds);
+            self.entries.insert(subchannel, mine);
+        }
+    }
+
+    /// How many there are to tell of.
+    pub(crate) fn len(&self) -> u32 {
+        self.entries.values().filter(|mine| !mine.now.is_empty()).count() as u32
+    }
+
+    /// All, the most urgent first: one that changed, by how much, then one that was not told for longest, in turn.
+    pub(crate) fn in_order(&self) -> Vec<Entry> {
+        let mut by_weight: Vec<&Mine> = self.entries.values().filter(|mine| mine.untold > 0).collect();
+        let mut by_age: Vec<&Mine> = self.entries.values().collect();
+        by_weight.sort_by_key(|mine| std::cmp::Reverse((mine.weight, std::cmp::Reverse(mine.round))));
+        by_age.sort_by_key(|mine| mine.round);
+        // Half by half, so that much change never keeps the rest from coming round.
+        let (mut by_weight, mut by_age) = (by_weight.into_iter(), by_age.into_iter());
+        let (mut order, mut taken) = (Vec::with_capacity(self.entries.len()), BTreeSet::new());
+        while order.len() < self.entries.len() {
+            for next in [&mut by_weight, &mut by_age] {
+                order.extend(next.map(|mine| mine.now).find(|entry| taken.insert(entry.subchannel)));
+            }
+        }
+        order
+    }
+
+    /// These went out in one round.
+    pub(crate) fn told(&mut self, entries: &[Entry]) {
+        self.round += 1;
+        for entry in entries {
+            let Some(mine) = self.entries.get_mut(&entry.subchannel) else { continue };
+            mine.told = *entry;
+            mine.round = self.round;
+            mine.untold = mine.untold.saturating_sub(1);
+            if mine.untold == 0 {
+                mine.weight = 0;
+            }
+        }
+        self.entries.retain(|_, mine| mine.untold > 0 || !mine.now.is_empty());
+    }
+}
+
+impl Mine {
+    fn update(&mut self, entry: Entry, rounds: u32) {
+        let differs = entry.differs(&self.told);
+        if differs > 0 || (entry.is_empty() && !self.now.is_empty()) {
+            self.weight = self.weight.max(differs);
+            self.untold = rounds * TELL_CHANGES;
+        }
+        self.now = entry;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::Load;
+
+    fn entry(name: u32, standing: u32) -> Entry {
+        let load = Load::from_micros_per_s(u64::from(standing) * 10_000);
+        Entry { standing, load, ..Entry::empty(Subchannel::from_bits(name)) }
+    }
+
+    #[test]
+    fn what_changed_most_goes_first_and_the_rest_in_rotation() {
+        let mut own = Own::default();
+        let list =
+            |changed: u32| (0..100).map(|n| entry(n, if n == changed { 50 } else { 5 })).collect::<Vec<_>>();
+        own.set(list(200), 1);
+        while own.entries.values().any(|mine| mine.untold > 0) {
+            let order = own.in_order();
+            own.told(&order[..10]);
+        }
+        own.set(list(70), 1);
+        let mut rounds_told = BTreeMap::<u32, u32>::new();
+        for round in 0..11 {
+            let order = own.in_order();
+            assert_eq!(round < 3, order[0].standing == 50, "round {round}");
+            own.told(&order[..10]);
+            for entry in &order[..10] {
+                *rounds_told.entry(entry.subchannel.bits()).or_default() += 1;
+            }
+        }
+        assert_eq!(rounds_told.len(), 100, "11 rounds of 10 tell all, and the changed one three times");
+    }
+
+    #[test]
+    fn what_is_no_more_is_told_as_empty_then_forgotten() {
+        let mut own = Own::default();
+        own.set(vec![entry(1, 3), entry(2, 3)], 2);
+        let order = own.in_order();
+        own.told(&order);
+        own.set(vec![entry(2, 3)], 2);
+        assert_eq!(own.len(), 1);
+        for _ in 0..6 {
+            let order = own.in_order();
+            assert!(order.iter().any(|e| e.is_empty() && e.subchannel.bits() == 1));
+            own.told(&order);
+        }
+        assert_eq!(own.in_order().len(), 1);
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/window.rs
@@ -0,0 +1,58 @@
+//! Which of a sender's counters were seen: a sliding window as in RFC 4303, section 3.4.3.
+
+/// How far behind the newest a late datagram may be: some seconds of what a peer sends, and a delay is 38 ms.
+const WIDTH: u64 = 64;
+
+/// The newest counter seen, and which of the [`WIDTH`] up to it were.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Window {
+    newest: u64,
+    /// Bit n: `newest - n` was seen.
+    seen: u64,
+}
+
+impl Window {
+    /// Whether the counter is new, and not too old to tell.
+    pub(crate) fn fresh(&self, counter: u64) -> bool {
+        match self.newest.checked_sub(counter) {
+            None => true,
+            Some(behind) => behind < WIDTH && self.seen & (1 << behind) == 0,
+        }
+    }
+
+    /// Notes a counter; only after its datagram was found authentic, or a forger could push the window on.
+    pub(crate) fn note(&mut self, counter: u64) {
+        match self.newest.checked_sub(counter) {
+            Some(behind) if behind < WIDTH => self.seen |= 1 << behind,
+            Some(_) => {}
+            None => {
+                let ahead = counter - self.newest;
+                self.seen = if ahead < WIDTH { self.seen << ahead | 1 } else { 1 };
+                self.newest = counter;
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use std::collections::BTreeSet;
+
+    proptest! {
+        #[test]
+        fn takes_each_counter_once(counters in prop::collection::vec(1u64..200, 1..300)) {
+            let (mut window, mut seen) = (Window::default(), BTreeSet::new());
+            for counter in counters {
+                let newest = seen.last().copied().unwrap_or(0);
+                let wanted = !seen.contains(&counter) && counter + WIDTH > newest;
+                prop_assert_eq!(window.fresh(counter), wanted, "{} after {}", counter, newest);
+                if wanted {
+                    window.note(counter);
+                    seen.insert(counter);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/wire/tests.rs
@@ -0,0 +1,142 @@
+use super::*;
+use crate::{Evidence, Keys, Load, Subchannel};
+use proptest::prelude::*;
+
+fn incarnation() -> impl Strategy<Value = Incarnation> {
+    (any::<u64>(), any::<u16>()).prop_map(|(life, turn)| Incarnation { life, turn })
+}
+
+fn header() -> impl Strategy<Value = Header> {
+    (any::<bool>(), any::<u16>(), incarnation(), any::<u64>()).prop_map(
+        |(to_all, sender, incarnation, counter)| Header {
+            strength: Strength::Address,
+            to_all,
+            sender,
+            incarnation,
+            counter,
+        },
+    )
+}
+
+fn rumour() -> impl Strategy<Value = Rumour> {
+    let word = prop_oneof![Just(Word::Alive), Just(Word::Left), Just(Word::Suspect),];
+    (any::<u16>(), incarnation(), word).prop_map(|(subject, incarnation, word)| Rumour {
+        subject,
+        incarnation,
+        word,
+    })
+}
+
+fn entry() -> impl Strategy<Value = Entry> {
+    let evidence = prop::array::uniform6(prop_oneof![Just(0), any::<u8>()]);
+    let standing = prop_oneof![Just(0), 0u32..200, any::<u32>()];
+    (any::<u32>(), standing, any::<u16>(), any::<u32>(), evidence).prop_map(
+        |(name, standing, load, groups, e)| Entry {
+            subchannel: Subchannel::from_bits(name),
+            standing,
+            load: Load(load),
+            groups,
+            evidence: Evidence {
+                full: e[0],
+                failed: e[1],
+                timed_out: e[2],
+                silent: e[3],
+                served: e[4],
+                age_tenths: e[5],
+            },
+        },
+    )
+}
+
+fn part() -> impl Strategy<Value = Part> {
+    prop_oneof![
+        any::<u16>().prop_map(|nonce| Part::Ping { nonce }),
+        any::<u16>().prop_map(|nonce| Part::Ack { nonce }),
+        (any::<u16>(), any::<u16>()).prop_map(|(nonce, target)| Part::Ask { nonce, target }),
+        any::<u16>().prop_map(|nonce| Part::Vouch { nonce }),
+        Just(Part::Leave),
+        prop::collection::vec(rumour(), 0..30).prop_map(Part::Rumours),
+        (any::<u32>(), prop::collection::vec(entry(), 0..60))
+            .prop_map(|(of, entries)| Part::Digest { of, entries }),
+    ]
+}
+
+/// What of a part must come back when only so many items of its list fitted.
+fn cut(part: &Part, fitted: usize) -> Part {
+    match part {
+        Part::Rumours(rumours) => Part::Rumours(rumours[..fitted].to_vec()),
+        Part::Digest { of, entries } => Part::Digest { of: *of, entries: entries[..fitted].to_vec() },
+        other => other.clone(),
+    }
+}
+
+proptest! {
+    #[test]
+    fn what_is_written_is_read(header in header(), parts in prop::collection::vec(part(), 0..12), most in 96usize..400) {
+        let mut draft = Draft::new(&header, most);
+        let mut wanted = Vec::new();
+        for part in &parts {
+            let before = draft.written();
+            let fitted = match part {
+                Part::Rumours(rumours) => draft.rumours(rumours, LONGEST),
+                Part::Digest { of, entries } => draft.entries(*of, entries),
+                part => usize::from(draft.push(part)),
+            };
+            if draft.written() > before {
+                wanted.push(cut(part, fitted));
+            }
+        }
+        let bytes = draft.finish(&Keys::Address, To::All);
+        prop_assert!(bytes.len() <= most.min(LONGEST));
+        let (read, length) = Header::read(&bytes).unwrap();
+        prop_assert_eq!(read, header);
+        prop_assert_eq!(read_parts(&bytes[length..]).unwrap(), wanted);
+    }
+
+    #[test]
+    fn rubbish_never_panics_and_what_is_read_is_written_the_same(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _ = Header::read(&bytes);
+        let Ok(parts) = read_parts(&bytes) else { return Ok(()) };
+        let header = Header { strength: Strength::Address, to_all: false, sender: 0, incarnation: Incarnation::default(), counter: 0 };
+        let mut draft = Draft::new(&header, LONGEST);
+        let begin = draft.written();
+        let fitted = parts.iter().take_while(|part| draft.push(part)).count();
+        prop_assume!(fitted == parts.len());
+        prop_assert_eq!(read_parts(&draft.finish(&Keys::Address, To::All)[begin..]).unwrap(), parts);
+    }
+
+    #[test]
+    fn nearly_right_sections_never_panic(parts in prop::collection::vec(part(), 1..4), at in 0usize..250, with: u8) {
+        let header = Header { strength: Strength::Address, to_all: false, sender: 7, incarnation: Incarnation::first(1 << 41), counter: 9 };
+        let mut draft = Draft::new(&header, LONGEST);
+        for part in &parts {
+            draft.push(part);
+        }
+        let mut bytes = draft.finish(&Keys::Address, To::All);
+        let place = at % bytes.len();
+        bytes[place] = with;
+        if let Ok((_, length)) = Header::read(&bytes) {
+            let _ = read_parts(&bytes[length..]);
+        }
+        let _ = read_parts(&bytes[..place]);
+    }
+}
+
+#[test]
+fn what_a_newer_program_adds_is_skipped() {
+    // A ping with a field behind its number, a section of an unknown kind, and a leave.
+    let bytes = [kind::PING, 4, 1, 2, 77, 77, 200, 3, 9, 9, 9, kind::LEAVE, 0];
+    assert_eq!(read_parts(&bytes), Ok(vec![Part::Ping { nonce: 0x0201 }, Part::Leave]));
+}
+
+#[test]
+fn there_is_one_way_to_write_a_number() {
+    for (bytes, sender) in
+        [(vec![5], Ok(5)), (vec![0x85, 0], Err(Malformed)), (vec![0xff, 0xff, 4], Err(Malformed))]
+    {
+        let mut datagram = vec![VERSION, 0];
+        datagram.extend(bytes);
+        datagram.extend([1, 0, 1]);
+        assert_eq!(Header::read(&datagram).map(|(header, _)| header.sender), sender);
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/wire/write.rs
@@ -0,0 +1,178 @@
+//! To bytes, within a bound.
+
+use super::{Header, LONGEST, Part, Rumour, STRENGTH_BITS, TO_ALL_BIT, To, VERSION, Word, kind};
+use crate::{Entry, Incarnation, Keys, Strength};
+
+fn number(bytes: &mut Vec<u8>, value: u64) {
+    let mut rest = value;
+    while rest >= 0x80 {
+        bytes.push(rest as u8 | 0x80);
+        rest >>= 7;
+    }
+    bytes.push(rest as u8);
+}
+
+fn incarnation(bytes: &mut Vec<u8>, value: Incarnation) {
+    number(bytes, value.life);
+    number(bytes, u64::from(value.turn));
+}
+
+fn rumour(bytes: &mut Vec<u8>, rumour: &Rumour) {
+    bytes.push(match rumour.word {
+        Word::Alive => 0,
+        Word::Suspect => 1,
+        Word::Left => 2,
+    });
+    number(bytes, u64::from(rumour.subject));
+    incarnation(bytes, rumour.incarnation);
+}
+
+fn entry(bytes: &mut Vec<u8>, entry: &Entry) {
+    bytes.extend_from_slice(&entry.subchannel.bits().to_le_bytes()[..3]);
+    let flags_at = bytes.len();
+    bytes.push(0);
+    let mut flags = 0;
+    if entry.standing != 0 || entry.load.0 != 0 {
+        flags |= 1;
+        number(bytes, u64::from(entry.standing));
+        bytes.extend_from_slice(&entry.load.0.to_le_bytes());
+    }
+    if entry.groups != 0 {
+        flags |= 2;
+        bytes.extend_from_slice(&entry.groups.to_le_bytes());
+    }
+    let e = &entry.evidence;
+    for (bit, count) in
+        [e.full, e.failed, e.timed_out, e.silent, e.served, e.age_tenths].into_iter().enumerate()
+    {
+        if count != 0 {
+            flags |= 4 << bit;
+            bytes.push(count);
+        }
+    }
+    bytes[flags_at] = flags;
+}
+
+/// A datagram that is being written. What does not fit is left out and said so.
+#[derive(Debug)]
+pub struct Draft {
+    bytes: Vec<u8>,
+    /// Bytes that header and sections may have.
+    limit: usize,
+}
+
+impl Draft {
+    /// Begins a datagram of at most so many bytes, its proof included; never more than [`LONGEST`].
+    pub fn new(header: &Header, most: usize) -> Self {
+        let mut bytes = Vec::with_capacity(LONGEST);
+        let strength = match header.strength {
+            Strength::Address => 0,
+            Strength::Shared => 1,
+            Strength::Signed => 2,
+        };
+        debug_assert_eq!(strength & !STRENGTH_BITS, 0);
+        bytes.extend_from_slice(&[VERSION, strength | if header.to_all { TO_ALL_BIT } else { 0 }]);
+        number(&mut bytes, u64::from(header.sender));
+        incarnation(&mut bytes, header.incarnation);
+        number(&mut bytes, header.counter);
+        Draft { bytes, limit: most.min(LONGEST) - header.strength.proof_bytes() }
+    }
+
+    /// Bytes that still fit.
+    pub fn room(&self) -> usize {
+        self.limit - self.bytes.len()
+    }
+
+    /// Bytes that it has so far, without the proof.
+    pub fn written(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Adds a section if it fits; of a list only what fits, see [`Draft::rumours`] and [`Draft::entries`].
+    pub fn push(&mut self, part: &Part) -> bool {
+        match part {
+            Part::Ping { nonce } => {
+                self.section(kind::PING, |bytes| bytes.extend_from_slice(&nonce.to_le_bytes()))
+            }
+            Part::Ack { nonce } => {
+                self.section(kind::ACK, |bytes| bytes.extend_from_slice(&nonce.to_le_bytes()))
+            }
+            Part::Vouch { nonce } => {
+                self.section(kind::VOUCH, |bytes| bytes.extend_from_slice(&nonce.to_le_bytes()))
+            }
+            Part::Ask { nonce, target } => self.section(kind::ASK, |bytes| {
+                bytes.extend_from_slice(&nonce.to_le_bytes());
+                number(bytes, u64::from(*target));
+            }),
+            Part::Leave => self.section(kind::LEAVE, |_| {}),
+            Part::Rumours(rumours) => self.rumours(rumours, LONGEST) == rumours.len(),
+            Part::Digest { of, entries } => self.entries(*of, entries) == entries.len(),
+        }
+    }
+
+    /// Adds rumours from the first on, in a section of at most so many bytes; how many fitted.
+    pub fn rumours(&mut self, rumours: &[Rumour], most: usize) -> usize {
+        self.list(kind::RUMOURS, most, |_| {}, rumours, rumour)
+    }
+
+    /// Adds entries from the first on; how many fitted. With none to tell, the section still says so: a proxy without
+    /// connections tells that.
+    pub fn entries(&mut self, of: u32, entries: &[Entry]) -> usize {
+        self.list(kind::DIGEST, LONGEST, |bytes| number(bytes, u64::from(of)), entries, entry)
+    }
+
+    fn section(&mut self, kind: u8, content: impl FnOnce(&mut Vec<u8>)) -> bool {
+        let begin = self.bytes.len();
+        self.bytes.extend_from_slice(&[kind, 0]);
+        content(&mut self.bytes);
+        self.close(begin)
+    }
+
+    fn list<T>(
+        &mut self,
+        kind: u8,
+        most: usize,
+        head: impl FnOnce(&mut Vec<u8>),
+        items: &[T],
+        write: impl Fn(&mut Vec<u8>, &T),
+    ) -> usize {
+        let begin = self.bytes.len();
+        let end = self.limit.min(begin.saturating_add(most));
+        self.bytes.extend_from_slice(&[kind, 0]);
+        head(&mut self.bytes);
+        let mut fitted = 0;
+        for item in items {
+            let before = self.bytes.len();
+            write(&mut self.bytes, item);
+            if self.bytes.len() > end {
+                self.bytes.truncate(before);
+                break;
+            }
+            fitted += 1;
+        }
+        if fitted == 0 && !items.is_empty() {
+            self.bytes.truncate(begin);
+        } else if !self.close(begin) {
+            return 0;
+        }
+        fitted
+    }
+
+    /// Writes the length of the section that began there, or takes it back if it is too long.
+    fn close(&mut self, begin: usize) -> bool {
+        let length =
+            u8::try_from(self.bytes.len() - begin - 2).ok().filter(|_| self.bytes.len() <= self.limit);
+        match length {
+            Some(length) => self.bytes[begin + 1] = length,
+            None => self.bytes.truncate(begin),
+        }
+        length.is_some()
+    }
+
+    /// The finished datagram, proven to come from this sender and to be for that receiver.
+    pub fn finish(mut self, keys: &Keys, to: To) -> Vec<u8> {
+        keys.seal(&mut self.bytes, to);
+        assert!(self.bytes.len() <= LONGEST, "a datagram of {} bytes would void the run", self.bytes.len());
+        self.bytes
+    }
+}
--- /dev/null
+++ b/crates/gossip/tests/common/mod.rs
@@ -0,0 +1,332 @@
+//! A whole tier in one process on virtual time from one seed: datagrams are lost, delayed, doubled and overtaken.
+#![allow(dead_code)] // Each test binary uses its part.
+
+use cottonnotch_gossip::wire::{Draft, Header, Part, Rumour, Word};
+use cottonnotch_gossip::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+pub const MS: Micros = 1_000;
+pub const S: Micros = 1_000_000;
+/// Unix time in milliseconds of the virtual time 0.
+pub const EPOCH: u64 = 1_796_000_000_000;
+
+pub fn settings() -> Settings {
+    GossipSection { strength: Some(Strength::Address), ..Default::default() }.check().unwrap().unwrap()
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrives { from: Option<u32>, to: u32, bytes: Vec<u8> },
+    Wakes(u32),
+    Tells(u32),
+}
+
+pub struct Network {
+    pub loss: f64,
+    pub doubled: f64,
+    pub delay: (Micros, Micros),
+    /// Members in different parts don't reach one another.
+    pub parts: Vec<u8>,
+    /// One way only: from, to.
+    pub cut: Vec<(u32, u32)>,
+}
+
+pub struct Node {
+    pub gossip: Option<Gossip>,
+    wakes: Micros,
+    /// Handles nothing before.
+    pub asleep_until: Micros,
+    /// Everything comes to it later by up to this.
+    pub slow: Micros,
+    sent: VecDeque<(Micros, u64, u64)>,
+    /// Its last datagrams, for a liar to replay: to whom, what.
+    pub said: VecDeque<(To, Vec<u8>)>,
+}
+
+/// What a member came to believe: when, who, of whom, what.
+pub type Belief = (Micros, u32, u32, State, Incarnation);
+
+pub struct Tier {
+    pub seed: u64,
+    pub chance: ChaCha8Rng,
+    pub now: Micros,
+    pub network: Network,
+    pub nodes: Vec<Node>,
+    pub settings: Settings,
+    pub keys: Vec<Keys>,
+    pub beliefs: Vec<Belief>,
+    pub heard: Vec<(u32, u32, Vec<Entry>)>,
+    pub subchannels: u32,
+    events: BinaryHeap<Reverse<(Micros, u64, Event)>>,
+    number: u64,
+}
+
+impl Tier {
+    pub fn new(members: u32, seed: u64, settings: Settings) -> Self {
+        Tier::with_keys(members, seed, settings, vec![Keys::Address; members as usize])
+    }
+
+    pub fn with_keys(members: u32, seed: u64, settings: Settings, keys: Vec<Keys>) -> Self {
+        let node = || Node {
+            gossip: None,
+            wakes: Micros::MAX,
+            asleep_until: 0,
+            slow: 0,
+            sent: VecDeque::new(),
+            said: VecDeque::new(),
+        };
+        let mut tier = Tier {
+            seed,
+            chance: ChaCha8Rng::seed_from_u64(seed),
+            now: 0,
+            network: Network {
+                loss: 0.0,
+                doubled: 0.0,
+                delay: (MS, 38 * MS),
+                parts: vec![0; members as usize],
+                cut: Vec::new(),
+            },
+            nodes: (0..members).map(|_| node()).collect(),
+            settings,
+            keys,
+            beliefs: Vec::new(),
+            heard: Vec::new(),
+            subchannels: 16,
+            events: BinaryHeap::new(),
+            number: 0,
+        };
+        (0..members).for_each(|member| tier.start(member, EPOCH));
+        tier
+    }
+
+    pub fn members(&self) -> u32 {
+        self.nodes.len() as u32
+    }
+
+    pub fn start(&mut self, member: u32, life: u64) {
+        let (members, seed) = (self.members(), self.chance.random());
+        let keys = self.keys[member as usize].clone();
+        let gossip = Gossip::new(self.settings.clone(), keys, member, members, life, seed, self.now);
+        self.nodes[member as usize].gossip = Some(gossip);
+        // A process can't know what the one before it sent.
+        self.nodes[member as usize].sent.clear();
+        self.after(member);
+        let tells = self.now + self.chance.random_range(0..S);
+        self.push(tells, Event::Tells(member));
+    }
+
+    pub fn kill(&mut self, member: u32) {
+        self.nodes[member as usize].gossip = None;
+    }
+
+    pub fn gossip(&self, member: u32) -> &Gossip {
+        self.nodes[member as usize].gossip.as_ref().expect("a member that runs")
+    }
+
+    pub fn input(&mut self, member: u32, input: Input<'_>) {
+        let now = self.now;
+        if let Some(gossip) = &mut self.nodes[member as usize].gossip {
+            gossip.handle(now, input);
+        }
+        self.after(member);
+    }
+
+    /// Sends as if from a member's address, past the network's faults.
+    pub fn inject(&mut self, from: Option<u32>, to: u32, bytes: Vec<u8>) {
+        let at = self.now + MS;
+        self.push(at, Event::Arrives { from, to, bytes });
+    }
+
+    pub fn sees(&self, member: u32, of: u32) -> State {
+        self.gossip(member).members().find(|(ordinal, ..)| *ordinal == of).expect("a member").1
+    }
+
+    /// Those that run and believe the member to be in that state, out of those that run.
+    pub fn see(&self, of: u32, state: State) -> (usize, usize) {
+        let running: Vec<u32> = self.running().filter(|member| *member != of).collect();
+        (running.iter().filter(|member| self.sees(**member, of) == state).count(), running.len())
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = u32> {
+        self.nodes.iter().zip(0u32..).filter(|(node, _)| node.gossip.is_some()).map(|(_, member)| member)
+    }
+
+    pub fn beliefs_since(&self, at: Micros, state: State) -> Vec<Belief> {
+        self.beliefs.iter().filter(|belief| belief.0 >= at && belief.3 == state).copied().collect()
+    }
+
+    pub fn run_for(&mut self, span: Micros) {
+        let until = self.now + span;
+        while let Some(Reverse((at, ..))) = self.events.peek()
+            && *at <= until
+        {
+            let Some(Reverse((at, _, event))) = self.events.pop() else { break };
+            self.now = at;
+            self.happen(event);
+        }
+        self.now = until;
+    }
+
+    /// Runs until it is so; how long that took, `None` if not within the span. Looked at every 50 ms.
+    pub fn run_until(&mut self, within: Micros, so: impl Fn(&Tier) -> bool) -> Option<Micros> {
+        let began = self.now;
+        while !so(self) {
+            if self.now - began >= within {
+                return None;
+            }
+            self.run_for(50 * MS);
+        }
+        Some(self.now - began)
+    }
+
+    fn push(&mut self, at: Micros, event: Event) {
+        self.number += 1;
+        self.events.push(Reverse((at, self.number, event)));
+    }
+
+    fn happen(&mut self, event: Event) {
+        let member = match event {
+            Event::Arrives { to, .. } => to,
+            Event::Wakes(member) | Event::Tells(member) => member,
+        };
+        let node = &self.nodes[member as usize];
+        if node.asleep_until > self.now {
+            let at = node.asleep_until;
+            return self.push(at, event);
+        }
+        match event {
+            Event::Arrives { from, to, bytes } => self.input(to, Input::Datagram { from, bytes: &bytes }),
+            Event::Wakes(_) if node.wakes > self.now => {}
+            Event::Wakes(_) => {
+                self.nodes[member as usize].wakes = Micros::MAX;
+                self.input(member, Input::Tick);
+            }
+            Event::Tells(_) if node.gossip.is_none() => {}
+            Event::Tells(_) => {
+                let entries = (0..self.subchannels).map(|n| self.entry(n)).collect();
+                self.input(member, Input::Own(entries));
+                self.push(self.now + S, Event::Tells(member));
+            }
+        }
+    }
+
+    fn entry(&mut self, number: u32) -> Entry {
+        let standing = self.chance.random_range(1..40);
+        Entry {
+            subchannel: Subchannel::of(&format!("s-{number}")),
+            standing,
+            load: Load::from_micros_per_s(u64::from(standing) * self.chance.random_range(5_000..20_000)),
+            groups: self.chance.random(),
+            evidence: Evidence {
+                served: self.chance.random_range(0..9),
+                age_tenths: 3,
+                ..Default::default()
+            },
+        }
+    }
+
+    fn after(&mut self, member: u32) {
+        let place = member as usize;
+        while let Some(output) = self.nodes[place].gossip.as_mut().and_then(Gossip::poll) {
+            match output {
+                Output::Send { to, bytes } => self.send(member, to, bytes),
+                Output::Member { ordinal, state, incarnation } => {
+                    self.beliefs.push((self.now, member, ordinal, state, incarnation));
+                }
+                Output::Heard { from, entries } => self.heard.push((member, from, entries)),
+            }
+        }
+        let now = self.now;
+        let node = &mut self.nodes[place];
+        let Some(gossip) = &node.gossip else { return };
+        let late = if node.slow > 0 { self.chance.random_range(0..=node.slow) } else { 0 };
+        let due = gossip.next_timeout().max(now).saturating_add(late);
+        if due < node.wakes {
+            node.wakes = due;
+            self.push(due, Event::Wakes(member));
+        }
+    }
+
+    fn send(&mut self, from: u32, to: To, bytes: Vec<u8>) {
+        let receivers: Vec<u32> = match to {
+            To::One(one) => vec![one],
+            To::All => (0..self.members()).filter(|other| *other != from).collect(),
+        };
+        self.keep_the_ceiling(from, receivers.len() as u64, bytes.len() as u64);
+        let said = &mut self.nodes[from as usize].said;
+        said.push_back((to, bytes.clone()));
+        if said.len() > 64 {
+            said.pop_front();
+        }
+        for to in receivers {
+            let parted = self.network.parts[from as usize] != self.network.parts[to as usize];
+            if parted || self.network.cut.contains(&(from, to)) {
+                continue;
+            }
+            let copies = 1 + u32::from(self.chance.random_bool(self.network.doubled));
+            for _ in 0..copies {
+                if self.chance.random_bool(self.network.loss) {
+                    continue;
+                }
+                let (least, most) = self.network.delay;
+                let slow = self.nodes[to as usize].slow;
+                let late = if slow > 0 { self.chance.random_range(0..=slow) } else { 0 };
+                let at = self.now + self.chance.random_range(least..=most) + late;
+                self.push(at, Event::Arrives { from: Some(from), to, bytes: bytes.clone() });
+            }
+        }
+    }
+
+    /// In every second, whatever happens; and no datagram is too long.
+    fn keep_the_ceiling(&mut self, member: u32, copies: u64, bytes: u64) {
+        assert!(bytes <= 256, "seed {}: member {member} sent {bytes} bytes", self.seed);
+        let now = self.now;
+        let sent = &mut self.nodes[member as usize].sent;
+        sent.push_back((now, copies, copies * bytes));
+        while sent.front().is_some_and(|(at, ..)| *at <= now - S) {
+            sent.pop_front();
+        }
+        let (copies, bytes) = sent.iter().fold((0, 0), |sum, one| (sum.0 + one.1, sum.1 + one.2));
+        let allowed = (u64::from(self.settings.datagrams_per_s), u64::from(self.settings.bytes_per_s));
+        assert!(
+            copies <= allowed.0 && bytes <= allowed.1,
+            "seed {}: member {member} sent {copies} datagrams, {bytes} bytes in the second to {now}",
+            self.seed
+        );
+    }
+}
+
+/// A datagram as a member would write it.
+pub fn write(
+    keys: &Keys,
+    sender: u32,
+    incarnation: Incarnation,
+    counter: u64,
+    to: To,
+    parts: &[Part],
+) -> Vec<u8> {
+    let header = Header {
+        strength: keys.strength(),
+        to_all: to == To::All,
+        sender: sender as u16,
+        incarnation,
+        counter,
+    };
+    let mut draft = Draft::new(&header, 256);
+    parts.iter().for_each(|part| assert!(draft.push(part), "{part:?} does not fit"));
+    draft.finish(keys, to)
+}
+
+pub fn rumour(subject: u32, incarnation: Incarnation, word: Word) -> Rumour {
+    Rumour { subject: subject as u16, incarnation, word }
+}
+
+/// Median and worst, in seconds.
+pub fn median_and_worst(times: &mut [Micros]) -> (f64, f64) {
+    times.sort_unstable();
+    let seconds = |time: Option<&Micros>| time.map_or(f64::NAN, |time| *time as f64 / S as f64);
+    (seconds(times.get(times.len() / 2)), seconds(times.last()))
+}
--- /dev/null
+++ b/crates/gossip/tests/liars.rs
@@ -0,0 +1,367 @@
+//! Who lies, replays, forges, floods, or speaks another language, and what it gets out of it.
+
+mod common;
+use common::*;
+use cottonnotch_gossip::wire::{Part, Word};
+use cottonnotch_gossip::*;
+use rand::RngExt;
+
+fn key(byte: u8) -> Vec<u8> {
+    format!("{byte:02x}").repeat(32).into_bytes()
+}
+
+fn shared(files: &[u8]) -> Keys {
+    let files: Vec<Vec<u8>> = files.iter().map(|byte| key(*byte)).collect();
+    Keys::load(Strength::Shared, &files, None, 0, 5).unwrap()
+}
+
+/// Of five; `second` adds another valid key to member 2's.
+fn signed(me: u32, own: u8, second: Option<u8>) -> Keys {
+    let public = |byte| Keys::public_of(&key(byte)).unwrap();
+    let lines: Vec<String> = (0..5u8)
+        .map(|member| match second {
+            Some(second) if member == 2 => format!("{} {}", public(2 + 1), public(second)),
+            _ => public(member + 1),
+        })
+        .collect();
+    Keys::load(Strength::Signed, &[key(own)], Some(lines.join("\n").as_bytes()), me, 5).unwrap()
+}
+
+fn tier(strength: Strength, seed: u64) -> Tier {
+    let keys = (0..5).map(|member| match strength {
+        Strength::Address => Keys::Address,
+        Strength::Shared => shared(&[7]),
+        Strength::Signed => signed(member, member as u8 + 1, None),
+    });
+    let mut tier = Tier::with_keys(5, seed, Settings { strength, ..settings() }, keys.collect());
+    tier.run_for(10 * S);
+    tier
+}
+
+const STRENGTHS: [Strength; 3] = [Strength::Address, Strength::Shared, Strength::Signed];
+
+/// The incarnation by which a member is known to another.
+fn known(tier: &Tier, by: u32, of: u32) -> Incarnation {
+    tier.gossip(by).members().find(|member| member.0 == of).unwrap().2
+}
+
+/// Liars in place of the last members: each says to each honest one, four times a second, that so many of the other honest
+/// ones are unreachable and have left, by numbers that honest ones would use and by great ones.
+fn slander(tier: &mut Tier, liars: u32, of: u32, seconds: u32) {
+    let members = tier.members();
+    let honest = members - liars;
+    (honest..members).for_each(|liar| tier.kill(liar));
+    let mut counter = 1_000_000;
+    for _ in 0..seconds * 4 {
+        tier.run_for(250 * MS);
+        for liar in honest..members {
+            for to in 0..honest {
+                for subject in (0..honest.min(of)).filter(|subject| *subject != to) {
+                    let now = known(tier, to, subject);
+                    let said = match tier.chance.random_range(0..4) {
+                        0 => Incarnation { turn: now.turn.saturating_add(3), ..now },
+                        1 if to == 0 => Incarnation::first(now.life + (1 << 39)),
+                        _ => now,
+                    };
+                    let words = [Word::Suspect, Word::Left];
+                    let rumours = words.map(|word| rumour(subject, said, word)).to_vec();
+                    counter += 1;
+                    let life = Incarnation::first(EPOCH);
+                    let one = To::One(to);
+                    let lie = write(&tier.keys[0], liar, life, counter, one, &[Part::Rumours(rumours)]);
+                    tier.inject(Some(liar), to, lie);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn two_liars_together_cannot_have_a_live_member_believed_gone() {
+    let few = (0..4).map(|seed| (5, 0.0, 5, seed)).chain((4..8).map(|seed| (5, 0.1, 5, seed)));
+    // Of many: all of them, some, one. Liars who have all ask one, or all, must not keep it from answering in time.
+    let many = [(24, 0.02, 24, 8), (100, 0.02, 10, 9), (100, 0.02, 1, 10)];
+    for (members, loss, of, seed) in few.chain(many) {
+        let mut tier = Tier::new(members, seed, settings());
+        tier.network.loss = loss;
+        tier.run_for(10 * S);
+        slander(&mut tier, 2, of, if members < 100 { 60 } else { 30 });
+        let honest = members - 2;
+        let gone: Vec<Belief> =
+            tier.beliefs.iter().filter(|b| !b.3.takes_part() && b.2 < honest).copied().collect();
+        assert_eq!(gone, [], "seed {seed}, {members} members, loss {loss}");
+        if loss == 0.0 {
+            let doubted = tier.beliefs.iter().filter(|b| b.3 == State::Suspect && b.2 < honest).count();
+            assert_eq!(doubted, 0, "seed {seed}: own fresh hearing outweighs words");
+        }
+        tier.run_for(10 * S);
+        // Among a hundred at 2% loss somebody is doubted for a moment at any time.
+        let well = |state: State| if members < 100 { state == State::Alive } else { state.takes_part() };
+        for member in 0..honest {
+            let sees =
+                (0..honest).filter(|other| *other != member && well(tier.sees(member, *other))).count();
+            assert_eq!(sees, honest as usize - 1, "seed {seed}, {members} members: {member} after the lies");
+        }
+    }
+}
+
+#[test]
+fn nor_one_that_only_a_third_can_reach() {
+    let mut tier = Tier::new(5, 21, settings());
+    tier.run_for(10 * S);
+    tier.network.cut = vec![(0, 1), (1, 0)];
+    slander(&mut tier, 2, 5, 120);
+    let gone: Vec<Belief> = tier.beliefs.iter().filter(|b| !b.3.takes_part() && b.2 < 3).copied().collect();
+    assert_eq!(gone, [], "seed 21: 2 reaches both");
+}
+
+#[test]
+fn a_liar_cannot_bring_back_the_dead_nor_keep_them() {
+    let mut tier = Tier::new(5, 22, settings());
+    tier.run_for(10 * S);
+    tier.kill(1);
+    tier.run_for(15 * S);
+    assert_eq!(tier.see(1, State::Dead), (4, 4), "seed 22");
+    tier.kill(4);
+    let began = tier.now;
+    for turn in 1..100 {
+        let said = Incarnation { life: EPOCH, turn };
+        for to in [0, 2, 3] {
+            let parts = [Part::Rumours(vec![rumour(1, said, Word::Alive)])];
+            let lie = write(
+                &Keys::Address,
+                4,
+                Incarnation::first(EPOCH),
+                1_000 + u64::from(turn),
+                To::One(to),
+                &parts,
+            );
+            tier.inject(Some(4), to, lie);
+        }
+        tier.run_for(250 * MS);
+    }
+    let back: Vec<Belief> =
+        tier.beliefs_since(began, State::Alive).into_iter().filter(|b| b.2 == 1).collect();
+    assert_eq!(back, [], "seed 22");
+}
+
+#[test]
+fn a_liar_cannot_use_up_a_members_numbers() {
+    let mut tier = Tier::new(5, 23, settings());
+    tier.run_for(10 * S);
+    let before = tier.gossip(0).incarnation();
+    for counter in 0..200 {
+        let far = Incarnation { life: u64::MAX - 1 - counter % 2, turn: u16::MAX };
+        let near = Incarnation { life: tier.gossip(0).incarnation().life + (1 << 40), turn: 9 };
+        let words = [far, near].map(|said| rumour(0, said, Word::Suspect)).to_vec();
+        for to in 0..4 {
+            let parts = [Part::Rumours(words.clone())];
+            let lie =
+                write(&Keys::Address, 4, Incarnation::first(EPOCH), 1_000 + counter, To::One(to), &parts);
+            tier.inject(Some(4), to, lie);
+        }
+        tier.run_for(500 * MS);
+    }
+    let jumps = (tier.gossip(0).incarnation().life - before.life) >> 40;
+    assert!(jumps <= 11, "seed 23: {jumps} leaps in 100 s; u64 has room for 16 million");
+    assert!(
+        !tier.beliefs.iter().any(|b| b.2 == 0 && !b.3.takes_part()),
+        "seed 23: and it is heard all the time"
+    );
+}
+
+#[test]
+fn what_was_said_before_is_dropped_when_said_again() {
+    for (seed, strength) in (30..).zip(STRENGTHS) {
+        let mut tier = tier(strength, seed);
+        let said: Vec<(To, Vec<u8>)> = tier.nodes[1].said.iter().cloned().collect();
+        tier.kill(1);
+        let began = tier.now;
+        let mut replayed = 0;
+        // To whom it was said, from its own address, again and again; with a proof, to anybody.
+        while tier.now - began < 15 * S {
+            for (to, bytes) in &said {
+                let shown = if strength == Strength::Address { *to } else { To::One(0) };
+                tier.inject(Some(1), if let To::One(to) = shown { to } else { 0 }, bytes.clone());
+                replayed += 1;
+            }
+            tier.run_for(2 * S);
+        }
+        let (see, all) = tier.see(1, State::Dead);
+        assert_eq!(see, all, "seed {seed}, {strength:?}: {replayed} replays kept nobody alive");
+        // The next life, and the old one's words again.
+        tier.start(1, EPOCH + 100_000);
+        tier.run_for(5 * S);
+        let superseded = tier.gossip(0).counts().dropped(Dropped::Superseded);
+        for (_, bytes) in said.iter().filter(|(to, _)| *to == To::One(0)) {
+            tier.inject(Some(1), 0, bytes.clone());
+        }
+        tier.run_for(5 * S);
+        assert!(
+            tier.gossip(0).counts().dropped(Dropped::Superseded) > superseded,
+            "seed {seed}, {strength:?}"
+        );
+        assert_eq!(known(&tier, 0, 1).life, EPOCH + 100_000, "seed {seed}, {strength:?}");
+    }
+}
+
+#[test]
+fn what_is_said_in_anothers_name_is_dropped() {
+    for (seed, strength) in (40..).zip(STRENGTHS) {
+        let mut tier = tier(strength, seed);
+        let liars = tier.keys[3].clone();
+        let farewell =
+            |counter| write(&liars, 1, Incarnation::first(EPOCH), counter, To::One(0), &[Part::Leave]);
+        // From its own address: the name does not fit.
+        tier.inject(Some(3), 0, farewell(1_000));
+        tier.run_for(10 * MS);
+        assert_eq!(tier.gossip(0).counts().dropped(Dropped::Name), 1, "seed {seed}, {strength:?}");
+        assert_eq!(tier.sees(0, 1), State::Alive, "seed {seed}, {strength:?}");
+        // From the other's address, which it should not be able to: only a signature helps.
+        tier.inject(Some(1), 0, farewell(1_001));
+        tier.run_for(10 * MS);
+        let (forged, state) = (tier.gossip(0).counts().dropped(Dropped::Forged), tier.sees(0, 1));
+        match strength {
+            Strength::Signed => assert_eq!((forged, state), (1, State::Alive), "seed {seed}"),
+            _ => assert_eq!(
+                (forged, state),
+                (0, State::Left),
+                "seed {seed}, {strength:?}: the hole that is known"
+            ),
+        }
+    }
+}
+
+#[test]
+fn rubbish_costs_nothing_and_is_counted() {
+    let mut tier = tier(Strength::Shared, 50);
+    let good = tier.nodes[1].said.iter().rfind(|(to, _)| *to == To::One(0)).unwrap().1.clone();
+    let newest = tier.gossip(0).freshness(1).unwrap();
+    let mut expect = |what: &str, from: Option<u32>, bytes: &[u8], why: Dropped| {
+        let mut gossip = tier.nodes[0].gossip.take().unwrap();
+        while gossip.poll().is_some() {}
+        let before = gossip.counts();
+        gossip.handle(tier.now, Input::Datagram { from, bytes });
+        let after = gossip.counts();
+        assert_eq!(after.dropped(why), before.dropped(why) + 1, "{what}");
+        assert_eq!(after.dropped_in_all(), before.dropped_in_all() + 1, "{what}");
+        assert_eq!(after.sent, before.sent, "{what} is not answered");
+        assert_eq!(gossip.poll(), None, "{what}");
+        assert_eq!(gossip.freshness(1).unwrap().1, newest.1, "{what}");
+        tier.nodes[0].gossip = Some(gossip);
+    };
+    expect("a stranger", None, &good, Dropped::Stranger);
+    expect("nobody's ordinal", Some(5), &good, Dropped::Stranger);
+    expect("no ordinal at all", Some(70_000), &good, Dropped::Stranger);
+    expect("its own echo", Some(0), &good, Dropped::Stranger);
+    expect("nothing", Some(1), &[], Dropped::Length);
+    expect("a byte too much", Some(1), &[1; 257], Dropped::Length);
+    expect("zeros", Some(1), &[0; 100], Dropped::Malformed);
+    expect("another strength", Some(1), &[&[1, 0], &good[2..]].concat(), Dropped::Strength);
+    expect("said before", Some(1), &good, Dropped::Replayed);
+    // With a counter that is new, so that only the proof is left to tell.
+    let new =
+        write(&shared(&[7]), 1, Incarnation::first(EPOCH), 5_000, To::One(0), &[Part::Ping { nonce: 1 }]);
+    expect("cut within the header", Some(1), &new[..17], Dropped::Length);
+    for cut in [1, 4] {
+        expect("cut at the end", Some(1), &new[..new.len() - cut], Dropped::Forged);
+    }
+    let mut changed = new.clone();
+    changed[new.len() - 20] ^= 1;
+    expect("changed", Some(1), &changed, Dropped::Forged);
+    let strangers = write(&shared(&[8]), 1, Incarnation::first(EPOCH), 5_000, To::One(0), &[Part::Leave]);
+    expect("under another key", Some(1), &strangers, Dropped::Forged);
+    // None of these pushed the window on.
+    tier.inject(Some(1), 0, new);
+    let before = tier.gossip(0).counts().sent;
+    tier.run_for(MS);
+    assert_eq!(tier.gossip(0).counts().sent, before + 1, "the ping is answered");
+}
+
+#[test]
+fn an_old_programs_peer_beside_a_new_one() {
+    let mut tier = tier(Strength::Address, 60);
+    let ping = Part::Ping { nonce: 77 };
+    let newer = |counter| {
+        let mut bytes = write(
+            &Keys::Address,
+            1,
+            Incarnation::first(EPOCH),
+            counter,
+            To::One(0),
+            std::slice::from_ref(&ping),
+        );
+        // A section that is not known here, and a field more in one that is.
+        bytes.extend([200, 3, 1, 2, 3, 2, 4, 1, 0, 9, 9]);
+        bytes
+    };
+    let before = tier.gossip(0).counts();
+    tier.inject(Some(1), 0, newer(5_000));
+    tier.run_for(MS);
+    assert_eq!(tier.gossip(0).counts().sent, before.sent + 1, "what is known is answered");
+    let mut version_2 = newer(5_001);
+    version_2[0] = 2;
+    tier.inject(Some(1), 0, version_2);
+    tier.run_for(MS);
+    assert_eq!(tier.gossip(0).counts().sent, before.sent + 1, "of another version nothing is");
+    assert_eq!(tier.gossip(0).counts().dropped(Dropped::Newer), 1);
+}
+
+#[test]
+fn a_flood_from_one_peer_drowns_nobody() {
+    for (seed, strength) in (70..).zip(STRENGTHS) {
+        let mut tier = tier(strength, seed);
+        let began = tier.now;
+        let keys = tier.keys[4].clone();
+        tier.kill(4);
+        let mut counter = 10_000;
+        for _ in 0..200 {
+            for _ in 0..100 {
+                counter += 1;
+                let ask = [Part::Ping { nonce: 1 }, Part::Ask { nonce: 2, target: 1 }];
+                let ping = write(&keys, 4, Incarnation::first(EPOCH), counter, To::One(0), &ask);
+                tier.inject(Some(4), 0, ping);
+            }
+            tier.run_for(50 * MS);
+        }
+        // 20,000 in 10 s: looked at are 32 a second. The ceiling of what is sent is watched by the tier itself.
+        let flood = tier.gossip(0).counts().dropped(Dropped::Flood);
+        assert!(flood >= 20_000 - 12 * 32, "seed {seed}, {strength:?}: {flood} dropped");
+        let blamed: Vec<Belief> = tier.beliefs_since(began, State::Dead);
+        assert!(blamed.iter().all(|b| b.2 == 4), "seed {seed}, {strength:?}: {blamed:?}");
+        assert!((1..4).all(|other| tier.sees(0, other) == State::Alive), "seed {seed}, {strength:?}");
+    }
+}
+
+#[test]
+fn keys_change_without_a_gap() {
+    let mut tier = tier(Strength::Shared, 80);
+    let began = tier.now;
+    for step in [&[7, 8][..], &[8, 7], &[8]] {
+        for member in 0..5 {
+            tier.input(member, Input::Keys(shared(step)));
+            tier.run_for(1_300 * MS);
+        }
+    }
+    assert_eq!(tier.beliefs_since(began, State::Suspect), [], "seed 80");
+    assert!((0..5).all(|member| tier.gossip(member).counts().dropped(Dropped::Forged) == 0), "seed 80");
+    // Who has only the old one is no member.
+    tier.input(2, Input::Keys(shared(&[7])));
+    tier.run_for(20 * S);
+    assert_eq!(tier.see(2, State::Dead).0, 4, "seed 80");
+    assert!(tier.gossip(0).counts().dropped(Dropped::Forged) > 0);
+}
+
+#[test]
+fn one_members_signature_changes_without_a_gap() {
+    let mut tier = tier(Strength::Signed, 81);
+    let began = tier.now;
+    for member in 0..5 {
+        tier.input(member, Input::Keys(signed(member, member as u8 + 1, Some(99))));
+        tier.run_for(1_300 * MS);
+    }
+    tier.input(2, Input::Keys(signed(2, 99, Some(99))));
+    tier.run_for(10 * S);
+    assert_eq!(tier.beliefs_since(began, State::Suspect), [], "seed 81");
+    assert!((0..5).all(|member| tier.gossip(member).counts().dropped(Dropped::Forged) == 0), "seed 81");
+}
