--- a/crates/gossip/src/config.rs
+++ b/crates/gossip/src/config.rs
@@ -35,6 +35,8 @@
 /// logarithm, as the time does in which a contradiction gets round.
 const SUSPICION_PERIODS: u32 = 3;
 const SUSPICION_WITHIN: (u32, u32) = (1, 100);
+/// A period is up to this part longer or shorter, so that proxies don't act in step.
+pub(crate) const JITTER: i64 = 20;
 /// Digests by configuration leave a quarter of the ceiling to answers and probes.
 const DIGEST_EIGHTHS: u64 = 6;
 
@@ -150,9 +152,10 @@
     },
 }
 
-/// In any second: a period that isn't a divisor of it may fall into it once more.
+/// In any second: periods are up to a twentieth shorter, and one more may begin within it.
 fn digests_per_s(fan_out: u32, parts: u32, period: i64) -> u64 {
-    u64::from(fan_out) * u64::from(parts) * (1_000_000 / period + i64::from(1_000_000 % period != 0)) as u64
+    let shortest = period - period / JITTER;
+    u64::from(fan_out) * u64::from(parts) * (1_000_000 / shortest + 1) as u64
 }
 
 impl Settings {
--- a/crates/gossip/src/gossip.rs
+++ b/crates/gossip/src/gossip.rs
@@ -18,8 +18,8 @@
 const MOST_MEMBERS: u32 = u16::MAX as u32;
 /// Time-outs of probes fall on multiples of this, so that hundreds of suspects don't wake the loop one by one.
 const GRAIN: Micros = 10_000;
-/// Datagrams looked at from all peers, in multiples of what one may send: with the dearest proof (55 us) 256 a second are
-/// 1.4% of a core.
+/// Datagrams looked at from all peers, in multiples of what one may send: with the dearest proof (40 us, twice that
+/// while keys change) 256 a second are 1% of a core.
 const INBOUND: u32 = 8;
 
 /// What happened.
--- a/crates/gossip/src/hearsay.rs
+++ b/crates/gossip/src/hearsay.rs
@@ -73,13 +73,15 @@
         let (now, silence) = (self.now, self.settings.silence);
         let peer = self.peer_mut(subject);
         peer.accused_by(from);
-        if peer.state != State::Alive {
+        // Own fresh hearing outweighs any number of words, while it is fresh.
+        let heard = now - peer.sign < silence;
+        if peer.state != State::Alive || peer.to_ask || !self.heeds(from, subject) {
             return;
         }
-        // Own fresh hearing outweighs any number of words, while it is fresh.
-        peer.to_ask = true;
-        if now - peer.sign >= silence {
-            self.ask_because_of(from, subject);
+        if heard {
+            self.peer_mut(subject).to_ask = true;
+        } else {
+            self.ask_because_of_word(subject);
         }
     }
 
@@ -91,22 +93,20 @@
             return;
         }
         peer.said_left_by(from);
-        peer.to_ask = true;
-        if peer.state == State::Alive {
-            self.ask_because_of(from, subject);
+        if peer.state == State::Alive && self.heeds(from, subject) {
+            self.ask_because_of_word(subject);
         }
     }
 
-    /// Asks a member because of what another said. Each moves this one to so many questions only, and nobody is asked again
-    /// and again: liars could have all ask all, or one, and no answer would come in time.
-    fn ask_because_of(&mut self, from: u16, subject: u16) {
+    /// Whether this member's words move this one to ask that one. Each moves it to so many questions only, and nobody is
+    /// asked again and again: liars could have all ask all, or one, and no answer would come in time.
+    fn heeds(&mut self, from: u16, subject: u16) -> bool {
+        let now = self.now;
+        !self.probes.running(subject) && self.may_ask_by_word(subject) && self.peer_mut(from).heeded.take(now)
+    }
+
+    fn ask_because_of_word(&mut self, subject: u16) {
         let now = self.now;
-        if self.probes.running(subject)
-            || !self.may_ask_by_word(subject)
-            || !self.peer_mut(from).heeded.take(now)
-        {
-            return;
-        }
         self.peer_mut(subject).asked_by_word = Some(now);
         self.probe_within(subject, true, self.spread());
     }
--- a/crates/gossip/src/probing.rs
+++ b/crates/gossip/src/probing.rs
@@ -97,14 +97,24 @@
 #[derive(Debug)]
 pub(crate) struct Suspicion {
     began: Micros,
-    /// Own checks that failed.
+    /// Own checks that failed, and when the last did.
     failures: u32,
+    failed_at: Micros,
     next_check: Micros,
 }
 
+/// What is to be done about a suspect, and when.
+enum Due {
+    /// Ask it.
+    Check(Micros),
+    /// Believe that it is gone.
+    Gone(Micros),
+}
+
 impl Suspicion {
     pub(crate) fn put_off(&mut self, longer: Micros) {
         self.began += longer;
+        self.failed_at += longer;
         self.next_check += longer;
     }
 }
@@ -147,19 +157,29 @@
         (self.settings.suspicion as f64 * members.log10()) as Micros * self.health.factor()
     }
 
-    /// When the suspicion ends, if nothing changes; not before own checks have failed.
-    fn certain_at(&self, subject: u16, suspicion: &Suspicion, spans: &Spans) -> Option<Micros> {
+    /// What comes next of a suspicion, and when.
+    fn due(&self, subject: u16, suspicion: &Suspicion, spans: &Spans) -> Due {
         let peer = &self.peers[usize::from(subject)];
         let span = if peer.left_tellers.len() < MOST_TELLERS { spans.with(peer.accusers.len()) } else { 0 };
-        (suspicion.failures >= CHECKS).then(|| suspicion.began + span)
+        let end = (suspicion.began + span).max(self.now);
+        if suspicion.failures < CHECKS || suspicion.next_check < end {
+            Due::Check(suspicion.next_check)
+        } else if suspicion.failed_at + spans.least < end {
+            // What failed long ago proves nothing: a partition may have healed since.
+            Due::Check(end)
+        } else {
+            Due::Gone(end)
+        }
     }
 
     pub(crate) fn next_probe_timeout(&self) -> Option<Micros> {
         let probes = self.probes.by_target.values().map(|probe| probe.due);
         let spans = self.spans();
         let suspicions = self.suspicions.iter().filter_map(|(subject, suspicion)| {
-            let check = (!self.probes.by_target.contains_key(subject)).then_some(suspicion.next_check);
-            self.certain_at(*subject, suspicion, &spans).into_iter().chain(check).min()
+            match self.due(*subject, suspicion, &spans) {
+                Due::Check(_) if self.probes.running(*subject) => None,
+                Due::Check(at) | Due::Gone(at) => Some(at),
+            }
         });
         probes.chain(suspicions).min()
     }
@@ -191,7 +211,12 @@
 
     /// After a first check that failed.
     pub(crate) fn begin_suspicion(&mut self, subject: u16) {
-        let suspicion = Suspicion { began: self.now, failures: 1, next_check: self.now + self.check_every() };
+        let suspicion = Suspicion {
+            began: self.now,
+            failures: 1,
+            failed_at: self.now,
+            next_check: self.now + self.check_every(),
+        };
         self.suspicions.insert(subject, suspicion);
     }
 
@@ -205,15 +230,16 @@
         let due: Vec<u16> = self.probes.by_target.iter().filter_map(due).collect();
         due.into_iter().for_each(|target| self.next_stage(target));
         let spans = self.spans();
-        let certain = |(subject, suspicion): (&u16, &Suspicion)| {
-            self.certain_at(*subject, suspicion, &spans).is_some_and(|at| at <= self.now).then_some(*subject)
-        };
-        let certain: Vec<u16> = self.suspicions.iter().filter_map(certain).collect();
-        certain.into_iter().for_each(|subject| self.declare_gone(subject));
         let due =
-            |(subject, suspicion): (&u16, &Suspicion)| (suspicion.next_check <= self.now).then_some(*subject);
-        let due: Vec<u16> = self.suspicions.iter().filter_map(due).collect();
-        due.into_iter().for_each(|subject| self.probe(subject, true));
+            |(subject, suspicion): (&u16, &Suspicion)| (*subject, self.due(*subject, suspicion, &spans));
+        let due: Vec<(u16, Due)> = self.suspicions.iter().map(due).collect();
+        for (subject, due) in due {
+            match due {
+                Due::Gone(at) if at <= self.now => self.declare_gone(subject),
+                Due::Check(at) if at <= self.now => self.probe(subject, true),
+                _ => {}
+            }
+        }
     }
 
     fn next_stage(&mut self, target: u16) {
@@ -277,6 +303,7 @@
                 let (every, seldom) = (self.check_every(), self.least_suspicion() / 2);
                 let Some(suspicion) = self.suspicions.get_mut(&target) else { return };
                 suspicion.failures += 1;
+                suspicion.failed_at = self.now;
                 // Enough of them: what may be asked is for others, of whom many may be doubted at once.
                 let wait = match suspicion.failures {
                     ..CHECKS => every,
@@ -300,9 +327,13 @@
         };
         let doubted =
             |other: &u16| peers[usize::from(*other)].to_ask && silent(*other) && self.may_ask_by_word(*other);
-        let mut targets: Vec<u16> = self.others().filter(doubted).collect();
-        targets.extend(self.asked.next(most, &mut self.chance, silent));
-        for target in targets {
+        let doubted: Vec<u16> = self.others().filter(doubted).collect();
+        for target in self.asked.next(most, &mut self.chance, silent) {
+            self.probe(target, true);
+        }
+        for target in doubted {
+            let now = self.now;
+            self.peer_mut(target).asked_by_word = Some(now);
             self.probe(target, true);
         }
         if self.periods.is_multiple_of(GONE_EVERY) {
--- a/crates/gossip/src/telling.rs
+++ b/crates/gossip/src/telling.rs
@@ -1,5 +1,6 @@
 //! What is sent, each period and in between, under the ceiling.
 
+use crate::config::JITTER;
 use crate::peer::State;
 use crate::wire::{Draft, Header, Part, Rumour, To, Word};
 use crate::{Entry, Gossip, Micros, Output, Purpose, rumours};
@@ -10,8 +11,6 @@
 const FAREWELLS: u32 = 3;
 /// Between them. A lost datagram and its neighbour are lost together at times.
 const FAREWELL_EVERY: Micros = 100_000;
-/// A period is up to this part longer or shorter, so that proxies don't act in step.
-const JITTER: i64 = 20;
 
 /// Saying farewell.
 #[derive(Debug)]
