--- a/crates/cottonnotch/src/net/rpc.rs
+++ b/crates/cottonnotch/src/net/rpc.rs
@@ -22,9 +22,9 @@
 /// A client that was answered is given this long to close first: a close with its bytes unread would reset
 /// the connection and could take the answer with it.
 const LINGER: Micros = 1_000_000;
-/// A client's line unanswered for this long: the subchannel is silent, and the client is moved. The protocol
-/// allows 7 s.
-const SILENT: Micros = 5_500_000;
+/// A client's line unanswered for this long: the subchannel is silent, and the client is moved. The protocol allows 7 s from when
+/// nothing comes back any more; clients send a line every 2 s, so the first one that shows it may be that late.
+const SILENT: Micros = 4_500_000;
 /// After the client's end, the subchannel is given this long to end too.
 const FAR_END_WITHIN: Micros = 2_000_000;
 
