--- a/crates/cottonnotch/src/command_line.rs
+++ b/crates/cottonnotch/src/command_line.rs
@@ -9,6 +9,7 @@
   GW_CONFIG     the platform's JSON file: limits, known render nodes, settings
   GW_NAME       the proxy's name in the log [default: cottonnotch]
   GW_LISTEN     address and port for clients
+  GW_MGMT       address and port for operators [default: none]
   GW_DISCOVERY  address and port of discovery
   GW_SEED       for random numbers, hexadecimal [default: 0]
   RUST_LOG      which log lines are written; wins over log.filter of the operator's file [default: info]
--- a/crates/cottonnotch/src/config/mod.rs
+++ b/crates/cottonnotch/src/config/mod.rs
@@ -33,6 +33,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub mgmt: Option<SocketAddr>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// For random numbers.
--- a/crates/cottonnotch/src/config/platform.rs
+++ b/crates/cottonnotch/src/config/platform.rs
@@ -48,6 +48,7 @@
     let mut reader = Reader { json: &json, file_wins, effective };
     let name = reader.text("GW_NAME", "name", Some(DEFAULT_NAME))?.0;
     let listen = reader.address("GW_LISTEN", "listen")?;
+    let mgmt = reader.mgmt()?;
     let discovery = reader.address("GW_DISCOVERY", "discovery")?;
     let seed = reader.seed()?;
     let (sockets, memory) = (reader.sockets()?, reader.memory_mb()?);
@@ -61,6 +62,7 @@
     Ok(Config {
         name,
         listen,
+        mgmt,
         discovery,
         seed,
         sockets,
@@ -151,6 +153,16 @@
         text.parse().map_err(|_| self.wrong(key, trouble, text, source))
     }
 
+    /// Where operators call; nothing, or an empty text, is nowhere.
+    fn mgmt(&mut self) -> Result<Option<SocketAddr>, BadConfig> {
+        let (text, source) = self.text("GW_MGMT", "mgmt", Some(""))?;
+        if text.is_empty() {
+            return Ok(None);
+        }
+        let trouble = "is not an address and port";
+        text.parse().map(Some).map_err(|_| self.wrong("mgmt", trouble, text, source))
+    }
+
     /// The other proxies. All of it may be left out: such a proxy is alone.
     fn tier(&mut self) -> Result<Tier, BadConfig> {
         let listen = self.address_if("peer_listen")?;
--- a/crates/cottonnotch/src/net/call_attempt.rs
+++ b/crates/cottonnotch/src/net/call_attempt.rs
@@ -32,6 +32,8 @@
     address: SocketAddr,
     link: LineStream,
     phase: Phase,
+    /// That the line is written was noted.
+    told: bool,
     started: Micros,
     connect_until: Micros,
     until: Option<Micros>,
@@ -68,7 +70,7 @@
         let started = io.now();
         let connect_until = started + order.connect_timeout;
         let (address, phase) = (order.address, Phase::Connecting);
-        Ok(CallAttempt { address, link, phase, started, connect_until, until })
+        Ok(CallAttempt { address, link, phase, told: false, started, connect_until, until })
     }
 
     /// When the attempt is next due to be ended.
@@ -109,6 +111,12 @@
         }
     }
 
+    /// The first line has been written whole; true once for each attempt.
+    pub fn newly_written(&mut self) -> bool {
+        let written = self.phase == Phase::Waiting;
+        written && !std::mem::replace(&mut self.told, true)
+    }
+
     /// Ends the attempt if its time is up.
     pub fn overdue(&self, now: Micros) -> Option<Outcome> {
         if self.until.is_some_and(|until| until <= now) {
--- a/crates/cottonnotch/src/net/driver/arrivals.rs
+++ b/crates/cottonnotch/src/net/driver/arrivals.rs
@@ -1,6 +1,7 @@
 //! Clients that arrive, until they ask for something: accepting them, and the descriptors there are for that.
 
 use super::net::{ACCEPT, Net, PART};
+use crate::net::management::PLACES;
 use crate::net::rpc::Rpc;
 use cottonnotch_decision::Micros;
 use cottonnotch_reactor::Key;
@@ -128,7 +129,9 @@
 fn has_room(net: &Net, rpcs: usize, wanted: Wanted) -> bool {
     let (connections, sockets) = (net.reactor.connections(), net.config.sockets);
     // An RPC counts two: the client's, which is among the connections, and the subchannel's.
-    let free = sockets.saturating_sub(RESERVED_SOCKETS + connections + rpcs);
+    // Operators' places are kept for them whether they are there or not: a flood of clients must not take them.
+    let reserved = RESERVED_SOCKETS + if net.config.mgmt.is_some() { PLACES + 1 } else { 0 };
+    let free = sockets.saturating_sub(reserved + connections + rpcs);
     match wanted {
         Wanted::Call => free > 0,
         // RPCs whose clients have just left may still be counted, and are no connections any more.
--- a/crates/cottonnotch/src/net/driver/calls.rs
+++ b/crates/cottonnotch/src/net/driver/calls.rs
@@ -8,6 +8,8 @@
 #[derive(Debug)]
 pub struct Call {
     pub id: RequestId,
+    /// Its class, by the settings' number.
+    pub class: u32,
     /// Its id on the wire.
     pub wire_id: u64,
     /// Where its latest attempt went, and that attempt's number.
@@ -22,8 +24,8 @@
 
 impl Call {
     /// One that nothing was done for yet.
-    pub fn new(id: RequestId, wire_id: u64, group: Option<u64>) -> Self {
-        Call { id, wire_id, at: None, attempts: 0, began: None, group, stage: Stage::Owed }
+    pub fn new(id: RequestId, class: u32, wire_id: u64, group: Option<u64>) -> Self {
+        Call { id, class, wire_id, at: None, attempts: 0, began: None, group, stage: Stage::Owed }
     }
 
     /// The latest attempt's number among all that were made, those that reopen a connection too.
--- a/crates/cottonnotch/src/net/driver/clients.rs
+++ b/crates/cottonnotch/src/net/driver/clients.rs
@@ -36,7 +36,7 @@
     /// A client was turned away with an error; if it had asked already, that was its answer.
     pub fn turned_away(
         &mut self,
-        net: &Net,
+        net: &mut Net,
         messages: &mut Messages,
         key: Key,
         why: &Objection,
@@ -47,7 +47,7 @@
             return [None, None];
         };
         end_attempt(net, &mut call, Outcome::Cancelled);
-        net.records.failed(call.id, why);
+        net.records.failed(&call, why);
         gone(call)
     }
 
@@ -86,19 +86,21 @@
     ) -> Option<Event> {
         if let Some(why) = self.objection(&net.config, &wish) {
             self.log_rejection(net, &why);
-            net.records.turned_away(|| why.to_string().into());
+            let class = net.config.profile.class(&wish.class);
+            net.records.objected(class, || why.to_string().into());
             net.with_front(key, |front, io| front.fail(io, &why));
             return None;
         }
         if !arrivals.make_room_for_call(net, self.calls.len()) {
-            self.left_out(net, key);
+            self.left_out(net, key, &wish);
             return None;
         }
         let profile = &net.config.profile;
+        let class = profile.class(&wish.class)?;
         let id = self.calls.new_id();
         let request = Request {
             id,
-            class: ClassId(profile.class(&wish.class)? as u16),
+            class: ClassId(class as u16),
             tenant: wish.tenant.and_then(|t| profile.tenants.find(&t)).map(|t| TenantId(t as u16)),
             left: wish.left,
             load_hint: wish.load_hint,
@@ -106,7 +108,7 @@
             again: wish.again,
         };
         net.records.request(&request, wish.id);
-        let call = Call::new(id, wish.id, wish.group);
+        let call = Call::new(id, class, wish.id, wish.group);
         // One that names a subchannel which is not known is a new connection like any other.
         match wish.at.and_then(|at| subchannels.find(&at)) {
             None => {
@@ -123,7 +125,7 @@
     }
 
     /// Guards against running out of descriptors: one that waited unanswered would not come again.
-    fn left_out(&mut self, net: &mut Net, key: Key) {
+    fn left_out(&mut self, net: &mut Net, key: Key, wish: &Wish) {
         if let Some(more) = self.crowded.due(net.now()) {
             let (rpcs, sockets) = (self.calls.len(), net.config.sockets);
             log::warn!(
@@ -131,7 +133,8 @@
                 "out of sockets, a client gets the unavailable status ({more} more since)"
             );
         }
-        net.records.turned_away(|| "out of sockets".into());
+        let class = net.config.profile.class(&wish.class);
+        net.records.left_out(class, || "out of sockets".into());
         net.with_front(key, |front, io| front.unavailable(io, FULL_RETRY_AFTER));
     }
 
@@ -196,7 +199,7 @@
     /// An attempt's subchannel took it.
     pub fn up(
         &mut self,
-        net: &Net,
+        net: &mut Net,
         messages: &mut Messages,
         subchannels: &Subchannels,
         key: Key,
@@ -205,7 +208,7 @@
         let call = self.calls.get_mut(key)?;
         let (server, attempt) = call.at?;
         call.began = None;
-        net.records.up(call.id, call.latest(), || subchannels.shared_name(server), elapsed);
+        net.records.up(call, || subchannels.shared_name(server), elapsed);
         let (event, setup) = match std::mem::replace(&mut call.stage, Stage::Up) {
             Stage::Reopening(request) => (Event::Open { request: *request, server }, None),
             _ => (Event::Established { request: call.id, attempt, server, elapsed }, Some(elapsed)),
@@ -218,32 +221,32 @@
 
     /// A final answer that the module has decided on: the unavailable status.
     pub fn refuse(&mut self, net: &mut Net, messages: &mut Messages, request: RequestId, after: Micros) {
-        if self.answer(net, messages, request, |front, io| front.unavailable(io, after)) {
-            net.records.refused(request, after);
+        if let Some(call) = self.answer(net, messages, request, |front, io| front.unavailable(io, after)) {
+            net.records.refused(&call, after);
         }
     }
 
     /// A final answer that the module has decided on: a failure.
     pub fn fail(&mut self, net: &mut Net, messages: &mut Messages, request: RequestId) {
         let why = &"no attempt went well";
-        if self.answer(net, messages, request, |front, io| front.fail(io, why)) {
-            net.records.failed(request, why);
+        if let Some(call) = self.answer(net, messages, request, |front, io| front.fail(io, why)) {
+            net.records.failed(&call, why);
         }
     }
 
-    /// False: none was given.
+    /// `None`: no answer was given.
     fn answer(
         &mut self,
         net: &mut Net,
         messages: &mut Messages,
         request: RequestId,
         give: impl FnOnce(&mut dyn Front, &mut Io) -> bool,
-    ) -> bool {
+    ) -> Option<Call> {
         let key = self.calls.key(request);
         invariant!(key.is_some(), "a final answer is given once, to a request that is owed one");
         // One that left or was turned away is forgotten when the report of that has its turn.
         let given = key.filter(|key| net.with_front(*key, give) == Some(true));
-        given.and_then(|key| self.forget(messages, key)).is_some()
+        given.and_then(|key| self.forget(messages, key))
     }
 
     /// Why the module moves it.
@@ -311,7 +314,7 @@
                 }
                 _ => {
                     end_attempt(net, &mut call, Outcome::Cancelled);
-                    net.records.refused(call.id, 0);
+                    net.records.refused(&call, 0);
                 }
             }
         }
--- a/crates/cottonnotch/src/net/driver/lifecycle.rs
+++ b/crates/cottonnotch/src/net/driver/lifecycle.rs
@@ -65,6 +65,12 @@
                 "listen cannot change while clients are served, still at {}", self.address
             );
         }
+        if new.mgmt != old.mgmt {
+            log::warn!(
+                target: PART, key = "mgmt";
+                "mgmt cannot change while clients are served, the old one stays"
+            );
+        }
         if new.tier != old.tier {
             log::warn!(
                 target: PART, key = "peers";
@@ -84,7 +90,16 @@
         net.reactor.io.buffer_bound = new.buffer_bound;
         let event = Event::Settings(Box::new(profile.settings.clone()));
         let (known, tier) = (old.known.clone(), old.tier.clone());
-        net.config = Config { listen: old.listen, seed: old.seed, known, tier, profile, operator, ..new };
+        net.config = Config {
+            listen: old.listen,
+            mgmt: old.mgmt,
+            seed: old.seed,
+            known,
+            tier,
+            profile,
+            operator,
+            ..new
+        };
         Some(Reloaded { event, moved })
     }
 
@@ -112,6 +127,11 @@
         Some(Round { leaving, is_last: shutdown.is_last(now) })
     }
 
+    /// A shutdown goes on.
+    pub fn is_leaving(&self) -> bool {
+        self.shutdown.is_some()
+    }
+
     /// A shutdown is over.
     pub fn is_over(&self, now: Micros) -> bool {
         self.shutdown.is_some_and(|shutdown| shutdown.is_over(now))
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -13,6 +13,7 @@
 mod clients;
 mod gossip;
 mod lifecycle;
+mod management;
 mod messages;
 mod net;
 mod records;
@@ -20,6 +21,8 @@
 mod subchannels;
 
 use super::happening::{Happening, Object};
+use super::management::figures::Gauges;
+use super::management::{Answer, Call};
 use super::message_delay::Note;
 use super::resolver_result::ResolverResult;
 use crate::config::Config;
@@ -29,10 +32,11 @@
 use cottonnotch_reactor::listener::Listener;
 use cottonnotch_reactor::seldom::Seldom;
 use cottonnotch_reactor::signals::{SIGHUP, SIGTERM, Signals};
-use cottonnotch_reactor::{Clock, Reactor};
+use cottonnotch_reactor::{Clock, Key, Reactor};
 use cottonnotch_records::{MoveReason, Recorder};
 use gossip::Peers;
 use lifecycle::{Lifecycle, Reloaded, Reread, Round};
+use management::Management;
 use messages::Messages;
 use net::Net;
 use records::Records;
@@ -56,6 +60,7 @@
     subchannels: Subchannels,
     lifecycle: Lifecycle,
     peers: Peers,
+    management: Management,
     holding: Seldom,
 }
 
@@ -85,6 +90,7 @@
         let mut driver = Driver {
             messages: Messages::start(&mut net),
             peers: Peers::start(&mut net)?,
+            management: Management::start(&mut net)?,
             net,
             balancer,
             pending: VecDeque::new(),
@@ -133,6 +139,10 @@
             Happening::Acceptable => self.arrivals.acceptable(net, self.clients.calls().len()),
             Happening::Timer(net::ACCEPT) => self.arrivals.accept_again(net, self.clients.calls().len()),
 
+            Happening::Callable => self.management.acceptable(net),
+            Happening::Timer(net::CALLERS) => self.management.accept_again(net),
+            Happening::Called(caller, call) => self.called(caller, &call),
+
             Happening::TurnedAway { rpc, why } => {
                 for event in self.clients.turned_away(net, messages, rpc, &why) {
                     self.tell(event);
@@ -142,6 +152,7 @@
                 let event = self.clients.asked(net, &mut self.arrivals, &self.subchannels, key, wish);
                 self.tell(event);
             }
+            Happening::Written => net.records.written(),
             Happening::Up { rpc, elapsed } => {
                 let event = self.clients.up(net, messages, &self.subchannels, rpc, elapsed);
                 self.tell(event);
@@ -233,6 +244,19 @@
         }
     }
 
+    /// An operator calls; the answer is given in this turn.
+    fn called(&mut self, caller: Key, call: &Call) {
+        let answer = match call {
+            Call::Status => self.management.status(self.lifecycle.is_leaving(), &self.subchannels),
+            Call::Metrics => {
+                let (known, skipped) = self.subchannels.gauges(self.net.now());
+                let gauges = Gauges { in_progress: self.clients.calls().len(), known, skipped };
+                Answer::yes(self.net.records.figures().text(gauges))
+            }
+        };
+        self.management.answer(&mut self.net, caller, &answer);
+    }
+
     fn round(&mut self) {
         let round = self.lifecycle.round(&mut self.net, self.clients.calls());
         let Some(Round { leaving, is_last }) = round else { return };
@@ -301,6 +325,7 @@
                 None
             }
             Action::Believe { server, belief } => {
+                self.subchannels.believed(server, belief);
                 net.records.believes(|| self.subchannels.shared_name(server), belief);
                 None
             }
--- a/crates/cottonnotch/src/net/driver/net.rs
+++ b/crates/cottonnotch/src/net/driver/net.rs
@@ -12,6 +12,7 @@
 pub const REOPEN: u32 = TICK + 2;
 pub const ACCEPT: u32 = TICK + 3;
 pub const GOSSIP: u32 = TICK + 4;
+pub const CALLERS: u32 = TICK + 5;
 
 /// The driver's part in the log, whichever of its files writes the line: filters and collectors know it by this.
 pub const PART: &str = "cottonnotch::net::driver";
--- a/crates/cottonnotch/src/net/driver/records.rs
+++ b/crates/cottonnotch/src/net/driver/records.rs
@@ -1,6 +1,9 @@
-//! What happens here, for the program's records (`docs/records.md`): the module's terms become the schema's. While
-//! records are off, each call costs a comparison.
+//! What happens here, for the program's records (`docs/records.md`) and for the figures (`docs/ops/status.md`): the
+//! module's terms become the schema's. One note of an ending feeds both. While records are off, each call costs a
+//! comparison and at most a count.
 
+use super::calls::Call;
+use crate::net::management::figures::Figures;
 use cottonnotch_decision::settings::Profile;
 use cottonnotch_decision::{Belief, Entry, Listed, Micros, Outcome, Request, RequestId};
 use cottonnotch_gossip::State;
@@ -15,13 +18,15 @@
 /// The records, and the names that the settings' numbers stand for: made once, since most records have one.
 pub struct Records {
     recorder: Recorder,
+    figures: Figures,
     classes: Vec<Name>,
     tenants: Vec<Name>,
 }
 
 impl Records {
     pub fn new(recorder: Recorder, profile: &Profile) -> Self {
-        let mut records = Records { recorder, classes: Vec::new(), tenants: Vec::new() };
+        let mut records =
+            Records { recorder, figures: Figures::default(), classes: Vec::new(), tenants: Vec::new() };
         records.set(profile);
         records
     }
@@ -29,9 +34,15 @@
     /// The settings have changed.
     pub fn set(&mut self, Profile { settings, classes, tenants, .. }: &Profile) {
         self.classes = (0..settings.classes.len()).map(|i| classes.name(i as u32).into()).collect();
+        self.figures.classes((0..settings.classes.len()).map(|i| classes.name(i as u32)));
         self.tenants = (0..settings.tenants.len()).map(|i| tenants.name(i as u32).into()).collect();
     }
 
+    /// The counts so far.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
     /// A list, or changes of it, was taken; each entry with its name and address.
     pub fn list<'a>(
         &self,
@@ -105,13 +116,9 @@
     }
 
     /// An attempt brought `UP`, which is the final answer.
-    pub fn up(
-        &self,
-        RequestId(request): RequestId,
-        attempt: u32,
-        subchannel: impl FnOnce() -> Name,
-        took: Micros,
-    ) {
+    pub fn up(&mut self, call: &Call, subchannel: impl FnOnce() -> Name, took: Micros) {
+        self.figures.passed(call.class);
+        let (request, attempt) = (call.id.0, call.latest());
         self.recorder.record_with(|| Event::Up {
             request,
             attempt,
@@ -121,16 +128,37 @@
         self.recorder.record_with(|| Event::Answer { request, answer: Answer::Up });
     }
 
-    pub fn refused(&self, RequestId(request): RequestId, retry_after: Micros) {
+    pub fn refused(&mut self, call: &Call, retry_after: Micros) {
+        self.figures.dropped(call.class);
+        let request = call.id.0;
         let answer = || Answer::Refused { retry_after_ms: millis(retry_after) };
         self.recorder.record_with(|| Event::Answer { request, answer: answer() });
     }
 
-    pub fn failed(&self, RequestId(request): RequestId, why: &dyn Display) {
+    pub fn failed(&mut self, call: &Call, why: &dyn Display) {
+        self.figures.failed(call.class);
+        let request = call.id.0;
         let answer = || Answer::Failed { why: why.to_string().into() };
         self.recorder.record_with(|| Event::Answer { request, answer: answer() });
     }
 
+    /// The last byte of an attempt's first line was written.
+    pub fn written(&mut self) {
+        self.figures.tried();
+    }
+
+    /// A client of this class, if it is one of the settings', got an error before it had a request.
+    pub fn objected(&mut self, class: Option<u32>, why: impl FnOnce() -> Why) {
+        class.into_iter().for_each(|class| self.figures.failed(class));
+        self.turned_away(why);
+    }
+
+    /// A client of this class got the unavailable status before it had a request.
+    pub fn left_out(&mut self, class: Option<u32>, why: impl FnOnce() -> Why) {
+        class.into_iter().for_each(|class| self.figures.dropped(class));
+        self.turned_away(why);
+    }
+
     /// A client got an error or the unavailable status, and had no request.
     pub fn turned_away(&self, why: impl FnOnce() -> Why) {
         self.recorder.record_with(|| Event::TurnedAway { why: why() });
@@ -149,12 +177,14 @@
     }
 
     /// A new configuration counts.
-    pub fn reload_taken(&self) {
+    pub fn reload_taken(&mut self) {
+        self.figures.loaded(true);
         self.recorder.record_with(|| Event::Reload { reload: Reload::Taken });
     }
 
     /// A new configuration is faulty.
-    pub fn reload_kept(&self, why: &dyn Display) {
+    pub fn reload_kept(&mut self, why: &dyn Display) {
+        self.figures.loaded(false);
         let reload = || Reload::Kept { why: why.to_string().into() };
         self.recorder.record_with(|| Event::Reload { reload: reload() });
     }
--- a/crates/cottonnotch/src/net/driver/subchannels.rs
+++ b/crates/cottonnotch/src/net/driver/subchannels.rs
@@ -5,7 +5,7 @@
 use crate::net::resolver::Watch;
 use crate::net::resolver_result::ResolverResult;
 use cottonnotch_decision::names::{Names, digest};
-use cottonnotch_decision::{Entry, Event, Listed, Micros, ServerId, ZoneId};
+use cottonnotch_decision::{Belief, Entry, Event, Listed, Micros, ServerId, ZoneId};
 use cottonnotch_reactor::Key;
 use cottonnotch_records::Name;
 use std::net::SocketAddr;
@@ -17,6 +17,14 @@
     state: Listed,
     address: Option<SocketAddr>,
     started: Option<Micros>,
+    /// What the module last said of it.
+    belief: Belief,
+}
+
+impl Subchannel {
+    fn is_listed(&self) -> bool {
+        self.state != Listed::Gone
+    }
 }
 
 /// All that were ever listed.
@@ -40,6 +48,9 @@
     ) -> Event {
         let ResolverResult { revision, complete: full, members } = result;
         self.revision = revision;
+        if full {
+            self.known.iter_mut().for_each(|subchannel| subchannel.state = Listed::Gone);
+        }
         let mut entries = Vec::with_capacity(members.len());
         for member in members {
             // Numbers are never given anew: a member that restarts or moves keeps its number.
@@ -47,7 +58,14 @@
             if self.known.len() <= number as usize {
                 // Numbers are given in order, so the new one's place is the next.
                 let name = member.id.as_str().into();
-                self.known.push(Subchannel { name, state: member.state, address: None, started: None });
+                let belief = Belief::default();
+                self.known.push(Subchannel {
+                    name,
+                    state: member.state,
+                    address: None,
+                    started: None,
+                    belief,
+                });
             }
             let subchannel = &mut self.known[number as usize];
             subchannel.state = member.state;
@@ -137,6 +155,23 @@
         self.known.get(server.0 as usize).map_or_else(|| "-".into(), |s| Name::clone(&s.name))
     }
 
+    /// The module believes this of it from now on.
+    pub fn believed(&mut self, server: ServerId, belief: Belief) {
+        self.known.get_mut(server.0 as usize).into_iter().for_each(|s| s.belief = belief);
+    }
+
+    /// Some subchannel may get new RPCs, as far as lists tell.
+    pub fn can_place(&self) -> bool {
+        self.known.iter().any(|s| s.state == Listed::Ready)
+    }
+
+    /// How many are listed, and how many of these get nothing new now though discovery says that they may.
+    pub fn gauges(&self, now: Micros) -> (usize, usize) {
+        let paused = |s: &&Subchannel| matches!(s.belief, Belief::Paused { until } if until > now);
+        let listed = || self.known.iter().filter(|s| s.is_listed());
+        (listed().count(), listed().filter(paused).count())
+    }
+
     /// The list says that it drains.
     pub fn is_draining(&self, server: ServerId) -> bool {
         self.known.get(server.0 as usize).is_some_and(|s| s.state == Listed::Draining)
--- a/crates/cottonnotch/src/net/happening.rs
+++ b/crates/cottonnotch/src/net/happening.rs
@@ -3,6 +3,7 @@
 //! a connection would be another.
 
 use super::datagrams::Datagrams;
+use super::management::{Call, Caller};
 use super::objection::Objection;
 use super::resolver_result::ResolverResult;
 use cottonnotch_decision::{Micros, Outcome};
@@ -53,6 +54,8 @@
     AttemptEnded { rpc: Key, outcome: Outcome },
     /// The subchannel returned nothing any more, and the client was moved; the connection's end is told next.
     Silent { rpc: Key },
+    /// The last byte of a call attempt's first line was written.
+    Written,
     /// A connection that was up has ended; nothing more is owed.
     Ended { rpc: Key, outcome: Outcome },
     /// The client left before it had an answer.
@@ -67,6 +70,10 @@
     ResolverLost { watch: Key, why: String },
     /// Datagrams have come from other proxies, each with its sender's address.
     Datagrams(Vec<(SocketAddr, Vec<u8>)>),
+    /// Operators wait to be let in.
+    Callable,
+    /// An operator calls; the caller waits for its answer.
+    Called(Key, Call),
     /// The process was asked to stop.
     Terminate,
     /// The configuration is to be read again.
@@ -90,6 +97,10 @@
     fn front(&mut self) -> Option<&mut dyn Front> {
         None
     }
+    /// The object as an operator's connection, if it is one.
+    fn caller(&mut self) -> Option<&mut Caller> {
+        None
+    }
     /// The object as the socket between proxies, if it is that.
     fn datagrams(&mut self) -> Option<&mut Datagrams> {
         None
--- /dev/null
+++ b/crates/cottonnotch/src/net/management/call.rs
@@ -0,0 +1,98 @@
+//! What operators may call, and what they may be answered.
+
+use cottonnotch_reactor::http_server::{BadRequest, Request, response};
+
+/// A call that is understood.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process is ready to serve.
+    Status,
+    /// The figures.
+    Metrics,
+}
+
+/// What a call is answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    status: u16,
+    allow: Option<&'static str>,
+    body: String,
+}
+
+impl Answer {
+    fn new(status: u16, body: impl Into<String>) -> Self {
+        Answer { status, allow: None, body: body.into() }
+    }
+
+    /// It is so, or was done.
+    pub fn yes(body: impl Into<String>) -> Self {
+        Self::new(200, body)
+    }
+
+    /// What the call names is not known.
+    pub fn unknown(body: impl Into<String>) -> Self {
+        Self::new(404, body)
+    }
+
+    /// Not now.
+    pub fn unready(body: impl Into<String>) -> Self {
+        Self::new(503, body)
+    }
+
+    /// The answer as it goes over the wire.
+    pub fn encode(&self) -> Vec<u8> {
+        response(self.status, self.allow, &self.body)
+    }
+}
+
+impl From<BadRequest> for Answer {
+    fn from(bad: BadRequest) -> Self {
+        Answer::new(bad.status(), format!("{bad}\n"))
+    }
+}
+
+impl Call {
+    /// What a request calls for; an answer if it is nothing of ours.
+    pub fn read(request: &Request) -> Result<Call, Answer> {
+        let method = request.method.as_str();
+        let only = |wanted: &'static str| {
+            let body = format!("{} takes {wanted} only\n", request.path);
+            if method == wanted {
+                Ok(())
+            } else {
+                Err(Answer { allow: Some(wanted), ..Answer::new(405, body) })
+            }
+        };
+        match request.path.as_str() {
+            "/status" => only("GET").map(|()| Call::Status),
+            "/status/metrics" => only("GET").map(|()| Call::Metrics),
+            _ => Err(Answer::unknown("there is nothing of that name\n")),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(method: &str, path: &str, body: &[u8]) -> Result<Call, u16> {
+        let request = Request { method: method.to_owned(), path: path.to_owned(), body: body.to_vec() };
+        Call::read(&request).map_err(|answer| answer.status)
+    }
+
+    #[test]
+    fn calls_are_told_apart_and_the_rest_gets_its_code() {
+        assert_eq!(read("GET", "/status", b""), Ok(Call::Status));
+        assert_eq!(read("GET", "/status/metrics", b""), Ok(Call::Metrics));
+        assert_eq!(read("GET", "/status/", b""), Err(404));
+        assert_eq!(read("POST", "/status", b""), Err(405));
+    }
+
+    #[test]
+    fn a_wrong_method_is_told_the_right_one() {
+        let request = Request { method: "PUT".to_owned(), path: "/status".to_owned(), body: Vec::new() };
+        let answer = String::from_utf8(Call::read(&request).unwrap_err().encode()).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 405 Method Not Allowed\r\n"), "{answer}");
+        assert!(answer.contains("\r\nAllow: GET\r\n"), "{answer}");
+    }
+}
--- /dev/null
+++ b/crates/cottonnotch/src/net/management/caller.rs
@@ -0,0 +1,125 @@
+//! One operator's connection: reads a call, reports it, writes the answer, and ends.
+
+use super::call::{Answer, Call};
+use crate::net::happening::{Happening, Io, Object};
+use cottonnotch_decision::Micros;
+use cottonnotch_reactor::http_server::{BadRequest, RequestReader};
+use cottonnotch_reactor::line::{Fill, LineStream};
+use cottonnotch_reactor::{Connection, Key, Leg};
+use mio::net::TcpStream;
+use std::io;
+
+/// A call is whole after this, or it is answered so. Guards against callers that send nothing, half a call, or a byte
+/// at a time.
+const CALL_WITHIN: Micros = 2_000_000;
+/// A caller that was answered is given this long to read and to close: one that never reads costs a place no longer.
+const LINGER: Micros = 1_000_000;
+
+#[derive(Debug)]
+enum State {
+    Reading(RequestReader),
+    /// The call was told to the driver, which answers in the same turn of the loop.
+    Asked,
+    Answered,
+    Closed,
+}
+
+/// A caller, from its connection's beginning to its end.
+#[derive(Debug)]
+pub struct Caller {
+    key: Key,
+    stream: LineStream,
+    state: State,
+    until: Micros,
+}
+
+impl Caller {
+    /// Takes over an accepted connection.
+    pub fn accepted(stream: TcpStream, key: Key, io: &mut Io) -> io::Result<Self> {
+        let stream = LineStream::accepted(stream, io, key)?;
+        let until = io.now() + CALL_WITHIN;
+        io.timer(until, key, 0);
+        Ok(Caller { key, stream, state: State::Reading(RequestReader::default()), until })
+    }
+
+    /// Answers; nothing if the caller was answered before.
+    pub fn answer(&mut self, io: &mut Io, answer: &Answer) {
+        if let State::Answered | State::Closed = self.state {
+            return;
+        }
+        self.stream.push(&answer.encode());
+        self.stream.finish();
+        self.state = match self.stream.flush() {
+            Ok(_) => State::Answered,
+            Err(_) => State::Closed,
+        };
+        self.until = io.now() + LINGER;
+        io.timer(self.until, self.key, 0);
+        // What came after the call is read away: a close with bytes unread would reset the connection, and could take
+        // the answer with it.
+        io.call_again(self.key, Leg::Near);
+    }
+
+    fn read(&mut self, io: &mut Io) {
+        let State::Reading(reader) = &mut self.state else { return };
+        let fill = self.stream.fill();
+        let read = reader.feed(&self.stream.take_rest());
+        match (read, fill) {
+            (Ok(Some(request)), _) => match Call::read(&request) {
+                Ok(call) => {
+                    self.state = State::Asked;
+                    io.tell(Happening::Called(self.key, call));
+                }
+                Err(answer) => self.answer(io, &answer),
+            },
+            (Err(bad), _) => self.answer(io, &bad.into()),
+            (Ok(None), Fill::Blocked) => {}
+            (Ok(None), Fill::More) => io.call_again(self.key, Leg::Near),
+            // Half a call, and no more to come: it may still read why.
+            (Ok(None), Fill::Ended) => self.answer(io, &BadRequest::Malformed.into()),
+            (Ok(None), Fill::Broken(_)) => self.state = State::Closed,
+        }
+    }
+}
+
+impl Connection for Caller {
+    type Report = Happening;
+
+    fn readable(&mut self, io: &mut Io, _: Leg) {
+        match self.state {
+            State::Reading(_) => self.read(io),
+            State::Answered => match self.stream.discard() {
+                Fill::Ended | Fill::Broken(_) => self.state = State::Closed,
+                Fill::More => io.call_again(self.key, Leg::Near),
+                Fill::Blocked => {}
+            },
+            State::Asked | State::Closed => {}
+        }
+    }
+
+    fn writable(&mut self, _: &mut Io, _: Leg) {
+        if self.stream.flush().is_err() {
+            self.state = State::Closed;
+        }
+    }
+
+    fn timer(&mut self, io: &mut Io, _: u32) {
+        if io.now() < self.until {
+            return;
+        }
+        match self.state {
+            State::Reading(_) => self.answer(io, &BadRequest::Late.into()),
+            _ => self.state = State::Closed,
+        }
+    }
+
+    fn done(&self) -> bool {
+        matches!(self.state, State::Closed)
+    }
+}
+
+impl Object for Caller {
+    fn caller(&mut self) -> Option<&mut Caller> {
+        Some(self)
+    }
+}
--- /dev/null
+++ b/crates/cottonnotch/src/net/management/figures.rs
@@ -0,0 +1,159 @@
+//! What operators' tools fetch: counts since the process began, and gauges. Where an ending is noted for the records it
+//! is counted here too, so that the two can't tell different stories.
+
+use std::collections::HashMap;
+use std::fmt::Write;
+
+/// How the requests of one class were answered.
+#[derive(Debug, Default)]
+struct Handled {
+    /// As the name goes over the wire.
+    name: String,
+    passed: u64,
+    dropped: u64,
+    bad_gateway: u64,
+}
+
+/// Values of the moment, which the driver knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Gauges {
+    /// Requests taken and not ended.
+    pub in_progress: usize,
+    /// Subchannels in the list.
+    pub known: usize,
+    /// Those of them that get nothing new now, by hand or by the module's choice.
+    pub skipped: usize,
+}
+
+/// The counts.
+#[derive(Debug, Default)]
+pub struct Figures {
+    handled: Vec<Handled>,
+    /// Places in `handled` by the settings' number of a class: numbers of one name share a place.
+    places: Vec<usize>,
+    by_name: HashMap<String, usize>,
+    upstream_tries: u64,
+    loads: u64,
+    load_errors: u64,
+}
+
+impl Figures {
+    /// The settings have these classes now, in the order of their numbers. One that was dropped keeps its counts.
+    pub fn classes<'a>(&mut self, names: impl Iterator<Item = &'a str>) {
+        self.places.clear();
+        for name in names {
+            let place = *self.by_name.entry(name.to_owned()).or_insert_with(|| {
+                self.handled.push(Handled { name: plain(name), ..Handled::default() });
+                self.handled.len() - 1
+            });
+            self.places.push(place);
+        }
+    }
+
+    fn handled(&mut self, class: u32) -> Option<&mut Handled> {
+        let place = *self.places.get(class as usize)?;
+        self.handled.get_mut(place)
+    }
+
+    /// A connection was brought up.
+    pub fn passed(&mut self, class: u32) {
+        self.handled(class).into_iter().for_each(|handled| handled.passed += 1);
+    }
+
+    /// A request was refused.
+    pub fn dropped(&mut self, class: u32) {
+        self.handled(class).into_iter().for_each(|handled| handled.dropped += 1);
+    }
+
+    /// A request failed.
+    pub fn failed(&mut self, class: u32) {
+        self.handled(class).into_iter().for_each(|handled| handled.bad_gateway += 1);
+    }
+
+    /// The last byte of a call attempt's first line was written.
+    pub fn tried(&mut self) {
+        self.upstream_tries += 1;
+    }
+
+    /// A configuration was taken on SIGHUP, or turned down.
+    pub fn loaded(&mut self, taken: bool) {
+        if taken {
+            self.loads += 1;
+        } else {
+            self.load_errors += 1;
+        }
+    }
+
+    /// All of it, a figure a line.
+    pub fn text(&self, gauges: Gauges) -> String {
+        let mut text = String::new();
+        let mut line = |name: &str, value: u64, kind: char| {
+            // A text takes whatever is written.
+            let _ = writeln!(text, "svc.{name}:{value}|{kind}");
+        };
+        for Handled { name, passed, dropped, bad_gateway } in &self.handled {
+            line(&format!("handled.{name}.passed"), *passed, 'c');
+            line(&format!("handled.{name}.dropped"), *dropped, 'c');
+            line(&format!("handled.{name}.bad_gateway"), *bad_gateway, 'c');
+        }
+        line("upstream_tries", self.upstream_tries, 'c');
+        line("loads", self.loads, 'c');
+        line("load_errors", self.load_errors, 'c');
+        line("in_progress", gauges.in_progress as u64, 'g');
+        line("known_render_nodes", gauges.known as u64, 'g');
+        line("skipped_render_nodes", gauges.skipped as u64, 'g');
+        text
+    }
+}
+
+/// A class's name without what would end a name, a value or a line: that is written as `%` and two digits.
+fn plain(name: &str) -> String {
+    let mut plain = String::new();
+    for byte in name.bytes() {
+        if byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_') {
+            plain.push(char::from(byte));
+        } else {
+            let _ = write!(plain, "%{byte:02x}");
+        }
+    }
+    plain
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_class_is_there_from_the_first_moment_and_stays() {
+        let mut figures = Figures::default();
+        figures.classes(["look", "edit"].into_iter());
+        let gauges = Gauges { in_progress: 3, known: 2, skipped: 1 };
+        let text = figures.text(gauges);
+        assert!(text.starts_with("svc.handled.look.passed:0|c\nsvc.handled.look.dropped:0|c\n"), "{text}");
+        assert!(
+            text.ends_with("svc.in_progress:3|g\nsvc.known_render_nodes:2|g\nsvc.skipped_render_nodes:1|g\n")
+        );
+        figures.passed(1);
+        figures.failed(0);
+        // `edit` goes, and comes back under another number.
+        figures.classes(["look", "print"].into_iter());
+        figures.dropped(1);
+        figures.classes(["look", "print", "edit"].into_iter());
+        figures.passed(2);
+        figures.passed(9);
+        let text = figures.text(gauges);
+        for line in ["look.bad_gateway:1|c", "edit.passed:2|c", "print.dropped:1|c", "print.passed:0|c"] {
+            assert!(text.contains(&format!("svc.handled.{line}\n")), "{line}: {text}");
+        }
+    }
+
+    #[test]
+    fn no_name_breaks_the_format() {
+        let mut figures = Figures::default();
+        figures.classes(["a:1|c\nsvc.b", "ok-name_2"].into_iter());
+        let text = figures.text(Gauges::default());
+        assert!(text.contains("svc.handled.a%3a1%7cc%0asvc%2eb.passed:0|c\n"), "{text}");
+        assert!(text.contains("svc.handled.ok-name_2.passed:0|c\n"), "{text}");
+        assert!(text.lines().all(|line| line.matches(':').count() == 1 && line.matches('|').count() == 1));
+    }
+}
--- a/crates/cottonnotch/src/net/mod.rs
+++ b/crates/cottonnotch/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod driver;
 mod happening;
 mod invariant;
+mod management;
 mod message_delay;
 mod objection;
 mod open_line;
--- a/crates/cottonnotch/src/net/rpc.rs
+++ b/crates/cottonnotch/src/net/rpc.rs
@@ -166,7 +166,11 @@
 
     fn advance(&mut self, io: &mut Io) {
         let State::Attempting(attempt) = &mut self.state else { return };
-        match attempt.advance() {
+        let progress = attempt.advance();
+        if attempt.newly_written() {
+            io.tell(Happening::Written);
+        }
+        match progress {
             Progress::Pending => {}
             Progress::Again => io.call_again(self.key, Leg::Far),
             Progress::Ended(outcome) => self.attempt_ended(io, outcome),
--- /dev/null
+++ b/crates/cottonnotch/tests/management.rs
@@ -0,0 +1,158 @@
+//! Stories of operators: what they are told, whatever else goes on.
+
+mod peers;
+use peers::*;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+const TWO_CLASSES: &str = r#"{"balancers":1,"ordinal":0,"zones":["a"],"zone":"a","registryMode":"on_request",
+    "policyLimits":{"mostTries":2,"connectTimeout":250000,"retryAfter":true,"maxRetryAfter":1000000},
+    "familyInfo":{"messageAim":[150000.0]},
+    "requestClasses":[{"name":"look","effect":"safe","target":300000,"deadline":2000000,"gain":1.0},
+        {"name":"print:a","effect":"unsafe","target":300000,"deadline":2000000,"gain":1.0}]}"#;
+
+#[test]
+fn the_status_is_yes_only_while_clients_can_be_served() {
+    let node = Scripted::new();
+    let mut proxy = Proxy::managed(&[], 1024, SETTINGS);
+    let (status, why) = proxy.call("GET", "/status", "");
+    assert_eq!(status, 503, "{why}");
+    assert!(why.contains("no render node"), "{why}");
+    let mut watch = proxy.discovery.watched().0;
+    watch.say(&chunk(&list(2, true, &[member("s0", &node, "up")])));
+    within(PATIENCE, "a yes", || (proxy.call("GET", "/status", "").0 == 200).then_some(()));
+    watch.say(&chunk(&list(3, false, &[member("s0", &node, "draining")])));
+    within(PATIENCE, "a no", || (proxy.call("GET", "/status", "").0 == 503).then_some(()));
+    watch.say(&chunk(&list(4, false, &[member("s0", &node, "up")])));
+    within(PATIENCE, "a yes", || (proxy.call("GET", "/status", "").0 == 200).then_some(()));
+    proxy.terminate();
+    proxy.logged("asked to stop");
+    let (status, why) = proxy.call("GET", "/status", "");
+    assert_eq!(status, 503, "{why}");
+    assert!(why.contains("shutting down"), "{why}");
+    assert!(proxy.exited().success());
+}
+
+#[test]
+fn a_call_that_is_none_is_told_why() {
+    let node = Scripted::new();
+    let proxy = Proxy::managed(&[&node], 1024, SETTINGS);
+    assert_eq!(proxy.call("GET", "/metrics", "").0, 404);
+    assert_eq!(proxy.call("DELETE", "/status", "").0, 405);
+    assert_eq!(proxy.call("POST", "/status/metrics", "").0, 405);
+    assert_eq!(proxy.call("GET", "/status", &"x".repeat(2000)).0, 413);
+    for (words, status) in [("OPEN 1 2 c=look\r\n\r\n", 400), ("GET /status HTTP/1.1\r\nA", 400)] {
+        let mut caller = Peer::new(TcpStream::connect(proxy.mgmt()).unwrap());
+        caller.say(words);
+        caller.finish();
+        assert_eq!(caller.answer().0, status, "{words:?}");
+    }
+    let mut caller = Peer::new(TcpStream::connect(proxy.mgmt()).unwrap());
+    caller.say(&format!("GET /{} HTTP/1.1\r\n\r\n", "x".repeat(9000)));
+    assert_eq!(caller.answer().0, 431);
+    let mut slow = Peer::new(TcpStream::connect(proxy.mgmt()).unwrap());
+    for byte in "GET /status HTTP/1.1\r\n\r\n".chars() {
+        slow.say(&byte.to_string());
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    assert_eq!(slow.answer().0, 200, "a byte at a time is a call too");
+}
+
+#[test]
+fn operators_are_answered_while_clients_and_mute_operators_crowd_in() {
+    let node = Scripted::new();
+    let proxy = Proxy::managed(&[&node], 128, SETTINGS);
+    // Clients hold every descriptor that they can get, and operators that say nothing every place of theirs.
+    let clients: Vec<Peer> = (0..200).map(|_| proxy.open()).collect();
+    let silent: Vec<TcpStream> = (0..200).map(|_| TcpStream::connect(proxy.address()).unwrap()).collect();
+    let mut mute: Vec<Peer> = (0..40).map(|_| Peer::new(TcpStream::connect(proxy.mgmt()).unwrap())).collect();
+    mute.iter_mut().step_by(2).for_each(|caller| caller.say("GET /status HT"));
+    let mut worst = Duration::ZERO;
+    for _ in 0..30 {
+        let began = Instant::now();
+        assert_eq!(proxy.call("GET", "/status", "").0, 200);
+        assert_eq!(proxy.call("GET", "/status/metrics", "").0, 200);
+        worst = worst.max(began.elapsed() / 2);
+        mute.push(Peer::new(TcpStream::connect(proxy.mgmt()).unwrap()));
+    }
+    println!("worst answer in the flood: {worst:?}");
+    assert!(worst < Duration::from_secs(1), "{worst:?}");
+    drop((clients, silent));
+}
+
+#[test]
+fn a_mute_operator_is_told_that_it_is_late_and_one_that_never_reads_is_let_go() {
+    let node = Scripted::new();
+    let proxy = Proxy::managed(&[&node], 1024, SETTINGS);
+    let mut mute = Peer::new(TcpStream::connect(proxy.mgmt()).unwrap());
+    let began = Instant::now();
+    assert_eq!(mute.answer().0, 408);
+    assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
+    let mut stays = Peer::new(TcpStream::connect(proxy.mgmt()).unwrap());
+    stays.say("GET /status HTTP/1.1\r\n\r\n");
+    let answered = stays.answer().0;
+    assert_eq!(answered, 200);
+    // It keeps its side open; the proxy closes it after a while, and what it says then meets a reset.
+    within(PATIENCE, "the end", || {
+        stays.try_say("more\r\n").err().or_else(|| {
+            std::thread::sleep(Duration::from_millis(50));
+            None
+        })
+    });
+}
+
+#[test]
+fn figures_are_what_clients_and_render_nodes_counted() {
+    let node = Scripted::new();
+    let proxy = Proxy::managed(&[&node], 1024, TWO_CLASSES);
+    let text = proxy.call("GET", "/status/metrics", "").1;
+    for zero in [
+        "handled.look.passed",
+        "handled.look.dropped",
+        "handled.look.bad_gateway",
+        "handled.print%3aa.passed",
+        "upstream_tries",
+        "in_progress",
+        "skipped_render_nodes",
+        "loads",
+        "load_errors",
+    ] {
+        assert!(text.contains(&format!("svc.{zero}:0|")), "{zero}: {text}");
+    }
+    assert!(text.contains("svc.known_render_nodes:1|g\n"), "{text}");
+
+    // Three are brought up, one of them ends.
+    let ups: Vec<(Peer, Peer)> = (0..3).map(|_| proxy.up(&node)).collect();
+    assert_eq!(proxy.figure("in_progress"), Some(3));
+    // One of the other class fails: it may have run, and must not be tried again.
+    let mut fails = proxy.connect();
+    fails.say(&fresh(OPEN).replace("c=look", "c=print:a"));
+    let mut far = node.called().0;
+    far.say("ERR no\r\n");
+    assert!(fails.rest().unwrap().starts_with("ERR "));
+    // The render node is paused for its error, and skipped.
+    assert_eq!(proxy.figure("skipped_render_nodes"), Some(1));
+    // One is refused early, since it can't wait.
+    let mut refused = proxy.connect();
+    refused.say(&fresh(OPEN).replace("d=2000", "d=100"));
+    assert!(refused.rest().unwrap().starts_with("BUSY"));
+    // One asks for what is not offered, and is no class's.
+    let mut stranger = proxy.connect();
+    stranger.say(&fresh(OPEN).replace("c=look", "c=none"));
+    assert!(stranger.rest().unwrap().starts_with("ERR "));
+
+    let figures = |names: &[&str]| names.iter().map(|name| proxy.figure(name).unwrap()).collect::<Vec<_>>();
+    let look = ["handled.look.passed", "handled.look.dropped", "handled.look.bad_gateway"];
+    assert_eq!(figures(&look), [3, 1, 0]);
+    let print = ["handled.print%3aa.passed", "handled.print%3aa.dropped", "handled.print%3aa.bad_gateway"];
+    assert_eq!(figures(&print), [0, 0, 1]);
+    assert_eq!(proxy.figure("upstream_tries"), Some(4), "each attempt that a render node read, and no other");
+    drop(ups);
+    within(PATIENCE, "the ends to be counted", || (proxy.figure("in_progress") == Some(0)).then_some(()));
+    assert_eq!(figures(&look), [3, 1, 0], "an end is no second answer");
+    proxy.reload();
+    proxy.logged("configuration read again");
+    proxy.reconfigure(&[("\"settings\"", "\"settinks\"")]);
+    proxy.logged("configuration kept");
+    assert_eq!((proxy.figure("loads"), proxy.figure("load_errors")), (Some(1), Some(1)));
+}
--- a/crates/cottonnotch/tests/peers/mod.rs
+++ b/crates/cottonnotch/tests/peers/mod.rs
@@ -29,7 +29,7 @@
 pub struct Peer(BufReader<TcpStream>);
 
 impl Peer {
-    fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: TcpStream) -> Self {
         stream.set_nonblocking(false).unwrap();
         stream.set_nodelay(true).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
@@ -40,6 +40,11 @@
         self.0.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
+    /// Says it, or tells why that can't be done.
+    pub fn try_say(&mut self, text: &str) -> std::io::Result<()> {
+        self.0.get_mut().write_all(text.as_bytes())
+    }
+
     /// The next line, its end included; empty at the connection's end.
     pub fn hear(&mut self) -> String {
         let mut line = String::new();
@@ -53,6 +58,13 @@
         self.0.read_to_string(&mut text).map(|_| text)
     }
 
+    /// As an operator: the answer's status code and body, once the connection has ended.
+    pub fn answer(&mut self) -> (u16, String) {
+        let text = self.rest().expect("an answer and an end in time");
+        let (head, body) = text.split_once("\r\n\r\n").expect("a head");
+        (head.split(' ').nth(1).unwrap().parse().unwrap(), body.to_owned())
+    }
+
     /// Ends the connection with a reset.
     pub fn reset(self) {
         socket2::SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
@@ -152,9 +164,24 @@
     log: Receiver<String>,
     config: String,
     path: PathBuf,
+    mgmt: Option<SocketAddr>,
     pub discovery: Scripted,
 }
 
+/// The address in a log line, after these words.
+fn address_after(line: &str, words: &str) -> SocketAddr {
+    let rest = line.split(words).nth(1).unwrap();
+    rest.split(['"', ' ']).next().unwrap().parse().unwrap()
+}
+
+/// An operator's call of any proxy's: the status code, and the body.
+pub fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
+    let mut caller = Peer::new(TcpStream::connect(address).unwrap());
+    let length = body.len();
+    caller.say(&format!("{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n{body}"));
+    caller.answer()
+}
+
 /// Starts the program with a configuration and hands over its log.
 pub fn launch(config: &str) -> (Child, Receiver<String>) {
     let (child, log, _) = launch_by(Command::new(env!("CARGO_BIN_EXE_cottonnotch")), config);
@@ -192,21 +219,55 @@
         Self::by(Command::new(env!("CARGO_BIN_EXE_cottonnotch")), nodes, sockets, settings)
     }
 
+    /// One that operators may call.
+    pub fn managed(nodes: &[&Scripted], sockets: u32, settings: &str) -> Self {
+        let command = Command::new(env!("CARGO_BIN_EXE_cottonnotch"));
+        Self::at(command, "127.0.0.1:0", Some("127.0.0.1:0"), Scripted::new(), nodes, sockets, settings)
+    }
+
+    /// One that operators may call, at an address and with a discovery that another process may share. Its processes
+    /// meet in this folder.
+    pub fn shared(
+        address: SocketAddr,
+        folder: &std::path::Path,
+        discovery: Scripted,
+        nodes: &[&Scripted],
+    ) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cottonnotch"));
+        command.env("TMPDIR", folder);
+        let listen = address.to_string();
+        Self::at(command, &listen, Some("127.0.0.1:0"), discovery, nodes, 1024, SETTINGS)
+    }
+
     /// One that is started by this command.
     pub fn by(command: Command, nodes: &[&Scripted], sockets: u32, settings: &str) -> Self {
-        let discovery = Scripted::new();
+        Self::at(command, "127.0.0.1:0", None, Scripted::new(), nodes, sockets, settings)
+    }
+
+    fn at(
+        command: Command,
+        listen: &str,
+        mgmt: Option<&str>,
+        discovery: Scripted,
+        nodes: &[&Scripted],
+        sockets: u32,
+        settings: &str,
+    ) -> Self {
         let known: Vec<String> =
             nodes.iter().enumerate().map(|(i, node)| member(&format!("s{i}"), node, "up")).collect();
-        let (found, known) = (discovery.address(), list(1, true, &known));
+        let (found, known, mgmt) = (discovery.address(), list(1, true, &known), mgmt.unwrap_or_default());
         let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{found}","seed":"7f","limits":{{"sockets":{sockets}}},
+            r#"{{"name":"n0","listen":"{listen}","mgmt":"{mgmt}","discovery":"{found}","seed":"7f","limits":{{"sockets":{sockets}}},
             "known":{known},"settings":{settings}}}"#
         );
         let (child, log, path) = launch_by(command, &config);
-        let mut proxy = Proxy { child, address: found, log, config, path, discovery };
+        let mut proxy = Proxy { child, address: found, log, config, path, mgmt: None, discovery };
+        if !mgmt.is_empty() {
+            proxy.mgmt =
+                Some(address_after(&proxy.logged("operators may call at "), "operators may call at "));
+        }
         let line = proxy.logged("listens on ");
-        let address = line.split("listens on ").nth(1).unwrap();
-        proxy.address = address.split(['"', ' ']).next().unwrap().parse().unwrap();
+        proxy.address = address_after(&line, "listens on ");
         proxy
     }
 
@@ -228,6 +289,29 @@
         Peer::new(TcpStream::connect(self.address).unwrap())
     }
 
+    /// Where clients connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Where operators call.
+    pub fn mgmt(&self) -> SocketAddr {
+        self.mgmt.unwrap()
+    }
+
+    /// An operator's call: the status code, and the body.
+    pub fn call(&self, method: &str, path: &str, body: &str) -> (u16, String) {
+        call(self.mgmt(), method, path, body)
+    }
+
+    /// One of the figures; `None` where there is none of that name.
+    pub fn figure(&self, name: &str) -> Option<u64> {
+        let (status, text) = self.call("GET", "/status/metrics", "");
+        assert_eq!(status, 200);
+        let value = text.lines().find_map(|line| line.strip_prefix(&format!("svc.{name}:")))?;
+        Some(value.split('|').next().unwrap().parse().unwrap())
+    }
+
     /// A client that has sent its first line.
     pub fn open(&self) -> Peer {
         let mut client = self.connect();
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod clock;
 pub mod http;
+pub mod http_server;
 pub mod line;
 pub mod listener;
 mod reactor;
--- a/crates/reactor/src/listener.rs
+++ b/crates/reactor/src/listener.rs
@@ -11,6 +11,15 @@
 /// usual 128, a client's first packet is dropped, and it tries again after a second.
 const BACKLOG: i32 = 4096;
 
+/// Who else may listen at the address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Binding {
+    /// Nobody: a second one fails.
+    Alone,
+    /// Any process of the same user that says so too (SO_REUSEPORT): the system spreads those who connect.
+    Shared,
+}
+
 /// Reports, by its key, that somebody waits to be accepted.
 #[derive(Debug)]
 pub struct Listener<R> {
@@ -20,16 +29,28 @@
 }
 
 impl<R: Report> Listener<R> {
-    /// Listens; the owner shares the socket. Fails as the system's calls do: address taken, no descriptor.
+    /// Listens alone; the owner shares the socket. Fails as the system's calls do: address taken, no descriptor.
     pub fn bind(
         address: SocketAddr,
         report: fn(Key) -> R,
         key: Key,
         io: &mut Io<R>,
+    ) -> io::Result<(Self, Rc<TcpListener>)> {
+        Self::bind_as(Binding::Alone, address, report, key, io)
+    }
+
+    /// Listens, alone or not. Otherwise as [`Self::bind`].
+    pub fn bind_as(
+        binding: Binding,
+        address: SocketAddr,
+        report: fn(Key) -> R,
+        key: Key,
+        io: &mut Io<R>,
     ) -> io::Result<(Self, Rc<TcpListener>)> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
         // As the plain way to listen does: a restart must not wait for the old connections' ends.
         socket.set_reuse_address(true)?;
+        socket.set_reuse_port(binding == Binding::Shared)?;
         socket.set_nonblocking(true)?;
         socket.bind(&address.into())?;
         socket.listen(BACKLOG)?;
