Maintenance: render nodes are taken out and put back by hand

Way taken: a state without I/O (latest call for each id counts, states merge in any order), laid over discovery's list before the module hears of it: out, a node is a draining one; put back, it starts anew with its first turn next and a whole budget for one connection. In passing, a node that discovery drains and then lists again begins anew too. Tests: the merge and the saved text by proptest against a plain model; bans over lists, removal, new start, SIGHUP; moves; a node that was paused is used at once when put back.

--- a/crates/cottonnotch/src/main.rs
+++ b/crates/cottonnotch/src/main.rs
@@ -3,6 +3,7 @@
 mod command_line;
 mod config;
 mod logging;
+mod maintenance;
 mod net;
 
 use clap::Parser;
--- /dev/null
+++ b/crates/cottonnotch/src/maintenance/tests.rs
@@ -0,0 +1,145 @@
+use super::*;
+use proptest::prelude::*;
+
+fn any_id() -> impl Strategy<Value = String> {
+    prop_oneof![Just("a".to_owned()), Just("b".to_owned()), Just("s-5be2".to_owned())]
+}
+
+/// The plain model: every call ever made, in the order of its time; the last one for an id counts.
+fn is_out(calls: &[(bool, String)], id: &str) -> bool {
+    calls.iter().rev().find(|(_, called)| called == id).is_some_and(|(out, _)| *out)
+}
+
+proptest! {
+    #[test]
+    fn the_last_call_counts_on_one_process_and_on_two(
+        calls in prop::collection::vec((any::<bool>(), any_id(), any::<bool>(), any::<bool>()), 0..40),
+    ) {
+        let (mut one, mut other) = (Maintenance::default(), Maintenance::default());
+        let mut made = Vec::new();
+        for (now, (out, id, at_other, meet)) in (1_000..).zip(calls) {
+            let process = if at_other { &mut other } else { &mut one };
+            if out { process.enter(now, &id) } else { process.exit(now, &id) };
+            if meet {
+                let before = one.clone();
+                one.merge(&other);
+                other.merge(&before);
+                prop_assert_eq!(&one, &other, "both know the same once they have met");
+            } else {
+                // A call on one that hasn't heard of the other's yet may find nothing to do: meet at once.
+                one.merge(&other);
+                other.merge(&one.clone());
+            }
+            made.push((out, id));
+            for id in ["a", "b", "s-5be2"] {
+                prop_assert_eq!(one.is_out(id), is_out(&made, id), "{} after {:?}", id, made);
+            }
+        }
+        prop_assert_eq!(decode(encode(&one).as_bytes()), Ok(one));
+    }
+
+    #[test]
+    fn merging_does_not_mind_the_order(
+        marks in prop::collection::vec((any_id(), 0i64..5, any::<bool>(), 0i64..5), 0..12),
+        cut in 0usize..12,
+    ) {
+        let marks: Vec<_> = marks.into_iter().map(|(id, at, out, since)| (id, Mark { at, out, since })).collect();
+        let (a, b) = marks.split_at(cut.min(marks.len()));
+        let (a, b) = (Maintenance::of(a.to_vec()), Maintenance::of(b.to_vec()));
+        let (mut ab, mut ba) = (a.clone(), b.clone());
+        ab.merge(&b);
+        ba.merge(&a);
+        prop_assert_eq!(&ab, &ba);
+        prop_assert!(ab.merge(&b).is_empty(), "what is known is no news");
+    }
+
+    #[test]
+    fn a_list_never_ends_a_ban(
+        lists in prop::collection::vec((0u8..3, prop::option::of(0i64..99)), 1..20),
+        back_at in 0usize..20,
+    ) {
+        let mut state = Maintenance::default();
+        state.enter(50, "a");
+        for (i, (listed, started)) in lists.into_iter().enumerate() {
+            if i == back_at {
+                state.exit(60, "a");
+            }
+            let listed = [Listed::Ready, Listed::Draining, Listed::Gone][listed as usize];
+            let (comes_to, since) = state.over("a", listed, started);
+            if i < back_at {
+                prop_assert!(comes_to != Listed::Ready, "listed as {listed:?} at {i}");
+            } else {
+                prop_assert_eq!(comes_to, listed, "the ban's end ends only the ban");
+                prop_assert!(since.is_some_and(|at| at > 50), "it comes back cold: {since:?}");
+            }
+            prop_assert_eq!(state.over("b", listed, started), (listed, started), "others are left alone");
+        }
+    }
+
+    #[test]
+    fn a_saved_state_that_was_touched_is_refused_whole(
+        ids in prop::collection::btree_set("[a-z0-9-]{1,9}", 1..6),
+        at in any::<prop::sample::Index>(),
+        cut in any::<bool>(),
+    ) {
+        let mut state = Maintenance::default();
+        for (now, id) in (1..).zip(&ids) {
+            state.enter(now, id);
+        }
+        let mut bytes = encode(&state).into_bytes();
+        let at = at.index(bytes.len());
+        if cut {
+            bytes.truncate(at);
+        } else {
+            bytes[at] ^= 1;
+        }
+        prop_assert!(decode(&bytes).is_err(), "at {}: {:?}", at, String::from_utf8_lossy(&bytes));
+    }
+
+    #[test]
+    fn rubbish_never_panics(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = decode(&bytes);
+        let mut ours = b"cottonnotch-maintenance 1\n".to_vec();
+        ours.extend(bytes);
+        let _ = decode(&ours);
+    }
+}
+
+#[test]
+fn entering_twice_is_undone_by_one_exit() {
+    let mut state = Maintenance::default();
+    assert!(state.enter(1, "a"));
+    assert!(!state.enter(2, "a"), "nothing new");
+    assert!(state.exit(3, "a"));
+    assert!(!state.is_out("a"));
+    assert!(!state.exit(4, "a") && !state.exit(4, "never"));
+    assert!(!state.knows("never"), "what is not out leaves no trace");
+}
+
+#[test]
+fn a_call_counts_though_the_clock_went_back() {
+    let mut state = Maintenance::default();
+    state.enter(1_000, "a");
+    let mut other = state.clone();
+    other.exit(5, "a");
+    state.merge(&other);
+    assert!(!state.is_out("a"));
+}
+
+#[test]
+fn another_version_is_refused() {
+    let text = encode(&Maintenance::default());
+    assert_eq!(decode(text.replace(" 1\n", " 2\n").as_bytes()), Err(BadSave::Form));
+    assert_eq!(decode(b""), Err(BadSave::Form));
+    assert_eq!(decode(text.trim_end().as_bytes()), Err(BadSave::Checksum));
+}
+
+#[test]
+fn ends_are_forgotten_in_time_and_bans_never() {
+    let mut state = Maintenance::default();
+    state.enter(1, "a");
+    state.enter(1, "b");
+    state.exit(2, "b");
+    state.forget_old(2 + REMEMBERED);
+    assert!(state.is_out("a") && !state.knows("b"));
+}
--- a/crates/cottonnotch/src/net/driver/management.rs
+++ b/crates/cottonnotch/src/net/driver/management.rs
@@ -1,24 +1,110 @@
-//! The operators' address as the driver has it: who is let in, and whether this process is ready.
+//! The operators' address as the driver has it: who is let in, whether this process is ready, and what is called for by
+//! hand.
 
-use super::net::{CALLERS, Net, PART};
+use super::maintenance::{Kept, LOOK_EVERY};
+use super::messages::Messages;
+use super::net::{CALLERS, LOOK, Net, PART};
 use super::subchannels::Subchannels;
 use crate::net::management::{Answer, Desk};
+use cottonnotch_decision::Event;
 use cottonnotch_reactor::Key;
 use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 
-/// The desk, if there is one.
+/// Processes share their state in this folder, where the environment names one.
+const FOLDER: &str = "TMPDIR";
+
+/// The desk, if there is one, and what is kept of the calls.
 pub struct Management {
     desk: Option<Desk>,
+    kept: Kept,
+}
+
+/// Where a proxy's processes share something: named by the address that they share, so that proxies on one machine don't
+/// read each other's. `None`: nowhere, since no folder is named, or the system gives each an address of its own.
+pub fn shared_file(listen: SocketAddr, kind: &str) -> Option<PathBuf> {
+    let folder = std::env::var_os(FOLDER).filter(|folder| !folder.is_empty())?;
+    let address = listen.to_string().replace([':', '[', ']', '%'], "_");
+    (listen.port() != 0).then(|| PathBuf::from(folder).join(format!("cottonnotch-{address}.{kind}")))
 }
 
 impl Management {
     /// Opens the operators' address, if one is configured. Fails if it can't be had.
     pub fn start(net: &mut Net) -> io::Result<Self> {
-        let Some(address) = net.config.mgmt else { return Ok(Management { desk: None }) };
+        let Some(address) = net.config.mgmt else {
+            return Ok(Management { desk: None, kept: Kept::default() });
+        };
         let desk = Desk::open(&mut net.reactor, address, CALLERS)?;
         // No key-values: scripts take the last word as the address.
         log::info!(target: PART, "operators may call at {}", desk.address()?);
-        Ok(Management { desk: Some(desk) })
+        let kept = Kept::at(shared_file(net.config.listen, "maintenance"));
+        if !kept.is_kept() {
+            log::warn!(target: PART, "maintenance by hand ends with this process: {FOLDER} names no folder, or listen no port");
+        }
+        Ok(Management { desk: Some(desk), kept })
+    }
+
+    /// Looks for what another process of this proxy was told, and sets the timer of the next look. An event, if that
+    /// changes something.
+    pub fn look(
+        &mut self,
+        net: &mut Net,
+        messages: &mut Messages,
+        subchannels: &mut Subchannels,
+    ) -> Option<Event> {
+        if !self.kept.is_kept() {
+            return None;
+        }
+        net.timer_in(LOOK_EVERY, LOOK);
+        let theirs = match self.kept.look()? {
+            Ok(theirs) => theirs,
+            Err(error) => {
+                log::error!(target: PART, error:%; "kept maintenance cannot be taken over: {error}");
+                return None;
+            }
+        };
+        let mut merged = subchannels.by_hand().clone();
+        let changed = merged.merge(&theirs);
+        // Guards against two that write at once: who finds something missing writes it again.
+        if merged != theirs
+            && let Err(error) = self.kept.save(&merged)
+        {
+            log::error!(target: PART, error:%; "maintenance by hand cannot be kept: {error}");
+        }
+        if changed.is_empty() { None } else { subchannels.lay_over(net, messages, merged, &changed) }
+    }
+
+    /// An operator takes a render node out, or puts it back: the answer, and an event if that changes anything.
+    pub fn by_hand(
+        &mut self,
+        net: &mut Net,
+        messages: &mut Messages,
+        subchannels: &mut Subchannels,
+        id: &str,
+        out: bool,
+    ) -> (Answer, Option<Event>) {
+        if !subchannels.is_known(id) {
+            return (Answer::unknown("no render node of that id is listed\n"), None);
+        }
+        let how = if out { "out" } else { "in use" };
+        let done = Answer::yes(format!("{id} is {how}\n"));
+        let now = net.now();
+        let mut state = subchannels.by_hand().clone();
+        let changed = if out { state.enter(now, id) } else { state.exit(now, id) };
+        if !changed && state.is_out(id) != out {
+            return (Answer::failed("too many render nodes are out\n"), None);
+        }
+        if !changed {
+            return (done, None);
+        }
+        state.forget_old(now);
+        // The yes is a promise that outlives this process; where it can't be kept, nothing is done.
+        if let Err(error) = self.kept.save(&state) {
+            log::error!(target: PART, error:%; "maintenance by hand cannot be kept: {error}");
+            return (Answer::failed(format!("nothing was done, it cannot be kept: {error}\n")), None);
+        }
+        (done, subchannels.lay_over(net, messages, state, &[id.to_owned()]))
     }
 
     /// Operators wait to be let in.
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -13,6 +13,7 @@
 mod clients;
 mod gossip;
 mod lifecycle;
+mod maintenance;
 mod management;
 mod messages;
 mod net;
@@ -100,6 +101,8 @@
             lifecycle: Lifecycle::new(address, reread),
             holding: Seldom::default(),
         };
+        // Before the first list: nothing must go to what is out.
+        driver.look();
         driver.resolved(known, true);
         Ok(driver)
     }
@@ -142,6 +145,7 @@
             Happening::Callable => self.management.acceptable(net),
             Happening::Timer(net::CALLERS) => self.management.accept_again(net),
             Happening::Called(caller, call) => self.called(caller, &call),
+            Happening::Timer(net::LOOK) => self.look(),
 
             Happening::TurnedAway { rpc, why } => {
                 for event in self.clients.turned_away(net, messages, rpc, &why) {
@@ -253,10 +257,25 @@
                 let gauges = Gauges { in_progress: self.clients.calls().len(), known, skipped };
                 Answer::yes(self.net.records.figures().text(gauges))
             }
+            Call::Enter(id) => self.by_hand(id, true),
+            Call::Exit(id) => self.by_hand(id, false),
         };
         self.management.answer(&mut self.net, caller, &answer);
     }
 
+    /// The answer is given once the call is in force: what is held or is to be tried again has gone elsewhere.
+    fn by_hand(&mut self, id: &str, out: bool) -> Answer {
+        let (net, messages, subchannels) = (&mut self.net, &mut self.messages, &mut self.subchannels);
+        let (answer, event) = self.management.by_hand(net, messages, subchannels, id, out);
+        self.tell(event);
+        answer
+    }
+
+    fn look(&mut self) {
+        let event = self.management.look(&mut self.net, &mut self.messages, &mut self.subchannels);
+        self.tell(event);
+    }
+
     fn round(&mut self) {
         let round = self.lifecycle.round(&mut self.net, self.clients.calls());
         let Some(Round { leaving, is_last }) = round else { return };
--- a/crates/cottonnotch/src/net/driver/net.rs
+++ b/crates/cottonnotch/src/net/driver/net.rs
@@ -13,6 +13,7 @@
 pub const ACCEPT: u32 = TICK + 3;
 pub const GOSSIP: u32 = TICK + 4;
 pub const CALLERS: u32 = TICK + 5;
+pub const LOOK: u32 = TICK + 6;
 
 /// The driver's part in the log, whichever of its files writes the line: filters and collectors know it by this.
 pub const PART: &str = "cottonnotch::net::driver";
--- a/crates/cottonnotch/src/net/driver/subchannels.rs
+++ b/crates/cottonnotch/src/net/driver/subchannels.rs
@@ -2,6 +2,7 @@
 
 use super::messages::Messages;
 use super::net::{Net, PART};
+use crate::maintenance::Maintenance;
 use crate::net::resolver::Watch;
 use crate::net::resolver_result::ResolverResult;
 use cottonnotch_decision::names::{Names, digest};
@@ -14,17 +15,33 @@
 #[derive(Debug)]
 struct Subchannel {
     name: Name,
+    /// As discovery lists it.
     state: Listed,
     address: Option<SocketAddr>,
     started: Option<Micros>,
+    zone: ZoneId,
+    cell: u32,
+    weight: f64,
     /// What the module last said of it.
     belief: Belief,
 }
 
 impl Subchannel {
+    fn new(name: Name) -> Self {
+        let (state, belief, zone) = (Listed::Gone, Belief::default(), ZoneId::default());
+        Subchannel { name, state, address: None, started: None, zone, cell: 0, weight: 1.0, belief }
+    }
+
     fn is_listed(&self) -> bool {
         self.state != Listed::Gone
     }
+
+    /// What the module is told of it.
+    fn entry(&self, server: ServerId, by_hand: &Maintenance) -> Entry {
+        let (state, started) = by_hand.over(&self.name, self.state, self.started);
+        let (digest, zone, cell, weight) = (digest(&self.name), self.zone, self.cell, self.weight);
+        Entry { server, digest, state, zone, cell, started, weight }
+    }
 }
 
 /// All that were ever listed.
@@ -35,6 +52,8 @@
     known: Vec<Subchannel>,
     watch: Option<Key>,
     revision: u64,
+    /// What the operators have laid over the lists.
+    by_hand: Maintenance,
 }
 
 impl Subchannels {
@@ -57,39 +76,18 @@
             let number = self.names.intern(&member.id);
             if self.known.len() <= number as usize {
                 // Numbers are given in order, so the new one's place is the next.
-                let name = member.id.as_str().into();
-                let belief = Belief::default();
-                self.known.push(Subchannel {
-                    name,
-                    state: member.state,
-                    address: None,
-                    started: None,
-                    belief,
-                });
+                self.known.push(Subchannel::new(member.id.as_str().into()));
             }
             let subchannel = &mut self.known[number as usize];
-            subchannel.state = member.state;
+            let zone = ZoneId(net.config.profile.zones.intern(&member.zone) as u16);
+            (subchannel.state, subchannel.zone) = (member.state, zone);
+            (subchannel.cell, subchannel.weight) = (member.cell, member.weight);
             subchannel.address = member.address.or(subchannel.address);
             let anew = std::mem::replace(&mut subchannel.started, member.started) != member.started;
             messages.listed(ServerId(number), member.weight, anew);
-            entries.push(Entry {
-                server: ServerId(number),
-                digest: digest(&member.id),
-                state: member.state,
-                zone: ZoneId(net.config.profile.zones.intern(&member.zone) as u16),
-                cell: member.cell,
-                started: member.started,
-                weight: member.weight,
-            });
+            entries.push(subchannel.entry(ServerId(number), &self.by_hand));
         }
-        net.records.list(
-            revision,
-            full,
-            entries.iter().map(|entry| {
-                let subchannel = &self.known[entry.server.0 as usize];
-                (entry, Name::clone(&subchannel.name), subchannel.address)
-            }),
-        );
+        self.record(net, full, &entries);
         let members = entries.len();
         log::debug!(
             target: PART, revision, members, complete = full;
@@ -102,6 +100,52 @@
         Event::List { full, copy, entries }
     }
 
+    fn record(&self, net: &Net, full: bool, entries: &[Entry]) {
+        let named = entries.iter().map(|entry| {
+            let subchannel = &self.known[entry.server.0 as usize];
+            (entry, Name::clone(&subchannel.name), subchannel.address)
+        });
+        net.records.list(self.revision, full, named);
+    }
+
+    // ---- by hand ----
+
+    /// What the operators have laid over the lists.
+    pub fn by_hand(&self) -> &Maintenance {
+        &self.by_hand
+    }
+
+    /// A render node of this id is listed now, or a call for it is remembered.
+    pub fn is_known(&self, id: &str) -> bool {
+        let listed = self.names.find(id).and_then(|number| self.known.get(number as usize));
+        listed.is_some_and(Subchannel::is_listed) || self.by_hand.knows(id)
+    }
+
+    /// The operators have called for something else: these ids are concerned. An event, if any was ever listed.
+    pub fn lay_over(
+        &mut self,
+        net: &Net,
+        messages: &mut Messages,
+        by_hand: Maintenance,
+        ids: &[String],
+    ) -> Option<Event> {
+        self.by_hand = by_hand;
+        let mut entries = Vec::new();
+        for id in ids {
+            let is_out = self.by_hand.is_out(id);
+            let how = if is_out { "taken out" } else { "put back" };
+            log::info!(target: PART, subchannel = id.as_str(); "subchannel {id} {how} by hand");
+            let Some(number) = self.names.find(id) else { continue };
+            let Some(subchannel) = self.known.get(number as usize) else { continue };
+            let server = ServerId(number);
+            // What was seen of it before says nothing of the process that comes back.
+            messages.listed(server, subchannel.weight, !is_out);
+            entries.push(subchannel.entry(server, &self.by_hand));
+        }
+        self.record(net, false, &entries);
+        (!entries.is_empty()).then_some(Event::ByHand { entries })
+    }
+
     /// Begins a watch from the last revision taken, in place of the old one. An event if that fails.
     pub fn watch(&mut self, net: &mut Net) -> Option<Event> {
         if let Some(old) = self.watch.take() {
@@ -162,19 +206,21 @@
 
     /// Some subchannel may get new RPCs, as far as lists tell.
     pub fn can_place(&self) -> bool {
-        self.known.iter().any(|s| s.state == Listed::Ready)
+        self.known.iter().any(|s| s.state == Listed::Ready && !self.by_hand.is_out(&s.name))
     }
 
     /// How many are listed, and how many of these get nothing new now though discovery says that they may.
     pub fn gauges(&self, now: Micros) -> (usize, usize) {
-        let paused = |s: &&Subchannel| matches!(s.belief, Belief::Paused { until } if until > now);
+        let paused = |s: &Subchannel| matches!(s.belief, Belief::Paused { until } if until > now);
+        let skipped = |s: &&Subchannel| paused(s) || self.by_hand.is_out(&s.name);
         let listed = || self.known.iter().filter(|s| s.is_listed());
-        (listed().count(), listed().filter(paused).count())
+        (listed().count(), listed().filter(skipped).count())
     }
 
-    /// The list says that it drains.
+    /// The list, or the operators, say that it drains.
     pub fn is_draining(&self, server: ServerId) -> bool {
-        self.known.get(server.0 as usize).is_some_and(|s| s.state == Listed::Draining)
+        let subchannel = self.known.get(server.0 as usize);
+        subchannel.is_some_and(|s| s.entry(server, &self.by_hand).state == Listed::Draining)
     }
 
     pub fn find(&self, name: &str) -> Option<ServerId> {
--- a/crates/cottonnotch/src/net/management/call.rs
+++ b/crates/cottonnotch/src/net/management/call.rs
@@ -9,6 +9,10 @@
     Status,
     /// The figures.
     Metrics,
+    /// Nothing more to this render node.
+    Enter(String),
+    /// This render node may serve again.
+    Exit(String),
 }
 
 /// What a call is answered.
@@ -34,6 +38,11 @@
         Self::new(404, body)
     }
 
+    /// It can't be done, for a reason of this proxy's.
+    pub fn failed(body: impl Into<String>) -> Self {
+        Self::new(500, body)
+    }
+
     /// Not now.
     pub fn unready(body: impl Into<String>) -> Self {
         Self::new(503, body)
@@ -66,11 +75,24 @@
         match request.path.as_str() {
             "/status" => only("GET").map(|()| Call::Status),
             "/status/metrics" => only("GET").map(|()| Call::Metrics),
+            "/maintenance/enter" => only("POST").and_then(|()| id(&request.body)).map(Call::Enter),
+            "/maintenance/exit" => only("POST").and_then(|()| id(&request.body)).map(Call::Exit),
             _ => Err(Answer::unknown("there is nothing of that name\n")),
         }
     }
 }
 
+/// The body as the id of a render node. Guards against a line end that a tool adds.
+fn id(body: &[u8]) -> Result<String, Answer> {
+    let id = std::str::from_utf8(body).map(str::trim).unwrap_or_default();
+    let is_id = !id.is_empty() && id.bytes().all(|b| b.is_ascii_graphic());
+    if is_id {
+        Ok(id.to_owned())
+    } else {
+        Err(Answer::new(400, "the body must be the id of one render node\n"))
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -84,6 +106,12 @@
     fn calls_are_told_apart_and_the_rest_gets_its_code() {
         assert_eq!(read("GET", "/status", b""), Ok(Call::Status));
         assert_eq!(read("GET", "/status/metrics", b""), Ok(Call::Metrics));
+        assert_eq!(read("POST", "/maintenance/enter", b"s-1\r\n"), Ok(Call::Enter("s-1".to_owned())));
+        assert_eq!(read("POST", "/maintenance/exit", b" s-1"), Ok(Call::Exit("s-1".to_owned())));
+        assert_eq!(read("GET", "/maintenance/enter", b"s-1"), Err(405));
+        for body in [&b""[..], b" \n", b"a b", b"\xff", "\u{e9}".as_bytes()] {
+            assert_eq!(read("POST", "/maintenance/enter", body), Err(400), "{body:?}");
+        }
         assert_eq!(read("GET", "/status/", b""), Err(404));
         assert_eq!(read("POST", "/status", b""), Err(405));
     }
--- a/crates/cottonnotch/tests/management.rs
+++ b/crates/cottonnotch/tests/management.rs
@@ -156,3 +156,148 @@
     proxy.logged("configuration kept");
     assert_eq!((proxy.figure("loads"), proxy.figure("load_errors")), (Some(1), Some(1)));
 }
+
+// ---- maintenance ----
+
+/// Which render nodes get the next connections.
+fn places(proxy: &Proxy, nodes: &[Scripted], connections: usize) -> Vec<usize> {
+    let mut at: Vec<usize> = (0..connections)
+        .map(|_| {
+            let mut client = proxy.open();
+            let (node, mut far) = called_at(nodes);
+            far.hear();
+            far.say("UP 1\r\n");
+            assert_eq!(client.hear(), "UP 1\r\n");
+            client.finish();
+            node
+        })
+        .collect();
+    at.sort_unstable();
+    at.dedup();
+    at
+}
+
+#[test]
+fn what_is_out_gets_nothing_whatever_discovery_lists_until_it_is_put_back() {
+    let nodes = [Scripted::new(), Scripted::new()];
+    let proxy = Proxy::managed(&[&nodes[0], &nodes[1]], 1024, SETTINGS);
+    let mut watch = proxy.discovery.watched().0;
+    assert_eq!(places(&proxy, &nodes, 6), [0, 1]);
+    assert_eq!(proxy.call("POST", "/maintenance/enter", "s0").0, 200);
+    assert_eq!(proxy.call("POST", "/maintenance/enter", "s0\n").0, 200, "twice is once");
+    assert_eq!(proxy.figure("skipped_render_nodes"), Some(1));
+    assert_eq!(places(&proxy, &nodes, 6), [1]);
+    let both = |revision, started: &str| {
+        let first =
+            member("s0", &nodes[0], "up").replace("\"up_since_ms\":0", &format!("\"up_since_ms\":{started}"));
+        list(revision, true, &[first, member("s1", &nodes[1], "up")])
+    };
+    let changes = [
+        both(2, "0"),
+        list(3, false, &[member("s0", &nodes[0], "draining")]),
+        list(4, false, &[member("s0", &nodes[0], "removed")]),
+        list(5, true, &[member("s1", &nodes[1], "up")]),
+        both(6, "1764600000000"),
+    ];
+    for change in &changes {
+        watch.say(&chunk(change));
+        assert_eq!(places(&proxy, &nodes, 4), [1], "after {change}");
+    }
+    proxy.reload();
+    proxy.logged("configuration read again");
+    assert_eq!(places(&proxy, &nodes, 4), [1], "after SIGHUP");
+    assert_eq!(proxy.call("POST", "/maintenance/exit", "s0").0, 200, "one call undoes both");
+    assert_eq!(proxy.figure("skipped_render_nodes"), Some(0));
+    assert_eq!(places(&proxy, &nodes, 1), [0], "its turn is the next");
+    assert_eq!(proxy.call("POST", "/maintenance/exit", "s0").0, 200);
+}
+
+#[test]
+fn an_unknown_render_node_is_a_no_and_changes_nothing() {
+    let nodes = [Scripted::new(), Scripted::new()];
+    let proxy = Proxy::managed(&[&nodes[0], &nodes[1]], 1024, SETTINGS);
+    for call in ["/maintenance/enter", "/maintenance/exit"] {
+        assert_eq!(proxy.call("POST", call, "s9").0, 404);
+        assert_eq!(proxy.call("POST", call, "").0, 400);
+        assert_eq!(proxy.call("GET", call, "s0").0, 405);
+    }
+    assert_eq!(proxy.figure("skipped_render_nodes"), Some(0));
+    assert_eq!(places(&proxy, &nodes, 4), [0, 1]);
+    // One that discovery has dropped while it was out can be put back.
+    let mut watch = proxy.discovery.watched().0;
+    assert_eq!(proxy.call("POST", "/maintenance/enter", "s0").0, 200);
+    watch.say(&chunk(&list(2, true, &[member("s1", &nodes[1], "up")])));
+    within(PATIENCE, "the list", || (proxy.figure("known_render_nodes") == Some(1)).then_some(()));
+    assert_eq!(proxy.call("POST", "/maintenance/exit", "s0").0, 200);
+    assert_eq!(
+        proxy.call("POST", "/maintenance/enter", "s0").0,
+        200,
+        "the call is remembered, so the id is known"
+    );
+    assert_eq!(proxy.call("GET", "/status", "").0, 200);
+    assert_eq!(proxy.call("POST", "/maintenance/enter", "s1").0, 200);
+    assert_eq!(proxy.call("GET", "/status", "").0, 503, "nothing is left to place on");
+}
+
+#[test]
+fn clients_of_what_is_taken_out_are_moved_and_what_is_held_goes_elsewhere() {
+    let nodes = [Scripted::new(), Scripted::new()];
+    let proxy = Proxy::managed(&[&nodes[0], &nodes[1]], 1024, SETTINGS);
+    let mut ups: Vec<(Peer, Peer)> = Vec::new();
+    while ups.len() < 4 {
+        let mut client = proxy.open();
+        let (node, mut far) = called_at(&nodes);
+        far.hear();
+        far.say("UP 1\r\n");
+        client.hear();
+        if node == 0 {
+            ups.push((client, far));
+        }
+    }
+    // One attempt is out at the render node, and is refused there once it is out.
+    let mut tried = proxy.open();
+    let (mut node, mut far) = called_at(&nodes);
+    while node != 0 {
+        far.hear();
+        far.say("UP 1\r\n");
+        tried = proxy.open();
+        (node, far) = called_at(&nodes);
+    }
+    far.hear();
+    assert_eq!(proxy.call("POST", "/maintenance/enter", "s0").0, 200);
+    far.say("BUSY\r\n");
+    let mut again = nodes[1].called().0;
+    again.say("UP 2\r\n");
+    assert_eq!(tried.hear(), "UP 2\r\n");
+    for (client, _far) in &mut ups {
+        assert_eq!(client.rest().unwrap(), "MOVE\r\n", "told to move, and not cut off");
+    }
+    assert!(nodes[0].poll().is_none());
+}
+
+#[test]
+fn a_render_node_that_failed_before_is_used_at_once_when_it_is_put_back() {
+    let nodes = [Scripted::new(), Scripted::new()];
+    let proxy = Proxy::managed(&[&nodes[0], &nodes[1]], 1024, SETTINGS);
+    // It fails once; ends are kept, since one that is dropped would be the other's failure.
+    let mut kept = Vec::new();
+    let mut failed = false;
+    while !failed {
+        let mut client = proxy.open();
+        let (node, mut far) = called_at(&nodes);
+        far.hear();
+        failed = node == 0;
+        if failed {
+            far = nodes[1].called_after(far);
+        }
+        far.say("UP 1\r\n");
+        assert_eq!(client.hear(), "UP 1\r\n");
+        kept.push((client, far));
+    }
+    assert_eq!(proxy.figure("skipped_render_nodes"), Some(1), "paused");
+    assert_eq!(proxy.call("POST", "/maintenance/enter", "s0").0, 200);
+    assert_eq!(proxy.figure("skipped_render_nodes"), Some(1), "once, for two reasons");
+    assert_eq!(proxy.call("POST", "/maintenance/exit", "s0").0, 200);
+    assert_eq!(proxy.figure("skipped_render_nodes"), Some(0), "the pause is forgotten");
+    assert_eq!(places(&proxy, &nodes, 1), [0]);
+}
--- a/crates/cottonnotch/tests/peers/mod.rs
+++ b/crates/cottonnotch/tests/peers/mod.rs
@@ -105,6 +105,12 @@
         (peer, line)
     }
 
+    /// Lets an attempt elsewhere fail, and takes the next one here.
+    pub fn called_after(&self, elsewhere: Peer) -> Peer {
+        drop(elsewhere);
+        self.called().0
+    }
+
     /// As discovery: accepts a watch and begins its response; returns what was asked for.
     pub fn watched(&self) -> (Peer, String) {
         let (mut peer, request) = self.called();
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -275,6 +275,12 @@
         /// The entries.
         entries: Vec<Entry>,
     },
+    /// What the operators said of servers by hand, laid over the list: entries as in a list that names what changed.
+    /// No answer to a question. One that was draining and may serve again begins anew.
+    ByHand {
+        /// The entries.
+        entries: Vec<Entry>,
+    },
     /// A call for the list failed, or the subscription broke.
     ListFailed,
     /// A client's request; one final answer is owed.
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -148,6 +148,7 @@
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::List { full, copy, entries } => self.list(now, full, copy, entries, out),
+            Event::ByHand { entries } => self.listed(now, entries, out),
             Event::ListFailed => self.list_failed(now, out),
             Event::Request(request) => {
                 if !request.again {
@@ -212,6 +213,10 @@
             // What a full list leaves out is gone, and starts anew if it is ever listed again.
             self.servers.iter_mut().for_each(|s| s.ready = false);
         }
+        self.listed(now, entries, out);
+    }
+
+    fn listed(&mut self, now: Micros, entries: Vec<Entry>, out: &mut Vec<Action>) {
         for entry in entries {
             self.entry(now, entry);
         }
@@ -250,17 +255,18 @@
         let known = &mut self.servers[index];
         let weighted = self.settings.weighted && entry.weight.is_finite() && entry.weight > 0.0;
         let weight = if weighted { entry.weight } else { 1.0 };
-        if known.weight == 0.0 || known.started != entry.started {
+        // Put back after a drain: its first turn is the next, or it would wait for one at a quiet hour.
+        let back = known.leave_by.is_some() && entry.state == Listed::Ready;
+        if known.weight == 0.0 || known.started != entry.started || back {
             // New, or a new life of the process: what was known of the old one no longer counts.
             // All nodes share one hashed order and enter it at phases ordinal/nodes: rotations that walk
             // in step would otherwise put every node's next connection on the same server.
             let phase = f64::from(self.settings.ordinal) / f64::from(self.settings.nodes.max(1));
             let place = (unit(entry.digest) - phase).rem_euclid(1.0);
-            let turn = self.rotation + place / weight;
+            let (turn, budget) = if back { (0.0, 1.0) } else { (self.rotation + place / weight, place) };
             let (open, told) = (std::mem::take(&mut known.open), known.told);
             let digest = entry.digest;
-            *known =
-                Server { digest, place, turn, budget: place, filled: now, open, told, ..Server::default() };
+            *known = Server { digest, place, turn, budget, filled: now, open, told, ..Server::default() };
         }
         known.ready = entry.state == Listed::Ready;
         let draining = entry.state == Listed::Draining;
--- a/crates/decision/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -445,3 +445,34 @@
     let expected = [Up, paused(101), paused(102), Trial, Up, Draining, Gone, Up, Gone];
     assert_eq!(told.collect::<Vec<_>>(), expected.map(|belief| (only, belief)));
 }
+
+/// The operators: a render node was out, paused before, and nothing came there for long after it was put back.
+#[test]
+fn what_is_put_back_by_hand_begins_anew_and_its_turn_is_the_next() {
+    let mut node = Node::new(settings(Effect::Safe), 3);
+    let by_hand = |state, started| Event::ByHand { entries: vec![Entry { started, ..entry(0, state) }] };
+    node.carry(100..130, 100 * MS);
+    let mut id = 200;
+    loop {
+        let at = node.place(id);
+        if at == ServerId(0) {
+            break;
+        }
+        node.begin(id, at);
+        id += 1;
+    }
+    node.end(id, ServerId(0), Outcome::ConnectFailed, false);
+    node.tell(by_hand(Listed::Draining, None));
+    for id in 300..330 {
+        node.run_to(node.now + 100 * MS);
+        let at = node.place(id);
+        assert_ne!(at, ServerId(0), "it is out");
+        node.begin(id, at);
+    }
+    let started = Some(node.now);
+    node.tell(by_hand(Listed::Ready, started));
+    assert_eq!(node.place(400), ServerId(0), "no pause, and no wait for its place in the rotation");
+    node.begin(400, ServerId(0));
+    let burst: Vec<ServerId> = (401..411).map(|id| node.place(id)).collect();
+    assert!(!burst.contains(&ServerId(0)), "cold, so its budget is spent: {burst:?}");
+}
