Replacing the process: a second one takes over the clients' address under load

Way taken: each process shows itself by a locked file in $TMPDIR (what it says is in its name, so nothing is torn; a lock ends with its process, so a crashed one counts for nothing). SO_REUSEPORT where a process can be found; the new one listens once discovery has answered (2 s at most), says so, and says yes. The old one at SIGTERM, if a later process is ready: a socket filter on its listener drops first packets of newcomers, it accepts who is on the way in, closes 5 ms later, gives up the gossip address without a farewell, and moves its clients over the time that it has. Without a successor SIGTERM is as before. Descriptors are counted over both. A shutdown takes its time from the classes that are offered: a dropped one's longer deadline would outlast SIGKILL.

--- a/crates/cottonnotch/src/main.rs
+++ b/crates/cottonnotch/src/main.rs
@@ -48,11 +48,7 @@
     drop(effective);
     let name = config.name.clone();
     let reread = Box::new(move || Config::again(path.as_deref()));
-    let served = Driver::start(config, recorder, reread).and_then(|mut driver| {
-        // No key-values: scripts take the last word as the address.
-        log::info!("{name} listens on {}", driver.address());
-        driver.run()
-    });
+    let served = Driver::start(config, recorder, reread).and_then(|mut driver| driver.run());
     match served {
         Ok(()) => {
             log::info!(name; "{name} has stopped");
--- a/crates/cottonnotch/src/net/driver/arrivals.rs
+++ b/crates/cottonnotch/src/net/driver/arrivals.rs
@@ -1,13 +1,16 @@
 //! Clients that arrive, until they ask for something: accepting them, and the descriptors there are for that.
 
 use super::net::{ACCEPT, Net, PART};
+use crate::net::happening::Happening;
 use crate::net::management::PLACES;
 use crate::net::rpc::Rpc;
 use cottonnotch_decision::Micros;
 use cottonnotch_reactor::Key;
+use cottonnotch_reactor::listener::{Binding, Listener, turn_away_newcomers};
 use mio::net::TcpListener;
 use std::collections::VecDeque;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Descriptors kept for what is no RPC: the listener, the watch, the poll, standard streams, signals, and
@@ -23,6 +26,10 @@
 const ACCEPT_AFTER: Micros = 20_000;
 /// No client is let go for want of room sooner than this after it connected: a usual one has sent its line.
 const DISMISSED_AFTER: Micros = 100_000;
+/// A door that closes stays open for those who have begun to come in: on one machine their handshake takes microseconds.
+const CLOSES_AFTER: Micros = 5_000;
+/// It closes all the same after this, though some are left that there is no room for.
+const CLOSES_AT_LAST: Micros = 1_500_000;
 /// What a client is told when there is no descriptor for it.
 pub const FULL_RETRY_AFTER: Micros = 1_000_000;
 
@@ -35,9 +42,18 @@
     Call,
 }
 
+/// Where clients come in.
+struct Door {
+    listener: Rc<TcpListener>,
+    key: Key,
+    /// It closes, since then.
+    closing: Option<Micros>,
+}
+
 /// Clients on their way in.
+#[derive(Default)]
 pub struct Arrivals {
-    listener: Rc<TcpListener>,
+    door: Option<Door>,
     /// Accepting goes on by a timer.
     is_due: bool,
     /// Clients in the order in which they connected, until they are let go or are gone.
@@ -45,8 +61,51 @@
 }
 
 impl Arrivals {
-    pub fn new(listener: Rc<TcpListener>) -> Self {
-        Arrivals { listener, is_due: false, arrived: VecDeque::new() }
+    /// Listens for clients; where. Fails as the system's calls do.
+    pub fn open(&mut self, net: &mut Net, binding: Binding) -> io::Result<SocketAddr> {
+        let (address, mut shared) = (net.config.listen, None);
+        let key = net.reactor.insert(|key, io| {
+            let (listener, socket) = Listener::bind_as(binding, address, |_| Happening::Acceptable, key, io)?;
+            shared = Some(socket);
+            Ok(Box::new(listener))
+        })?;
+        let listener = shared.ok_or(io::ErrorKind::NotConnected)?;
+        let address = listener.local_addr()?;
+        self.door = Some(Door { listener, key, closing: None });
+        Ok(address)
+    }
+
+    /// Clients are let in.
+    pub fn is_open(&self) -> bool {
+        self.door.is_some()
+    }
+
+    /// Another process lets clients in from now on: who has begun to come in here still may, then the door is closed.
+    pub fn close(&mut self, net: &mut Net, rpcs: usize) {
+        let Some(door) = self.door.as_mut().filter(|door| door.closing.is_none()) else { return };
+        door.closing = Some(net.now());
+        if let Err(error) = turn_away_newcomers(&door.listener) {
+            // Those who come between the last look and the close are reset.
+            log::warn!(target: PART, error:%; "newcomers cannot be turned away before the door closes: {error}");
+        }
+        self.acceptable(net, rpcs);
+    }
+
+    /// Nobody is left who waits to be let in.
+    fn idle(&mut self, net: &mut Net) {
+        let Some(closing) = self.door.as_ref().and_then(|door| door.closing) else { return };
+        let open_for = CLOSES_AFTER - (net.now() - closing);
+        if open_for > 0 {
+            return self.accept_in(net, open_for);
+        }
+        self.shut(net);
+    }
+
+    fn shut(&mut self, net: &mut Net) {
+        if let Some(door) = self.door.take() {
+            net.reactor.remove(door.key);
+            log::info!(target: PART, "another process lets clients in, the door is closed");
+        }
     }
 
     /// Clients wait to be accepted; `rpcs` are being served.
@@ -65,6 +124,11 @@
 
     fn accept(&mut self, net: &mut Net, rpcs: usize) {
         let now = net.now();
+        let Some(door) = &self.door else { return };
+        let listener = Rc::clone(&door.listener);
+        if door.closing.is_some_and(|since| now - since > CLOSES_AT_LAST) {
+            return self.shut(net);
+        }
         if self.arrived.len() > 2 * net.config.sockets {
             self.arrived.retain(|(_, key)| net.reactor.contains(*key));
         }
@@ -72,7 +136,7 @@
             if !self.make_room(net, rpcs, Wanted::Client) {
                 return self.accept_in(net, ACCEPT_AFTER);
             }
-            match self.listener.accept() {
+            match listener.accept() {
                 Ok((stream, _)) => {
                     match net.reactor.insert(|key, io| Ok(Box::new(Rpc::accepted(stream, key, io)?))) {
                         Ok(key) => self.arrived.push_back((now, key)),
@@ -81,7 +145,7 @@
                         }
                     }
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return self.idle(net),
                 Err(error) if is_passing(&error) => {}
                 Err(error) => {
                     // Guards against EMFILE: the edge is told once, so without this timer the waiting
@@ -131,7 +195,7 @@
     // An RPC counts two: the client's, which is among the connections, and the subchannel's.
     // Operators' places are kept for them whether they are there or not: a flood of clients must not take them.
     let reserved = RESERVED_SOCKETS + if net.config.mgmt.is_some() { PLACES + 1 } else { 0 };
-    let free = sockets.saturating_sub(reserved + connections + rpcs);
+    let free = sockets.saturating_sub(reserved + connections + rpcs + net.held_elsewhere);
     match wanted {
         Wanted::Call => free > 0,
         // RPCs whose clients have just left may still be counted, and are no connections any more.
--- a/crates/cottonnotch/src/net/driver/gossip.rs
+++ b/crates/cottonnotch/src/net/driver/gossip.rs
@@ -22,6 +22,8 @@
 /// The tier, as far as this proxy takes part in it.
 pub struct Peers {
     member: Option<Member>,
+    /// Another process of this proxy has the address; it is tried again.
+    waits: bool,
 }
 
 struct Member {
@@ -37,24 +39,35 @@
 }
 
 impl Peers {
-    /// Opens the socket, if this proxy is to gossip. Fails if its address can't be had.
-    pub fn start(net: &mut Net) -> io::Result<Self> {
-        let Some(Gossiping { settings, keys, life }) = net.config.gossip.clone() else {
-            return Ok(Peers { member: None });
-        };
-        let tier = &net.config.tier;
-        let Some(listen) = tier.listen else { return Ok(Peers { member: None }) };
-        let (me, members) = (net.config.profile.settings.ordinal, tier.peers.len() as u32);
-        let ordinals = (0..).zip(&tier.peers).map(|(ordinal, address)| (*address, ordinal)).collect();
-        let (seed, now) = (net.config.seed, net.now());
-        let socket = net.reactor.insert(|key, io| Ok(Box::new(Datagrams::bind(listen, key, io)?)))?;
-        let strength = settings.strength;
-        let gossip = Gossip::new(settings, keys, me, members, life, seed, now);
-        let (numbers, met) = (BTreeMap::new(), Ledger::default());
-        let mut member = Member { gossip, strength, socket, ordinals, numbers, known: 0, met, armed: None };
-        log::info!(target: PART, peers = members, listen:%; "gossip with {} other proxies", members.saturating_sub(1));
-        member.arm(net);
-        Ok(Peers { member: Some(member) })
+    /// Opens the socket, if this proxy is to gossip. Fails if its address can't be had; `waits`: unless another process of
+    /// this proxy may have it still.
+    pub fn start(net: &mut Net, waits: bool) -> io::Result<Self> {
+        match Member::start(net) {
+            Ok(member) => Ok(Peers { member, waits: false }),
+            Err(error) if waits && error.kind() == io::ErrorKind::AddrInUse => {
+                log::info!(target: PART, "gossip begins once the earlier process has left its address");
+                Ok(Peers { member: None, waits })
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Tries again for the address that another process had.
+    pub fn retry(&mut self, net: &mut Net) {
+        if self.waits
+            && let Ok(member) = Member::start(net)
+        {
+            (self.member, self.waits) = (member, false);
+        }
+    }
+
+    /// Another process of this proxy takes this one's part, under the same number: no farewell, which would mark both as
+    /// gone.
+    pub fn hand_over(&mut self, net: &mut Net) {
+        self.waits = false;
+        if let Some(member) = self.member.take() {
+            net.reactor.remove(member.socket);
+        }
     }
 
     /// A new configuration was taken: keys may have changed.
@@ -132,6 +145,26 @@
 }
 
 impl Member {
+    /// Opens the socket, if this proxy is to gossip.
+    fn start(net: &mut Net) -> io::Result<Option<Self>> {
+        let Some(Gossiping { settings, keys, life }) = net.config.gossip.clone() else {
+            return Ok(None);
+        };
+        let tier = &net.config.tier;
+        let Some(listen) = tier.listen else { return Ok(None) };
+        let (me, members) = (net.config.profile.settings.ordinal, tier.peers.len() as u32);
+        let ordinals = (0..).zip(&tier.peers).map(|(ordinal, address)| (*address, ordinal)).collect();
+        let (seed, now) = (net.config.seed, net.now());
+        let socket = net.reactor.insert(|key, io| Ok(Box::new(Datagrams::bind(listen, key, io)?)))?;
+        let strength = settings.strength;
+        let gossip = Gossip::new(settings, keys, me, members, life, seed, now);
+        let (numbers, met) = (BTreeMap::new(), Ledger::default());
+        let mut member = Member { gossip, strength, socket, ordinals, numbers, known: 0, met, armed: None };
+        log::info!(target: PART, peers = members, listen:%; "gossip with {} other proxies", members.saturating_sub(1));
+        member.arm(net);
+        Ok(Some(member))
+    }
+
     fn arm(&mut self, net: &mut Net) {
         let due = self.gossip.next_timeout();
         if self.armed.is_none_or(|armed| due < armed) {
--- a/crates/cottonnotch/src/net/driver/lifecycle.rs
+++ b/crates/cottonnotch/src/net/driver/lifecycle.rs
@@ -1,16 +1,24 @@
 //! How the proxy's life changes: a new configuration, and the end.
 
 use super::calls::Calls;
+use super::management::shared_file;
 use super::messages::Messages;
 use super::net::{Net, PART, ROUND};
+use super::replacement::Replacement;
 use super::shutdown::{self, Shutdown};
 use crate::config::{BadConfig, Config};
+use cottonnotch_decision::settings::Profile;
 use cottonnotch_decision::{Event, Micros, RequestId};
 use std::net::SocketAddr;
 
 /// Gets the whole configuration anew, from both files.
 pub type Reread = Box<dyn Fn() -> Result<Config, BadConfig>>;
 
+/// Discovery is waited for so long at a start beside an earlier process, which goes on serving meanwhile.
+const SETTLED_AFTER: Micros = 2_000_000;
+/// Descriptors beside those of objects and of subchannels' sides: standard streams, the poll, signals' other ends.
+const UNCOUNTED: usize = 10;
+
 /// A configuration that was taken.
 pub struct Reloaded {
     /// For the module.
@@ -33,16 +41,66 @@
     address: SocketAddr,
     reread: Reread,
     shutdown: Option<Shutdown>,
+    /// This process among others of its proxy, where they can meet.
+    replacement: Option<Replacement>,
+    began: Micros,
 }
 
 impl Lifecycle {
-    pub fn new(address: SocketAddr, reread: Reread) -> Self {
-        Lifecycle { address, reread, shutdown: None }
+    /// A process that starts. Others of its proxy are looked for only where operators can say when it is to take over.
+    pub fn new(net: &Net, reread: Reread) -> Self {
+        let began = net.now();
+        let place = net.config.mgmt.and_then(|_| shared_file(net.config.listen, "process"));
+        let replacement = place.and_then(|place| match Replacement::begin(place, began) {
+            Ok(replacement) => Some(replacement),
+            Err(error) => {
+                log::warn!(target: PART, error:%; "this process cannot show itself to another one that replaces it: {error}");
+                None
+            }
+        });
+        Lifecycle { address: net.config.listen, reread, shutdown: None, replacement, began }
+    }
+
+    /// Clients may connect there.
+    pub fn listens_on(&mut self, address: SocketAddr) {
+        self.address = address;
+    }
+
+    /// Another process can find this one.
+    pub fn may_be_replaced(&self) -> bool {
+        self.replacement.is_some()
+    }
+
+    /// Looks for other processes of this proxy, and tells them of this one; true if an earlier one serves still.
+    pub fn has_elder(&self, net: &mut Net) -> bool {
+        let Some(replacement) = &self.replacement else { return false };
+        let others = replacement.others();
+        net.held_elsewhere = others.iter().map(|other| other.held).sum();
+        if !others.is_empty() {
+            // An RPC holds two, its own object's and the subchannel's; what is beyond objects is some ten.
+            let held = net.reactor.connections() + net.rpcs + UNCOUNTED;
+            // What can't be told leaves the other with what it heard before.
+            let _ = replacement.tell_held(held);
+        }
+        others.iter().any(|other| replacement.is_elder(other))
+    }
+
+    /// Clients that an earlier process serves are to be taken over: the list is discovery's own, or discovery has had
+    /// its time.
+    pub fn is_settled(&self, now: Micros, is_confirmed: bool) -> bool {
+        is_confirmed || now - self.began >= SETTLED_AFTER
+    }
+
+    /// This process serves: an earlier one may leave.
+    pub fn say_ready(&mut self) {
+        if let Some(Err(error)) = self.replacement.as_mut().map(Replacement::say_ready) {
+            log::warn!(target: PART, error:%; "an earlier process cannot be told that this one serves: {error}");
+        }
     }
 
-    /// Where clients connect.
-    pub fn address(&self) -> SocketAddr {
-        self.address
+    /// A later process serves clients.
+    pub fn has_successor(&self) -> bool {
+        self.replacement.as_ref().is_some_and(Replacement::has_successor)
     }
 
     /// Takes a new configuration as a whole, or keeps the old one. No connection is touched.
@@ -109,7 +167,10 @@
             return false;
         }
         let now = net.now();
-        let longest = net.config.profile.settings.classes.iter().map(|c| c.deadline).max();
+        let Profile { settings, withdrawn, .. } = &net.config.profile;
+        let offered = (0..).zip(&settings.classes).filter(|(number, _)| !withdrawn.contains(number));
+        // Of those that are offered: who sends SIGKILL knows no others.
+        let longest = offered.map(|(_, class)| class.deadline).max();
         let (rpcs, up) = (calls.len(), calls.up().count());
         log::info!(target: PART, rpcs, up; "asked to stop: clients are moved");
         net.records.shutdown();
--- a/crates/cottonnotch/src/net/driver/management.rs
+++ b/crates/cottonnotch/src/net/driver/management.rs
@@ -53,9 +53,7 @@
         messages: &mut Messages,
         subchannels: &mut Subchannels,
     ) -> Option<Event> {
-        if !self.kept.is_kept() {
-            return None;
-        }
+        self.desk.as_ref()?;
         net.timer_in(LOOK_EVERY, LOOK);
         let theirs = match self.kept.look()? {
             Ok(theirs) => theirs,
@@ -118,13 +116,10 @@
     }
 
     /// Whether this process is ready to serve.
-    pub fn status(&self, is_leaving: bool, subchannels: &Subchannels) -> Answer {
-        if is_leaving {
-            Answer::unready("not ready: it is shutting down\n")
-        } else if !subchannels.can_place() {
-            Answer::unready("not ready: no render node is listed that may be used\n")
-        } else {
-            Answer::yes("ready\n")
+    pub fn status(trouble: Option<&str>) -> Answer {
+        match trouble {
+            Some(trouble) => Answer::unready(format!("not ready: {trouble}\n")),
+            None => Answer::yes("ready\n"),
         }
     }
 
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -18,6 +18,7 @@
 mod messages;
 mod net;
 mod records;
+mod replacement;
 mod shutdown;
 mod subchannels;
 
@@ -30,7 +31,7 @@
 use arrivals::Arrivals;
 use clients::Clients;
 use cottonnotch_decision::{Action, Balancer, Event, Micros, Notice, ServerId};
-use cottonnotch_reactor::listener::Listener;
+use cottonnotch_reactor::listener::Binding;
 use cottonnotch_reactor::seldom::Seldom;
 use cottonnotch_reactor::signals::{SIGHUP, SIGTERM, Signals};
 use cottonnotch_reactor::{Clock, Key, Reactor};
@@ -43,7 +44,6 @@
 use records::Records;
 use std::collections::VecDeque;
 use std::io;
-use std::net::SocketAddr;
 use std::time::Duration;
 use subchannels::Subchannels;
 
@@ -70,14 +70,6 @@
     pub fn start(config: Config, recorder: Recorder, reread: Reread) -> io::Result<Self> {
         let mut reactor = Reactor::<dyn Object>::new(Clock::unix())?;
         reactor.io.buffer_bound = config.buffer_bound;
-        let mut shared = None;
-        reactor.insert(|key, io| {
-            let (listener, socket) = Listener::bind(config.listen, |_| Happening::Acceptable, key, io)?;
-            shared = Some(socket);
-            Ok(Box::new(listener))
-        })?;
-        let listener = shared.ok_or(io::ErrorKind::NotConnected)?;
-        let address = listener.local_addr()?;
         // Guards against the system's own answer to a signal, which is to end the process.
         let signals: [(i32, fn() -> Happening); 2] =
             [(SIGTERM, || Happening::Terminate), (SIGHUP, || Happening::Reload)];
@@ -87,31 +79,33 @@
         let balancer = Balancer::new(config.profile.settings.clone(), config.seed, reactor.io.now());
         let known = config.known.clone();
         let records = Records::new(recorder, &config.profile);
-        let mut net = Net { reactor, config, records };
+        let mut net = Net { reactor, config, records, held_elsewhere: 0, rpcs: 0 };
+        let lifecycle = Lifecycle::new(&net, reread);
+        let has_elder = lifecycle.has_elder(&mut net);
         let mut driver = Driver {
             messages: Messages::start(&mut net),
-            peers: Peers::start(&mut net)?,
+            peers: Peers::start(&mut net, has_elder)?,
             management: Management::start(&mut net)?,
             net,
             balancer,
             pending: VecDeque::new(),
-            arrivals: Arrivals::new(listener),
+            arrivals: Arrivals::default(),
             clients: Clients::default(),
             subchannels: Subchannels::default(),
-            lifecycle: Lifecycle::new(address, reread),
+            lifecycle,
             holding: Seldom::default(),
         };
         // Before the first list: nothing must go to what is out.
-        driver.look();
+        driver.look_for_calls();
         driver.resolved(known, true);
+        if has_elder {
+            log::info!("an earlier process serves, clients are let in once the list is there");
+        } else {
+            driver.open()?;
+        }
         Ok(driver)
     }
 
-    /// Where clients connect.
-    pub fn address(&self) -> SocketAddr {
-        self.lifecycle.address()
-    }
-
     /// Serves until a shutdown is over. Records end with it.
     pub fn run(&mut self) -> io::Result<()> {
         loop {
@@ -209,6 +203,7 @@
 
             Happening::Terminate => {
                 if self.lifecycle.terminate(net, self.clients.calls()) {
+                    self.hand_over();
                     self.round();
                 }
             }
@@ -251,7 +246,13 @@
     /// An operator calls; the answer is given in this turn.
     fn called(&mut self, caller: Key, call: &Call) {
         let answer = match call {
-            Call::Status => self.management.status(self.lifecycle.is_leaving(), &self.subchannels),
+            Call::Status => {
+                let trouble = self.trouble();
+                if trouble.is_none() {
+                    self.lifecycle.say_ready();
+                }
+                Management::status(trouble)
+            }
             Call::Metrics => {
                 let (known, skipped) = self.subchannels.gauges(self.net.now());
                 let gauges = Gauges { in_progress: self.clients.calls().len(), known, skipped };
@@ -271,11 +272,66 @@
         answer
     }
 
-    fn look(&mut self) {
+    /// What operators have called for, here or at another process of this proxy.
+    fn look_for_calls(&mut self) {
         let event = self.management.look(&mut self.net, &mut self.messages, &mut self.subchannels);
         self.tell(event);
     }
 
+    /// What other processes of this proxy did.
+    fn look(&mut self) {
+        self.look_for_calls();
+        self.net.rpcs = self.clients.calls().len();
+        let has_elder = self.lifecycle.has_elder(&mut self.net);
+        self.peers.retry(&mut self.net);
+        if self.lifecycle.is_leaving() {
+            self.hand_over();
+        } else if !self.arrivals.is_open() && (!has_elder || self.is_settled()) {
+            // It is tried again at the next look; the earlier process goes on.
+            if let Err(error) = self.open() {
+                let address = self.net.config.listen;
+                log::error!(address:%, error:%; "cannot listen beside the earlier process: {error}");
+            }
+        }
+    }
+
+    /// Lets clients in.
+    fn open(&mut self) -> io::Result<()> {
+        // Alone where no other process could be told of: a second one by mistake is to fail.
+        let binding = if self.lifecycle.may_be_replaced() { Binding::Shared } else { Binding::Alone };
+        let address = self.arrivals.open(&mut self.net, binding)?;
+        self.lifecycle.listens_on(address);
+        // No key-values: scripts take the last word as the address.
+        log::info!("{} listens on {address}", self.net.config.name);
+        Ok(())
+    }
+
+    /// A successor, if there is one, serves clients from now on.
+    fn hand_over(&mut self) {
+        if self.arrivals.is_open() && self.lifecycle.has_successor() {
+            self.arrivals.close(&mut self.net, self.clients.calls().len());
+            self.peers.hand_over(&mut self.net);
+        }
+    }
+
+    fn is_settled(&self) -> bool {
+        let (now, confirmed) = (self.net.now(), self.subchannels.is_confirmed());
+        self.subchannels.can_place() && self.lifecycle.is_settled(now, confirmed)
+    }
+
+    /// Why this process is not ready to serve, if it isn't.
+    fn trouble(&self) -> Option<&'static str> {
+        if self.lifecycle.is_leaving() {
+            Some("it is shutting down")
+        } else if !self.subchannels.can_place() {
+            Some("no render node is listed that may be used")
+        } else if !self.arrivals.is_open() {
+            Some("it does not listen for clients yet")
+        } else {
+            None
+        }
+    }
+
     fn round(&mut self) {
         let round = self.lifecycle.round(&mut self.net, self.clients.calls());
         let Some(Round { leaving, is_last }) = round else { return };
--- a/crates/cottonnotch/src/net/driver/net.rs
+++ b/crates/cottonnotch/src/net/driver/net.rs
@@ -23,6 +23,10 @@
     pub reactor: Reactor<dyn Object>,
     pub config: Config,
     pub records: Records,
+    /// Descriptors that other processes of this proxy hold: the limit is for all of them.
+    pub held_elsewhere: usize,
+    /// RPCs that are being served, as of the last look.
+    pub rpcs: usize,
 }
 
 impl Net {
--- a/crates/cottonnotch/src/net/driver/subchannels.rs
+++ b/crates/cottonnotch/src/net/driver/subchannels.rs
@@ -54,6 +54,8 @@
     revision: u64,
     /// What the operators have laid over the lists.
     by_hand: Maintenance,
+    /// Discovery has been heard of; before, there is what the configuration remembers.
+    is_confirmed: bool,
 }
 
 impl Subchannels {
@@ -67,6 +69,7 @@
     ) -> Event {
         let ResolverResult { revision, complete: full, members } = result;
         self.revision = revision;
+        self.is_confirmed |= !copy;
         if full {
             self.known.iter_mut().for_each(|subchannel| subchannel.state = Listed::Gone);
         }
@@ -204,6 +207,11 @@
         self.known.get_mut(server.0 as usize).into_iter().for_each(|s| s.belief = belief);
     }
 
+    /// Discovery has been heard of.
+    pub fn is_confirmed(&self) -> bool {
+        self.is_confirmed
+    }
+
     /// Some subchannel may get new RPCs, as far as lists tell.
     pub fn can_place(&self) -> bool {
         self.known.iter().any(|s| s.state == Listed::Ready && !self.by_hand.is_out(&s.name))
--- a/crates/cottonnotch/tests/peers/mod.rs
+++ b/crates/cottonnotch/tests/peers/mod.rs
@@ -45,6 +45,12 @@
         self.0.get_mut().write_all(text.as_bytes())
     }
 
+    /// The next line, or why there is none.
+    pub fn try_hear(&mut self) -> std::io::Result<String> {
+        let mut line = String::new();
+        self.0.read_line(&mut line).map(|_| line)
+    }
+
     /// The next line, its end included; empty at the connection's end.
     pub fn hear(&mut self) -> String {
         let mut line = String::new();
@@ -76,18 +82,23 @@
     }
 }
 
-/// A scripted render node or discovery.
-pub struct Scripted(TcpListener);
+/// A scripted render node or discovery; or the mere address of one that serves elsewhere.
+pub struct Scripted(TcpListener, Option<SocketAddr>);
 
 impl Scripted {
     pub fn new() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         listener.set_nonblocking(true).unwrap();
-        Scripted(listener)
+        Scripted(listener, None)
+    }
+
+    /// Stands for one that serves at this address.
+    pub fn alias(address: SocketAddr) -> Self {
+        Scripted(Scripted::new().0, Some(address))
     }
 
     pub fn address(&self) -> SocketAddr {
-        self.0.local_addr().unwrap()
+        self.1.unwrap_or_else(|| self.0.local_addr().unwrap())
     }
 
     pub fn poll(&self) -> Option<Peer> {
@@ -139,6 +150,11 @@
     format!(r#"{{"revision":{revision},"complete":{complete},"members":[{members}]}}"#)
 }
 
+/// An address that is free, and that processes may share.
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
 /// A chunk of a response that holds one line.
 pub fn chunk(line: &str) -> String {
     format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
@@ -245,6 +261,14 @@
         Self::at(command, &listen, Some("127.0.0.1:0"), discovery, nodes, 1024, SETTINGS)
     }
 
+    /// As [`Self::shared`], with no render node to begin with: operators may call it, clients can't connect yet.
+    pub fn shared_and_unready(address: SocketAddr, folder: &std::path::Path) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cottonnotch"));
+        command.env("TMPDIR", folder);
+        let (listen, mgmt) = (address.to_string(), Some("127.0.0.1:0"));
+        Self::begun(command, &listen, mgmt, Scripted::new(), &[], 1024, SETTINGS)
+    }
+
     /// One that is started by this command.
     pub fn by(command: Command, nodes: &[&Scripted], sockets: u32, settings: &str) -> Self {
         Self::at(command, "127.0.0.1:0", None, Scripted::new(), nodes, sockets, settings)
@@ -258,6 +282,21 @@
         nodes: &[&Scripted],
         sockets: u32,
         settings: &str,
+    ) -> Self {
+        let mut proxy = Self::begun(command, listen, mgmt, discovery, nodes, sockets, settings);
+        proxy.address = address_after(&proxy.logged("listens on "), "listens on ");
+        proxy
+    }
+
+    /// One that operators can call, if it is one for that; clients may not be let in yet.
+    fn begun(
+        command: Command,
+        listen: &str,
+        mgmt: Option<&str>,
+        discovery: Scripted,
+        nodes: &[&Scripted],
+        sockets: u32,
+        settings: &str,
     ) -> Self {
         let known: Vec<String> =
             nodes.iter().enumerate().map(|(i, node)| member(&format!("s{i}"), node, "up")).collect();
@@ -272,8 +311,6 @@
             proxy.mgmt =
                 Some(address_after(&proxy.logged("operators may call at "), "operators may call at "));
         }
-        let line = proxy.logged("listens on ");
-        proxy.address = address_after(&line, "listens on ");
         proxy
     }
 
--- /dev/null
+++ b/crates/cottonnotch/tests/replacement.rs
@@ -0,0 +1,203 @@
+//! Stories of two processes of one proxy: one takes over from the other under load.
+
+mod peers;
+use peers::*;
+use std::io::{BufRead, BufReader, ErrorKind, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// A render node that takes whoever comes, and answers each line with itself. It ends with the story's process.
+fn obliging(node: Scripted) -> SocketAddr {
+    let address = node.address();
+    std::thread::spawn(move || {
+        loop {
+            let Some(mut peer) = node.poll() else {
+                std::thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            std::thread::spawn(move || {
+                if peer.try_hear().is_ok() && peer.try_say("UP 1\r\n").is_ok() {
+                    while peer.try_hear().is_ok_and(|line| !line.is_empty() && peer.try_say(&line).is_ok()) {}
+                }
+            });
+        }
+    });
+    address
+}
+
+/// What became of clients that came one after another.
+#[derive(Default)]
+struct Counts {
+    up: AtomicUsize,
+    refused: AtomicUsize,
+    moved: AtomicUsize,
+    /// Reset, or closed on, without an answer or a `MOVE`.
+    lost: Mutex<Vec<String>>,
+}
+
+fn one_client(address: SocketAddr, counts: &Counts) -> std::io::Result<()> {
+    let stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    let mut reader = BufReader::new(stream.try_clone()?);
+    (&stream).write_all(fresh(OPEN).as_bytes())?;
+    let mut line = String::new();
+    reader.read_line(&mut line)?;
+    if line.starts_with("BUSY") {
+        counts.refused.fetch_add(1, Ordering::Relaxed);
+        return Ok(());
+    }
+    if !line.starts_with("UP") {
+        return Err(std::io::Error::other(format!("answered {line:?}")));
+    }
+    counts.up.fetch_add(1, Ordering::Relaxed);
+    for _ in 0..10 {
+        std::thread::sleep(Duration::from_millis(20));
+        line.clear();
+        // A line that crosses a `MOVE` is not answered, and may meet a closed connection.
+        let written = (&stream).write_all(b"M 1 x\r\n");
+        reader.read_line(&mut line)?;
+        if line == "MOVE\r\n" {
+            counts.moved.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        written?;
+        if line != "M 1 x\r\n" {
+            return Err(std::io::Error::other(format!("heard {line:?}")));
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn clients_that_arrive_throughout_a_replacement_are_all_served_and_none_is_lost_at_the_door() {
+    let folder = tempfile::tempdir().unwrap();
+    let address = free_address();
+    let node = Scripted::new();
+    let known = Scripted::alias(obliging(node));
+    let mut old = Proxy::shared(address, folder.path(), Scripted::new(), &[&known]);
+    let (counts, stop) = (Arc::new(Counts::default()), Arc::new(AtomicBool::new(false)));
+    let clients: Vec<_> = (0..24)
+        .map(|_| {
+            let (counts, stop) = (Arc::clone(&counts), Arc::clone(&stop));
+            std::thread::spawn(move || {
+                while !stop.load(Ordering::Relaxed) {
+                    if let Err(error) = one_client(address, &counts) {
+                        counts.lost.lock().unwrap().push(error.to_string());
+                    }
+                }
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(300));
+    let mut replaced = 0;
+    for _ in 0..2 {
+        let new = Proxy::shared(address, folder.path(), Scripted::new(), &[&known]);
+        within(PATIENCE, "the new one's yes", || (new.call("GET", "/status", "").0 == 200).then_some(()));
+        assert_eq!(old.call("GET", "/status", "").0, 200, "the old one serves still");
+        old.terminate();
+        old.logged("the door is closed");
+        assert!(old.exited().success());
+        assert_eq!(new.call("GET", "/status", "").0, 200);
+        assert!(new.figure("handled.look.passed").unwrap() > 0, "its own counts begin at 0");
+        (old, replaced) = (new, replaced + 1);
+    }
+    stop.store(true, Ordering::Relaxed);
+    clients.into_iter().for_each(|client| client.join().unwrap());
+    let lost = counts.lost.lock().unwrap();
+    let count = |n: &AtomicUsize| n.load(Ordering::Relaxed);
+    println!(
+        "{} connections lost in {replaced} replacements; {} up, {} moved, {} refused",
+        lost.len(),
+        count(&counts.up),
+        count(&counts.moved),
+        count(&counts.refused)
+    );
+    assert!(lost.is_empty(), "{lost:?}");
+    assert!(count(&counts.up) > 100 && count(&counts.moved) > 0);
+}
+
+#[test]
+fn a_ban_called_on_either_process_binds_both_and_outlives_the_first() {
+    let folder = tempfile::tempdir().unwrap();
+    let address = free_address();
+    let nodes = [Scripted::new(), Scripted::new(), Scripted::new()];
+    let known = [&nodes[0], &nodes[1], &nodes[2]];
+    let mut old = Proxy::shared(address, folder.path(), Scripted::new(), &known);
+    assert_eq!(old.call("POST", "/maintenance/enter", "s0").0, 200);
+    let new = Proxy::shared(address, folder.path(), Scripted::new(), &known);
+    assert_eq!(new.figure("skipped_render_nodes"), Some(1), "it has the ban before it serves");
+    assert_eq!(new.call("POST", "/maintenance/enter", "s1").0, 200);
+    within(PATIENCE, "the old one to hear", || (old.figure("skipped_render_nodes") == Some(2)).then_some(()));
+    assert_eq!(old.call("POST", "/maintenance/exit", "s0").0, 200);
+    within(PATIENCE, "the new one to hear", || (new.figure("skipped_render_nodes") == Some(1)).then_some(()));
+    assert_eq!(old.call("POST", "/maintenance/enter", "s0").0, 200);
+    old.terminate();
+    assert!(old.exited().success());
+    for _ in 0..6 {
+        let _client = new.open();
+        let (node, mut far) = called_at(&nodes);
+        far.hear();
+        far.say("UP 1\r\n");
+        assert_eq!(node, 2, "the only one that is in use");
+    }
+    assert_eq!(new.call("POST", "/maintenance/exit", "s0").0, 200);
+    let _client = new.open();
+    assert_eq!(called_at(&nodes).0, 0);
+}
+
+#[test]
+fn a_successor_that_never_gets_ready_or_dies_leaves_the_old_process_serving() {
+    let folder = tempfile::tempdir().unwrap();
+    let address = free_address();
+    let node = Scripted::new();
+    let mut old = Proxy::shared(address, folder.path(), Scripted::new(), &[&node]);
+    let mut new = Proxy::shared_and_unready(address, folder.path());
+    assert_eq!(new.call("GET", "/status", "").0, 503, "nothing to place on");
+    old.up(&node);
+    new.kill();
+    // One that was ready, and is killed: its file is left.
+    let mut ready = Proxy::shared(address, folder.path(), Scripted::new(), &[&node]);
+    assert_eq!(ready.call("GET", "/status", "").0, 200);
+    ready.kill();
+    old.up(&node);
+    assert_eq!(old.call("GET", "/status", "").0, 200);
+    // An ordinary shutdown: clients still arrive for a while, and are served.
+    old.terminate();
+    old.logged("asked to stop");
+    std::thread::sleep(Duration::from_millis(250));
+    old.up(&node);
+    assert!(old.exited().success());
+}
+
+#[test]
+fn a_crashed_processs_files_and_foreign_ones_stop_nobody() {
+    let folder = tempfile::tempdir().unwrap();
+    let address = free_address();
+    let node = Scripted::new();
+    let name = |kind: &str| {
+        folder.path().join(format!("cottonnotch-{}.{kind}", address.to_string().replace(':', "_")))
+    };
+    std::fs::write(name("maintenance"), "cottonnotch-maintenance 1\nout 5 5 s0\nend 0000000000000000\n")
+        .unwrap();
+    std::fs::write(name("process-99999999999999999.ready"), "rubbish").unwrap();
+    std::fs::create_dir(name("process-7.ready")).unwrap();
+    let mut old = Proxy::shared(address, folder.path(), Scripted::new(), &[&node]);
+    assert_eq!(old.figure("skipped_render_nodes"), Some(0), "a torn state is refused whole");
+    old.up(&node);
+    assert_eq!(old.call("POST", "/maintenance/enter", "s0").0, 200, "and replaced by the next call");
+    old.terminate();
+    assert!(old.exited().success());
+    let again = Proxy::shared(address, folder.path(), Scripted::new(), &[&node]);
+    assert_eq!(again.figure("skipped_render_nodes"), Some(1), "the ban outlives an ordinary restart, too");
+}
+
+#[test]
+fn without_a_place_to_meet_a_second_process_fails_to_start() {
+    let node = Scripted::new();
+    let proxy = Proxy::managed(&[&node], 1024, SETTINGS);
+    let address = proxy.address();
+    let error = std::net::TcpListener::bind(address).unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::AddrInUse, "the address is not shared");
+}
--- a/crates/reactor/src/listener.rs
+++ b/crates/reactor/src/listener.rs
@@ -2,7 +2,7 @@
 
 use crate::reactor::{Connection, Io, Key, Leg, Report};
 use mio::net::TcpListener;
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockFilter, SockRef, Socket, Type};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -61,6 +61,25 @@
     }
 }
 
+/// Lets the listener's system side take no new connection, while those that it has begun come to their end and can be
+/// accepted. Guards against resets: a listener that is closed resets whoever is in its queue. Who comes now has the first
+/// packet dropped, and sends it again a second later, to whoever listens then. Fails where the system has no such filter.
+pub fn turn_away_newcomers(listener: &TcpListener) -> io::Result<()> {
+    // Classic BPF: load the flags, byte 13 of the TCP header; keep nothing of what has SYN set, all of anything else.
+    const LOAD_BYTE: u16 = 0x30;
+    const JUMP_IF_SET: u16 = 0x45;
+    const RETURN: u16 = 0x06;
+    const FLAGS: u32 = 13;
+    const SYN: u32 = 0x02;
+    let filter = [
+        SockFilter::new(LOAD_BYTE, 0, 0, FLAGS),
+        SockFilter::new(JUMP_IF_SET, 0, 1, SYN),
+        SockFilter::new(RETURN, 0, 0, 0),
+        SockFilter::new(RETURN, 0, 0, u32::MAX),
+    ];
+    SockRef::from(listener).attach_filter(&filter)
+}
+
 impl<R: Report> Connection for Listener<R> {
     type Report = R;
 
--- /dev/null
+++ b/crates/reactor/tests/listener.rs
@@ -0,0 +1,30 @@
+//! A listener that is about to be closed.
+
+use cottonnotch_reactor::listener::turn_away_newcomers;
+use mio::net::TcpListener;
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+#[test]
+fn newcomers_wait_while_those_on_their_way_in_are_accepted() {
+    let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut early = TcpStream::connect(address).unwrap();
+    turn_away_newcomers(&listener).unwrap();
+    let late = TcpStream::connect_timeout(&address, Duration::from_millis(300));
+    assert_eq!(
+        late.unwrap_err().kind(),
+        ErrorKind::TimedOut,
+        "its first packet is dropped, and nothing is reset"
+    );
+    let (mut inside, _) = listener.accept().expect("it was on its way in");
+    assert_eq!(listener.accept().unwrap_err().kind(), ErrorKind::WouldBlock, "and nobody else was");
+    drop(listener);
+    early.write_all(b"hello").unwrap();
+    let mut heard = [0; 5];
+    while let Err(error) = inside.read(&mut heard) {
+        assert_eq!(error.kind(), ErrorKind::WouldBlock);
+    }
+    assert_eq!(&heard, b"hello", "what was accepted goes on after the close");
+}
