Retuning: a file counts whole or not at all, and what was taken before keeps its rules

Way taken: a file is held against the one in use, key by key (of lists' items the keys that all have); deadlines and attempts must be numbers above 0 as JSON has them. A class whose rules change gets a new number, and its old one lives on for what was taken under it; attempts are a class's rule now. Failures of a dropped class are counted under its name.

--- a/crates/cottonnotch/src/config/fault.rs
+++ b/crates/cottonnotch/src/config/fault.rs
@@ -46,6 +46,9 @@
     /// It must be told, and isn't.
     #[error("{key} is missing")]
     Missing { key: &'static str },
+    /// The configuration that counts has it, and the new one hasn't.
+    #[error("{key} is missing, and the configuration that counts has it")]
+    Dropped { key: String },
     /// It is of the wrong kind, or out of bounds.
     #[error("{key} {trouble}: '{value}'")]
     Wrong { key: &'static str, trouble: &'static str, value: String },
@@ -65,6 +68,7 @@
             Fault::Known(BadResult::NotJson(_)) => "known".to_owned(),
             Fault::Known(BadResult::Field(field)) => format!("known.{field}"),
             Fault::Known(BadResult::Member(i, field)) => format!("known.members.{i}.{field}"),
+            Fault::Dropped { key } => key.clone(),
             Fault::Setting { key, .. } => format!("settings.{key}"),
         }
     }
--- a/crates/cottonnotch/src/config/mod.rs
+++ b/crates/cottonnotch/src/config/mod.rs
@@ -12,11 +12,14 @@
 mod operator;
 mod operator_file;
 mod platform;
+mod told;
 
 pub use effective::Effective;
 pub use fault::BadConfig;
+use fault::Fault;
 pub use operator::Operator;
 pub use operator_file::near_miss;
+pub use told::Told;
 
 use crate::net::ResolverResult;
 use cottonnotch_decision::settings::Profile;
@@ -53,6 +56,8 @@
     pub profile: Profile,
     /// The operator's file.
     pub operator: Operator,
+    /// Keys that the JSON file has.
+    pub told: Told,
 }
 
 /// The other proxies, as the platform tells of them.
@@ -83,6 +88,17 @@
         platform::read(operator, false, effective)
     }
 
+    /// What `self` lacks of the configuration that counts. Guards against a file that was cut down by mistake: what it says
+    /// no more would fall back to defaults, or to the environment of the start.
+    pub fn succeeds(&self, old: &Config) -> Result<(), BadConfig> {
+        match self.told.lacks(&old.told) {
+            Some(key) => {
+                Err(BadConfig::Platform { fault: Fault::Dropped { key }, place: self.told.path.clone() })
+            }
+            None => Ok(()),
+        }
+    }
+
     /// Reads both files again. Guards against an environment that still names what the JSON file has replaced.
     pub fn again(operator: Option<&Path>) -> Result<Self, BadConfig> {
         let mut effective = Effective::default();
--- a/crates/cottonnotch/src/config/platform.rs
+++ b/crates/cottonnotch/src/config/platform.rs
@@ -5,13 +5,13 @@
 use super::fault::{BadConfig, Fault};
 use super::json_file::JsonFile;
 use super::operator::Operator;
-use super::{Config, Gossiping, Tier, plain, variable};
+use super::{Config, Gossiping, Tier, Told, plain, variable};
 use crate::net::ResolverResult;
 use cottonnotch_decision::settings::{self, Pairs, Profile};
 use cottonnotch_gossip::{GossipSection, Keys, Settings};
 use simd_json::OwnedValue;
 use simd_json::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -28,6 +28,10 @@
 const LEAST_BUFFER: u64 = 8 * 1024;
 /// ... and at most; in between, all buffers together keep to a quarter of the memory.
 const MOST_BUFFER: u64 = 64 * 1024;
+/// A deadline is a day at most, in microseconds.
+const LONGEST_DEADLINE: f64 = 86_400e6;
+/// Nobody tries more often.
+const MOST_TRIES: f64 = 1000.0;
 /// Fewer leave no room for a single client beside the proxy's own.
 const LEAST_SOCKETS: u64 = 64;
 
@@ -55,7 +59,9 @@
     let buffer_bound = (memory.saturating_mul(1 << 20) / 4 / sockets).clamp(LEAST_BUFFER, MOST_BUFFER);
     let tier = reader.tier()?;
     let known = reader.known()?;
-    let profile = reader.settings()?;
+    let (profile, pairs) = reader.settings()?;
+    let path = reader.effective.json.as_ref().map_or_else(String::new, |file| file.path.clone());
+    let told = Told::of(path, &json, &pairs);
     let gossip = gossiping(&operator.gossip, &tier, &profile)?;
     let sockets = usize::try_from(sockets).unwrap_or(usize::MAX);
     let buffer_bound = buffer_bound as usize;
@@ -72,6 +78,7 @@
         known,
         profile,
         operator,
+        told,
     })
 }
 
@@ -240,13 +247,47 @@
         Ok(known)
     }
 
-    fn settings(&mut self) -> Result<Profile, BadConfig> {
+    /// Deadlines and attempts are numbers above 0, where they are told. Guards against what a default or a clamp would make
+    /// of anything else: requests that nobody answers, or that are given up unsent.
+    fn check_settings(&self, settings: &OwnedValue) -> Result<(), BadConfig> {
+        let refuse =
+            |key: String, trouble: String| Err(self.fault(Fault::Setting { key, trouble }, Source::Json));
+        if let Some(most) = settings.get("policyLimits").and_then(|limits| limits.get("mostTries"))
+            && let Some(trouble) = no_number_above_zero(most, 1.0, MOST_TRIES)
+        {
+            return refuse("policyLimits.mostTries".to_owned(), trouble);
+        }
+        let classes = settings.get_array("requestClasses").map_or(&[][..], |classes| classes.as_slice());
+        let mut names = BTreeSet::new();
+        for (i, class) in classes.iter().enumerate() {
+            let key = |name: &str| format!("requestClasses.{i}.{name}");
+            if let Some(deadline) = class.get("deadline")
+                && let Some(trouble) = no_number_above_zero(deadline, 0.0, LONGEST_DEADLINE)
+            {
+                return refuse(key("deadline"), trouble);
+            }
+            let name = class.get_str("name").filter(|name| !name.is_empty());
+            match name {
+                None => return refuse(key("name"), "is missing or no text".to_owned()),
+                Some(name) if !names.insert(name) => {
+                    return refuse(key("name"), format!("is another class's too: '{name}'"));
+                }
+                Some(_) => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn settings(&mut self) -> Result<(Profile, Pairs), BadConfig> {
         let mut pairs = Pairs::default();
         match self.json.get("settings") {
             None => return Err(self.fault(Fault::Missing { key: "settings" }, Source::Json)),
             Some(settings) => flatten("", settings, &mut pairs),
         }
         let profile = settings::read(&pairs).map_err(|bad| self.fault(bad.into(), Source::Json))?;
+        if let Some(settings) = self.json.get("settings") {
+            self.check_settings(settings)?;
+        }
         if profile.settings.classes.is_empty() {
             return Err(self.fault(Fault::Missing { key: "settings.requestClasses" }, Source::Json));
         }
@@ -267,7 +308,18 @@
         for (key, value) in unused {
             self.effective.note_unused(format!("settings.{key}"), value.clone());
         }
-        Ok(profile)
+        Ok((profile, pairs))
+    }
+}
+
+/// What is wrong with a value that must be a number above 0, of `least` at least and `most` at most.
+fn no_number_above_zero(value: &OwnedValue, least: f64, most: f64) -> Option<String> {
+    let shown = || plain(value).chars().take(40).collect::<String>();
+    // A text of digits is no number either: what reads this file elsewhere may take it for another one.
+    match value.cast_f64().filter(|_| value.as_str().is_none()) {
+        None => Some(format!("is not a number: '{}'", shown())),
+        Some(number) if number > 0.0 && number >= least && number <= most => None,
+        Some(_) => Some(format!("is not a number above 0, and {most} at most: '{}'", shown())),
     }
 }
 
--- a/crates/cottonnotch/src/net/driver/clients.rs
+++ b/crates/cottonnotch/src/net/driver/clients.rs
@@ -86,7 +86,7 @@
     ) -> Option<Event> {
         if let Some(why) = self.objection(&net.config, &wish) {
             self.log_rejection(net, &why);
-            let class = net.config.profile.class(&wish.class);
+            let class = net.config.profile.classes.find(&wish.class);
             net.records.objected(class, || why.to_string().into());
             net.with_front(key, |front, io| front.fail(io, &why));
             return None;
@@ -133,7 +133,7 @@
                 "out of sockets, a client gets the unavailable status ({more} more since)"
             );
         }
-        let class = net.config.profile.class(&wish.class);
+        let class = net.config.profile.classes.find(&wish.class);
         net.records.left_out(class, || "out of sockets".into());
         net.with_front(key, |front, io| front.unavailable(io, FULL_RETRY_AFTER));
     }
--- a/crates/cottonnotch/src/net/driver/lifecycle.rs
+++ b/crates/cottonnotch/src/net/driver/lifecycle.rs
@@ -105,7 +105,8 @@
 
     /// Takes a new configuration as a whole, or keeps the old one. No connection is touched.
     pub fn reload(&self, net: &mut Net, messages: &mut Messages) -> Option<Reloaded> {
-        let new = match (self.reread)() {
+        let reread = (self.reread)().and_then(|new| new.succeeds(&net.config).map(|()| new));
+        let new = match reread {
             Ok(new) => new,
             Err(error) => {
                 log::error!(
--- a/crates/cottonnotch/tests/peers/mod.rs
+++ b/crates/cottonnotch/tests/peers/mod.rs
@@ -395,6 +395,18 @@
         self.reload();
     }
 
+    /// Puts the first configuration file back, and sends SIGHUP.
+    pub fn restore(&self) {
+        std::fs::write(&self.path, &self.config).unwrap();
+        self.reload();
+    }
+
+    /// Cuts the first configuration file down to so many bytes, and sends SIGHUP.
+    pub fn damage(&self, left: usize) {
+        std::fs::write(&self.path, &self.config[..left]).unwrap();
+        self.reload();
+    }
+
     /// Sends SIGHUP.
     pub fn reload(&self) {
         self.signal("-HUP");
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -90,6 +90,8 @@
     pub deadline: Micros,
     /// Wanted time of one message on an established connection; 0 if not stated.
     pub message_aim: Micros,
+    /// Most attempts for one request.
+    pub attempts: u32,
     /// What a repeat does.
     pub effect: Effect,
     /// Worth of a request (or of a second, or of a unit of work).
@@ -124,8 +126,6 @@
     pub worth_by_work: bool,
     /// Worth of a request beyond its tenant's share, as part of the usual.
     pub over_share_worth: f64,
-    /// Most attempts for one request.
-    pub max_attempts: u32,
     /// Batches come at most this often.
     pub step: Micros,
     /// The server list must be asked for.
@@ -160,6 +160,11 @@
         self.classes.get(class).map_or(Effect::Unsafe, |c| c.effect)
     }
 
+    /// Most attempts for one request of a class.
+    pub fn attempts(&self, class: usize) -> u32 {
+        self.classes.get(class).map_or(1, |c| c.attempts)
+    }
+
     /// The shortest wanted time of a message, if any class states one.
     pub fn shortest_aim(&self) -> Option<Micros> {
         self.classes.iter().map(|c| c.message_aim).filter(|aim| *aim > 0).min()
--- a/crates/decision/src/names.rs
+++ b/crates/decision/src/names.rs
@@ -23,6 +23,26 @@
         number
     }
 
+    /// A new number for a `name`, by which it is found from now on. Its earlier numbers stay its own.
+    pub fn renew(&mut self, name: &str) -> u32 {
+        let number = self.names.len() as u32;
+        self.numbers.insert(name.to_owned(), number);
+        self.names.push(name.to_owned());
+        number
+    }
+
+    /// Finds a `name` by this one of its numbers from now on.
+    pub fn prefer(&mut self, number: u32) {
+        if let Some(name) = self.names.get(number as usize) {
+            self.numbers.insert(name.clone(), number);
+        }
+    }
+
+    /// Every number that a `name` has had.
+    pub fn numbers_of<'a>(&'a self, name: &'a str) -> impl Iterator<Item = u32> + 'a {
+        (0..).zip(&self.names).filter(move |(_, known)| *known == name).map(|(number, _)| number)
+    }
+
     /// The number of a `name` seen before.
     pub fn find(&self, name: &str) -> Option<u32> {
         self.numbers.get(name).copied()
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -303,7 +303,8 @@
         // No effect twice: also what was held meanwhile is repeated only within its window.
         let effect = self.settings.effect(job.class);
         let repeatable = job.may_have_run.is_none_or(|(_, sent)| effect.may_repeat(now - sent));
-        let spent = job.sent >= self.settings.max_attempts || left.is_some_and(|left| left < LEAST_TRY);
+        let most = self.settings.attempts(job.class);
+        let spent = job.sent >= most || left.is_some_and(|left| left < LEAST_TRY);
         if spent || !repeatable {
             return self.answer(now, id, out);
         }
@@ -312,7 +313,7 @@
             let target = self.settings.classes.get(job.class).map_or(SECOND, |c| c.target).max(1);
             // A silent server never refuses: the time-out leaves room for another try.
             let timeout = match left {
-                Some(left) if job.sent + 1 < self.settings.max_attempts => target.min(left / 2),
+                Some(left) if job.sent + 1 < most => target.min(left / 2),
                 Some(_) => 0,
                 None => target,
             };
--- a/crates/decision/src/settings.rs
+++ b/crates/decision/src/settings.rs
@@ -35,9 +35,13 @@
     pub fn succeed(mut self, old: &Profile) -> Profile {
         let (mut classes, mut class_list) = (old.classes.clone(), old.settings.classes.clone());
         let offered: BTreeSet<u32> = (self.settings.classes.drain(..).enumerate())
-            .map(|(i, class)| place(&mut classes, &mut class_list, self.classes.name(i as u32), class))
+            .map(|(i, class)| place_class(&mut classes, &mut class_list, self.classes.name(i as u32), class))
             .collect();
         self.withdrawn = (0..class_list.len() as u32).filter(|class| !offered.contains(class)).collect();
+        for class in &self.withdrawn {
+            // No new message is measured by the aim of a class that is not offered any more.
+            class_list[*class as usize].message_aim = 0;
+        }
         let (mut tenants, mut tenant_list) = (old.tenants.clone(), old.settings.tenants.clone());
         for (i, tenant) in self.settings.tenants.drain(..).enumerate() {
             place(&mut tenants, &mut tenant_list, self.tenants.name(i as u32), tenant);
@@ -49,6 +53,28 @@
     }
 }
 
+/// Numbers of classes are 16 bits wide, and each set of rules that a class had takes one.
+const MOST_CLASSES: usize = 60_000;
+
+/// Puts a class under a number of its name that has the same rules, or under a new one. Guards against requests that were
+/// taken by the old rules: they go by them to their end. Only the aim of messages is everybody's at once.
+fn place_class(names: &mut Names, list: &mut Vec<Class>, name: &str, class: Class) -> u32 {
+    let alike = |there: &Class| Class { message_aim: class.message_aim, ..there.clone() } == class;
+    let same = names.numbers_of(name).find(|number| list.get(*number as usize).is_some_and(alike));
+    match same {
+        Some(number) => {
+            names.prefer(number);
+            list[number as usize].message_aim = class.message_aim;
+            number
+        }
+        None if list.len() >= MOST_CLASSES => place(names, list, name, class),
+        None => {
+            list.push(class);
+            names.renew(name)
+        }
+    }
+}
+
 /// Puts an item under the number of its name.
 fn place<T>(names: &mut Names, list: &mut Vec<T>, name: &str, item: T) -> u32 {
     let number = names.intern(name);
@@ -127,6 +153,7 @@
         zones.intern(zone);
     }
     let aims = pairs.list("familyInfo.messageAim");
+    let attempts = pairs.count("policyLimits.mostTries", 1)?;
     let mut class_list = Vec::new();
     for i in 0..pairs.count("requestClasses.count", 0)?.min(10_000) {
         let key = |name: &str| format!("requestClasses.{i}.{name}");
@@ -149,6 +176,7 @@
             target: pairs.time(&key("target"), 0)?,
             deadline: pairs.time(&key("deadline"), 0)?,
             message_aim: aims.get(i as usize).and_then(|a| a.parse::<f64>().ok()).unwrap_or(0.0) as Micros,
+            attempts,
             effect,
             worth: pairs.figure(&key("gain"), 1.0)?,
         });
@@ -176,7 +204,6 @@
         groups: pairs.flag("familyInfo.groups"),
         worth_by_work: pairs.text("worthBy") == Some("work"),
         over_share_worth: pairs.figure("overShareWorth", 1.0)?,
-        max_attempts: pairs.count("policyLimits.mostTries", 1)?,
         step: pairs.time("step", 1_000)?,
         list_on_request: pairs.text("registryMode") == Some("on_request"),
         weighted: pairs.text("weights").is_some_and(|w| w != "none"),
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -14,14 +14,13 @@
 }
 
 pub fn class(effect: Effect) -> Class {
-    Class { target: 500 * MS, deadline: 2 * S, message_aim: 100 * MS, effect, worth: 1.0 }
+    Class { target: 500 * MS, deadline: 2 * S, message_aim: 100 * MS, attempts: 4, effect, worth: 1.0 }
 }
 
 pub fn settings(effect: Effect) -> Settings {
     Settings {
         nodes: 1,
         classes: vec![class(effect)],
-        max_attempts: 4,
         step: 5 * MS,
         retry_after: true,
         max_retry_after: 2 * S,
--- a/crates/decision/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -321,7 +321,8 @@
 /// Found on nachhoeren big-2: in overload each group found some server that its node had no news of.
 #[test]
 fn a_group_is_held_while_its_servers_are_paused() {
-    let mut node = Node::new(Settings { groups: true, max_attempts: 9, ..settings(Effect::Safe) }, 12);
+    let classes = vec![Class { attempts: 9, ..class(Effect::Safe) }];
+    let mut node = Node::new(Settings { groups: true, classes, ..settings(Effect::Safe) }, 12);
     let ask = |id| Request { group: Some(4711), ..request(id, Some(2 * S)) };
     node.carry(100..160, 100 * MS);
     let (first, _) = sent(&node.tell(Event::Request(ask(1)))).unwrap();
