Decision: while most set-ups fail, one a second is still tried; a new process knew no rate

After ten time-outs the pace is a multiple of the usual rate, which counts first arrivals only: a new process has had returning clients, so its pace was the floor of one in ten seconds. Ruled out: refused attempts, figures, calls, the door (none lost there), bounds of strained nodes alone (tried before, no gain). Way taken: the floor is one a second. Way not taken: counting returning clients as arrivals, which would raise every bound in a storm.

--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -24,6 +24,8 @@
 const HOMES: usize = 5;
 /// While most set-ups fail wherever they go, a node sends at most this multiple of its usual rate.
 const PACE: f64 = 1.0;
+/// ... and one a second at least: a new process, to which clients only return, knows no usual rate.
+const LEAST_PACE: f64 = 1.0;
 /// Multiple of the usual rate for servers not heard of while most others are piled up.
 const UNHEARD: f64 = 0.1;
 /// Arrivals are averaged over about this many seconds.
@@ -448,7 +450,7 @@
         }
         self.crowded = 2 * bad > heard;
         let server = best?.1;
-        let rate = (PACE * usual.0 * self.total_weight).max(0.1);
+        let rate = (PACE * usual.0 * self.total_weight).max(LEAST_PACE);
         self.next_send = now + (SECOND as f64 / rate) as Micros;
         let rotation = rotation.max(due);
         self.rotation = rotation;
--- a/crates/decision/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -477,3 +477,26 @@
     let burst: Vec<ServerId> = (401..411).map(|id| node.place(id)).collect();
     assert!(!burst.contains(&ServerId(0)), "cold, so its budget is spent: {burst:?}");
 }
+
+/// Found on an upgrade day (seed 13478303390): a new process has had returning clients only, so it knew no usual rate, and
+/// after some time-outs sent nothing for ten seconds.
+#[test]
+fn a_node_that_knows_no_usual_rate_still_tries_once_a_second_while_most_fail() {
+    let mut node = Node::new(settings(Effect::Safe), 60);
+    let ask = |id| Event::Request(Request { again: true, ..request(id, Some(2 * S)) });
+    for id in 0..6 {
+        let (at, _) = sent(&node.tell(ask(id))).expect("nothing has failed enough yet");
+        node.end(id, at, Outcome::TimedOut, true);
+    }
+    let mut tried = 0;
+    for id in 100..200 {
+        node.run_to(node.now + 100 * MS);
+        let Some((at, _)) = sent(&node.tell(ask(id))) else {
+            node.tell(Event::Gone(RequestId(id)));
+            continue;
+        };
+        tried += 1;
+        node.end(id, at, Outcome::TimedOut, true);
+    }
+    assert!((8..=11).contains(&tried), "about once a second in ten seconds: {tried}");
+}
