--- /dev/null
+++ b/crates/cottonnotch/tests/hard_days.rs
@@ -0,0 +1,106 @@
+//! Stories of hard days: first lines in pieces, and clients that go at every stage.
+
+mod peers;
+use peers::*;
+use std::time::Duration;
+
+#[test]
+fn a_first_line_may_come_a_byte_at_a_time_and_be_split_inside_its_end() {
+    let node = Scripted::new();
+    let proxy = Proxy::managed(&[&node], 1024, SETTINGS);
+    let mut client = proxy.connect();
+    let line = fresh(OPEN);
+    for byte in line.chars() {
+        client.say(&byte.to_string());
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    let (mut far, heard) = node.called();
+    assert_eq!(id_of(&heard), id_of(&line));
+    far.say("UP 1\r");
+    std::thread::sleep(Duration::from_millis(5));
+    far.say("\nLOAD 2\r");
+    std::thread::sleep(Duration::from_millis(5));
+    far.say("\n");
+    assert_eq!((client.hear(), client.hear()), ("UP 1\r\n".to_owned(), "LOAD 2\r\n".to_owned()));
+    for piece in ["M", " 1 x\r", "\nM 2", " y\r\n"] {
+        client.say(piece);
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    assert_eq!((far.hear(), far.hear()), ("M 1 x\r\n".to_owned(), "M 2 y\r\n".to_owned()));
+    // A line that is split before its end's second byte, and no more for as long as a silent client is borne.
+    let mut half = proxy.connect();
+    half.say(fresh(OPEN).trim_end_matches('\n'));
+    assert!(half.rest().unwrap().starts_with("ERR no first line came"));
+    assert!(node.poll().is_none(), "half a line is no request");
+}
+
+#[test]
+fn clients_that_go_at_any_stage_leave_nothing_behind() {
+    let node = Scripted::new();
+    let proxy = Proxy::managed(&[&node], 1024, SETTINGS);
+    let gone =
+        || within(PATIENCE, "none in progress", || (proxy.figure("in_progress") == Some(0)).then_some(()));
+    // Before the line, and in the middle of it.
+    drop(proxy.connect());
+    let mut middle = proxy.connect();
+    middle.say("OPEN 12");
+    middle.reset();
+    // During an attempt: it is closed, and shows nothing of the render node.
+    let client = proxy.open();
+    let mut far = node.called().0;
+    drop(client);
+    assert_eq!(far.rest().unwrap(), "");
+    gone();
+    assert_eq!(proxy.figure("skipped_render_nodes"), Some(0));
+    // With lines unanswered, by a reset.
+    let (mut client, mut far) = proxy.up(&node);
+    client.say("M 1 x\r\n");
+    assert_eq!(far.hear(), "M 1 x\r\n");
+    client.reset();
+    assert!(far.rest().is_err(), "a reset passes as a reset");
+    gone();
+    // While held: nothing may be used.
+    let (mut client, _far) = proxy.up(&node);
+    assert_eq!(proxy.call("POST", "/maintenance/enter", "s0").0, 200);
+    let held = proxy.open();
+    within(PATIENCE, "it is held", || (proxy.figure("in_progress")? >= 2).then_some(()));
+    drop(held);
+    // In the middle of a MOVE: told to go, it sends one more line and is gone.
+    assert_eq!(client.hear(), "MOVE\r\n");
+    let _ = client.try_say("M 2 y\r\n");
+    client.reset();
+    gone();
+    assert!(node.poll().is_none(), "nothing was sent for those that went");
+    assert_eq!(proxy.call("POST", "/maintenance/exit", "s0").0, 200);
+    let (_client, _far) = proxy.up(&node);
+    assert_eq!(proxy.figure("handled.look.passed"), Some(3));
+}
+
+#[test]
+fn a_reload_in_the_middle_of_a_crowd_drops_nobody() {
+    let node = Scripted::new();
+    // Attempts have time enough: what ends one here must not be its time-out.
+    let patient = SETTINGS.replace("\"target\":300000", "\"target\":8000000");
+    let proxy = Proxy::managed(&[&node], 1024, &patient);
+    let mut ups: Vec<(Peer, Peer)> = (0..20).map(|_| proxy.up(&node)).collect();
+    let mut waiting: Vec<(Peer, Peer)> = (0..60)
+        .map(|_| {
+            let mut client = proxy.connect();
+            client.say(&fresh(OPEN).replace("d=2000", "d=20000"));
+            (client, node.called().0)
+        })
+        .collect();
+    for tries in ["2", "1", "5"] {
+        proxy.reconfigure(&[(r#""mostTries":3"#, &format!(r#""mostTries":{tries}"#))]);
+        proxy.logged("configuration read again");
+    }
+    for (client, far) in &mut waiting {
+        far.say("UP 1\r\n");
+        assert_eq!(client.hear(), "UP 1\r\n");
+    }
+    for (client, far) in &mut ups {
+        client.say("M 1 x\r\n");
+        assert_eq!(far.hear(), "M 1 x\r\n");
+    }
+    assert_eq!((proxy.figure("handled.look.passed"), proxy.figure("loads")), (Some(80), Some(3)));
+}
