--- a/crates/cottonnotch/tests/replacement.rs
+++ b/crates/cottonnotch/tests/replacement.rs
@@ -193,11 +193,19 @@
     assert_eq!(again.figure("skipped_render_nodes"), Some(1), "the ban outlives an ordinary restart, too");
 }
 
+/// What binding there beside a proxy comes to, for one that is ready to share the address.
+fn beside(address: SocketAddr) -> std::io::Result<()> {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+    socket.set_reuse_port(true)?;
+    socket.bind(&address.into())
+}
+
 #[test]
-fn without_a_place_to_meet_a_second_process_fails_to_start() {
+fn the_address_is_shared_only_where_processes_can_meet() {
     let node = Scripted::new();
-    let proxy = Proxy::managed(&[&node], 1024, SETTINGS);
-    let address = proxy.address();
-    let error = std::net::TcpListener::bind(address).unwrap_err();
-    assert_eq!(error.kind(), ErrorKind::AddrInUse, "the address is not shared");
+    let alone = Proxy::managed(&[&node], 1024, SETTINGS);
+    assert_eq!(beside(alone.address()).unwrap_err().kind(), ErrorKind::AddrInUse);
+    let folder = tempfile::tempdir().unwrap();
+    let shared = Proxy::shared(free_address(), folder.path(), Scripted::new(), &[&node]);
+    beside(shared.address()).expect("another process of the same user may listen there");
 }
