--- a/crates/cottonnotch/src/config/operator.rs
+++ b/crates/cottonnotch/src/config/operator.rs
@@ -6,7 +6,8 @@
 use super::operator_file::OperatorFile;
 use crate::OPERATOR_VARIABLE;
 use crate::logging::LogConfig;
-use cottonnotch_gossip::GossipSection;
+use cottonnotch_fleet::FleetSection;
+use cottonnotch_gossip::{GossipSection, Strength};
 use cottonnotch_records::RecordsSection;
 use serde::{Deserialize, Serialize};
 use simd_json::OwnedValue;
@@ -24,6 +25,8 @@
     pub records: RecordsSection,
     /// `[gossip]`
     pub gossip: GossipSection,
+    /// `[fleet]`
+    pub fleet: FleetSection,
 }
 
 impl Operator {
@@ -48,6 +51,15 @@
         self.log.check()?;
         self.records.check().map_err(|bad| bad.to_string())?;
         self.gossip.check().map_err(|bad| bad.to_string())?;
+        self.fleet.check().map_err(|bad| bad.to_string())?;
+        if self.fleet.members_from.is_some()
+            && !matches!(self.gossip.strength, None | Some(Strength::Address))
+        {
+            return Err(
+                "fleet.members_from goes with gossip.strength 'address' only, its datagrams have no proof"
+                    .into(),
+            );
+        }
         Ok(())
     }
 
@@ -70,7 +82,11 @@
                 old.gossip.clone()
             }
         };
-        Operator { log: self.log.succeed(&old.log), records: old.records.clone(), gossip }
+        if self.fleet != old.fleet {
+            log::warn!(key = "fleet"; "the fleet view cannot change while clients are served, it goes on as at the start");
+        }
+        let (log, records, fleet) = (self.log.succeed(&old.log), old.records.clone(), old.fleet.clone());
+        Operator { log, records, gossip, fleet }
     }
 
     /// The values as they are written, so that no section is to list its keys a second time.
@@ -148,8 +164,13 @@
         let to_descriptor = RecordsSection { descriptor, queue_records, flush_ms, ..usual.clone() };
         assert!(file.is_some() && descriptor.is_some());
         for records in [to_file, to_descriptor] {
-            Operator { records, ..read.clone() }.check().unwrap();
+            // A fleet view has no proof, so it goes with no other strength than 'address'.
+            let fleet = FleetSection::default();
+            Operator { records, fleet, ..read.clone() }.check().unwrap();
         }
+        let signed = Operator { gossip: read.gossip, fleet: read.fleet.clone(), ..Operator::default() };
+        assert!(signed.check().unwrap_err().starts_with("fleet.members_from"));
+        assert_eq!(read.fleet, FleetSection { members_from: Some(24), ..FleetSection::default() });
         assert_eq!((queue_records, flush_ms), (usual.queue_records, usual.flush_ms));
         let mut keys = BTreeMap::new();
         leaves("", &simd_json::serde::to_owned_value(Operator::default()).unwrap(), &mut keys);
--- a/crates/cottonnotch/src/net/driver/gossip.rs
+++ b/crates/cottonnotch/src/net/driver/gossip.rs
@@ -1,6 +1,7 @@
 //! The other proxies: what they are told of this one's subchannels, and what is made of what they tell. Who is there and
 //! what counts is the gossip crate's matter; what follows from a word, the module's.
 
+use super::fleet::FleetMember;
 use super::messages::Messages;
 use super::net::{GOSSIP, Net, PART};
 use super::subchannels::Subchannels;
@@ -22,6 +23,8 @@
 /// The tier, as far as this proxy takes part in it.
 pub struct Peers {
     member: Option<Member>,
+    /// A large tier has a view of the fleet instead.
+    fleet: Option<FleetMember>,
     /// Another process of this proxy has the address; it is tried again.
     waits: bool,
 }
@@ -42,22 +45,29 @@
     /// Opens the socket, if this proxy is to gossip. Fails if its address can't be had; `waits`: unless another process of
     /// this proxy may have it still.
     pub fn start(net: &mut Net, waits: bool) -> io::Result<Self> {
-        match Member::start(net) {
-            Ok(member) => Ok(Peers { member, waits: false }),
+        match Self::begin(net) {
+            Ok((member, fleet)) => Ok(Peers { member, fleet, waits: false }),
             Err(error) if waits && error.kind() == io::ErrorKind::AddrInUse => {
                 log::info!(target: PART, "gossip begins once the earlier process has left its address");
-                Ok(Peers { member: None, waits })
+                Ok(Peers { member: None, fleet: None, waits })
             }
             Err(error) => Err(error),
         }
     }
 
+    fn begin(net: &mut Net) -> io::Result<(Option<Member>, Option<FleetMember>)> {
+        match FleetMember::settings(net) {
+            Some(_) => Ok((None, FleetMember::start(net)?)),
+            None => Ok((Member::start(net)?, None)),
+        }
+    }
+
     /// Tries again for the address that another process had.
     pub fn retry(&mut self, net: &mut Net) {
         if self.waits
-            && let Ok(member) = Member::start(net)
+            && let Ok((member, fleet)) = Self::begin(net)
         {
-            (self.member, self.waits) = (member, false);
+            (self.member, self.fleet, self.waits) = (member, fleet, false);
         }
     }
 
@@ -68,6 +78,9 @@
         if let Some(member) = self.member.take() {
             net.reactor.remove(member.socket);
         }
+        if let Some(fleet) = self.fleet.take() {
+            net.reactor.remove(fleet.socket());
+        }
     }
 
     /// A new configuration was taken: keys may have changed.
@@ -82,6 +95,9 @@
 
     /// What the module is about to hear, as far as it shows something of a subchannel.
     pub fn witness(&mut self, now: Micros, event: &Event) {
+        if let Some(fleet) = &mut self.fleet {
+            return fleet.witness(now, event);
+        }
         let Some(member) = &mut self.member else { return };
         let (server, outcome) = match event {
             Event::Established { server, .. } => (*server, Outcome::Served),
@@ -103,6 +119,9 @@
 
     /// Once a second: what this proxy has to tell.
     pub fn tick(&mut self, net: &mut Net, messages: &mut Messages, subchannels: &Subchannels) -> Vec<Event> {
+        if let Some(fleet) = &mut self.fleet {
+            return fleet.tick(net, messages, subchannels);
+        }
         let Some(member) = &mut self.member else { return Vec::new() };
         member.learn_names(subchannels);
         let entries = member.entries(net.now(), messages, subchannels);
@@ -117,6 +136,9 @@
         messages: &mut Messages,
         heard: &[(SocketAddr, Vec<u8>)],
     ) -> Vec<Event> {
+        if let Some(fleet) = &mut self.fleet {
+            return fleet.datagrams(net, messages, heard);
+        }
         let Some(member) = &mut self.member else { return Vec::new() };
         for (address, bytes) in heard {
             let from = member.ordinals.get(address).copied();
@@ -125,8 +147,17 @@
         member.carry_out(net, messages)
     }
 
-    /// The timer is due; it may be outdated.
-    pub fn timer(&mut self, net: &mut Net, messages: &mut Messages) -> Vec<Event> {
+    /// The timer is due; it may be outdated. So many RPCs are in progress.
+    pub fn timer(
+        &mut self,
+        net: &mut Net,
+        messages: &mut Messages,
+        subchannels: &Subchannels,
+        rpcs: usize,
+    ) -> Vec<Event> {
+        if let Some(fleet) = &mut self.fleet {
+            return fleet.timer(net, messages, subchannels, rpcs);
+        }
         let Some(member) = &mut self.member else { return Vec::new() };
         member.armed = None;
         if member.gossip.next_timeout() <= net.now() {
@@ -137,6 +168,9 @@
 
     /// The proxy leaves, its clients have been moved: the others count it no more.
     pub fn leave(&mut self, net: &mut Net, messages: &mut Messages) {
+        if let Some(fleet) = &mut self.fleet {
+            fleet.leave(net, messages);
+        }
         if let Some(member) = &mut self.member {
             member.gossip.handle(net.now(), Input::Leave);
             member.carry_out(net, messages);
@@ -244,7 +278,7 @@
 
 /// What a peer's evidence says. That a render node is full shows nothing of its health, and who was refused tells the
 /// others nothing that they would not be told at once.
-fn word(evidence: &Evidence) -> Word {
+pub(super) fn word(evidence: &Evidence) -> Word {
     let unwell = u32::from(evidence.failed) + u32::from(evidence.timed_out) + u32::from(evidence.silent);
     match (evidence.age_tenths <= MOST_AGE_TENTHS, unwell, evidence.served) {
         (true, 1.., 0) => Word::Unwell,
--- a/crates/cottonnotch/src/net/driver/messages.rs
+++ b/crates/cottonnotch/src/net/driver/messages.rs
@@ -45,6 +45,22 @@
         self.delays.standing()
     }
 
+    /// The same for the fleet's keeper: load, and a byte of each group's digest.
+    pub fn standing_by_group(&self) -> BTreeMap<ServerId, (f64, Vec<u8>)> {
+        self.delays.standing_by_group()
+    }
+
+    /// The listed subchannels' capacities, microseconds of work a second.
+    pub fn sizes(&self) -> impl Iterator<Item = (ServerId, f64)> + '_ {
+        self.delays.sizes()
+    }
+
+    /// What all proxies together have, as it was told: load over size of the subchannels that are named. The next is told
+    /// after about a `period`.
+    pub fn fleet(&mut self, at: Micros, period: Micros, used: BTreeMap<ServerId, f64>) {
+        self.delays.fleet(at, period, used);
+    }
+
     /// A connection is up; `setup` is how long that took.
     pub fn opened(&mut self, call: &Call, server: ServerId, setup: Option<Micros>) {
         let group = call.group.filter(|_| self.groups);
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -11,6 +11,7 @@
 mod arrivals;
 mod calls;
 mod clients;
+mod fleet;
 mod gossip;
 mod lifecycle;
 mod maintenance;
@@ -187,7 +188,8 @@
                 self.tell_all(events);
             }
             Happening::Timer(net::GOSSIP) => {
-                let events = self.peers.timer(net, messages);
+                let rpcs = self.clients.calls().len();
+                let events = self.peers.timer(net, messages, &self.subchannels, rpcs);
                 self.tell_all(events);
             }
 
--- a/crates/cottonnotch/src/net/message_delay.rs
+++ b/crates/cottonnotch/src/net/message_delay.rs
@@ -43,6 +43,9 @@
 const LEAST_SAMPLE: f64 = 1.0;
 /// ... unless as large a part of it was told.
 const ENOUGH_TOLD: f64 = 0.5;
+/// The same where the fleet's keeper tells it. Lower: loads swing within seconds, what is told is some seconds old, and the
+/// estimate lacks what a full table costs. Render nodes dropped connections at an estimate of 0.5 (calm day).
+const FLEET_MARKS: (f64, f64) = (0.5, 0.9);
 /// Beyond, each such part of utilisation adds five aims: work piles up.
 const PILE: f64 = 0.7;
 
@@ -97,8 +100,20 @@
     setups: Average,
     /// What the other proxies say.
     pub peers: PeerLoads,
+    /// What all are said to have together.
+    fleet: Option<FleetUse>,
 }
 
+/// Load over size by subchannel, of all proxies together; those that are not named have little.
+#[derive(Debug)]
+struct FleetUse {
+    until: Micros,
+    used: BTreeMap<ServerId, f64>,
+}
+
+/// What was told of the fleet counts for so many of its periods: two of the next may be lost.
+const FLEET_FOR: Micros = 3;
+
 /// What is thought of a subchannel that holds connections of ours.
 #[derive(Clone, Copy, Debug)]
 struct Use {
@@ -106,6 +121,8 @@
     used: f64,
     /// Part of the others' load that was told, 0 to 1.
     told: f64,
+    /// Told by the fleet's keeper, for all proxies together.
+    by_fleet: bool,
 }
 
 /// This proxy's connections on one subchannel.
@@ -127,6 +144,7 @@
             open: BTreeMap::new(),
             setups: Average::default(),
             peers: PeerLoads::default(),
+            fleet: None,
         }
     }
 
@@ -182,10 +200,10 @@
     pub fn notes(&mut self, now: Micros) -> Vec<Note> {
         let Some(aim) = self.aim else { return Vec::new() };
         let mut notes = Vec::new();
-        for (number, Use { used, told }) in self.utilisations(now) {
+        for (number, of) in self.utilisations(now) {
             let Some(known) = self.known.get_mut(&number) else { continue };
             let measured = known.measured.filter(|(at, _)| now - at < BELIEVED).map_or(0, |(_, d)| d);
-            let delay = measured.max(delay_at(used, told, aim));
+            let delay = measured.max(delay_at(of, aim));
             let over = delay as f64 > aim / 3.0;
             if over || known.over {
                 notes.push(Note { server: ServerId(number), delay });
@@ -208,6 +226,30 @@
         all
     }
 
+    /// The same with a byte of each group's digest in place of a sketch.
+    pub fn standing_by_group(&self) -> BTreeMap<ServerId, (f64, Vec<u8>)> {
+        let mean = self.mean();
+        let mut all: BTreeMap<ServerId, (f64, Vec<u8>)> = BTreeMap::new();
+        for open in self.open.values() {
+            let (load, groups) = all.entry(open.server).or_default();
+            *load += open.load.unwrap_or(mean);
+            let byte = open.group.map(|group| (group.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 56) as u8);
+            groups.extend(byte.filter(|byte| !groups.contains(byte)));
+        }
+        all
+    }
+
+    /// The listed subchannels' capacities, microseconds of work a second; none where sizes are not listed.
+    pub fn sizes(&self) -> impl Iterator<Item = (ServerId, f64)> + '_ {
+        let sized = self.known.iter().filter(|_| self.sized);
+        sized.map(|(number, known)| (ServerId(*number), known.weight * WORK_OF_A_CORE))
+    }
+
+    /// All proxies' loads over size were told; the next are due after about a `period`.
+    pub fn fleet(&mut self, at: Micros, period: Micros, used: BTreeMap<ServerId, f64>) {
+        self.fleet = Some(FleetUse { until: at + FLEET_FOR * period, used });
+    }
+
     /// Mean load of a connection, of those that told theirs.
     fn mean(&self) -> f64 {
         let loads = self.open.values().filter_map(|open| open.load);
@@ -217,6 +259,14 @@
 
     /// Estimated load over capacity of each subchannel that holds a connection of ours.
     fn utilisations(&self, now: Micros) -> BTreeMap<u32, Use> {
+        if let Some(fleet) = self.fleet.as_ref().filter(|fleet| fleet.until > now) {
+            let told = |server: &u32| fleet.used.get(&ServerId(*server)).copied().unwrap_or(0.0);
+            let uses = self
+                .known
+                .keys()
+                .map(|server| (*server, Use { used: told(server), told: 1.0, by_fleet: true }));
+            return uses.collect();
+        }
         let mean = self.mean();
         let mut by_server: BTreeMap<u32, Here> = BTreeMap::new();
         let mut by_group: BTreeMap<u64, BTreeMap<u32, f64>> = BTreeMap::new();
@@ -249,7 +299,7 @@
             } else {
                 0.0
             };
-            (number, Use { used, told: others.told })
+            (number, Use { used, told: others.told, by_fleet: false })
         };
         by_server.into_iter().map(estimate).collect()
     }
@@ -271,10 +321,10 @@
     }
 }
 
-/// Time of a message at a subchannel that is used so far; `told` is the part of that which isn't a guess.
-fn delay_at(used: f64, told: f64, aim: f64) -> Micros {
+/// Time of a message at a subchannel that is used so far.
+fn delay_at(Use { used, told, by_fleet }: Use, aim: f64) -> Micros {
     let between = |(guessed, known): (f64, f64)| guessed + (known - guessed) * told;
-    let (busy, crowded) = (between(BUSY), between(CROWDED));
+    let (busy, crowded) = if by_fleet { FLEET_MARKS } else { (between(BUSY), between(CROWDED)) };
     let aims = if used < busy {
         used / busy / 3.0
     } else if used < crowded {
--- a/crates/cottonnotch/tests/gossip.rs
+++ b/crates/cottonnotch/tests/gossip.rs
@@ -1,6 +1,8 @@
-//! Stories of gossip on sockets: the real proxy, whose peers this file plays with the protocol's own crate.
+//! Stories of gossip and of the fleet view on sockets: the real proxy, whose peers this file plays with the protocols' own
+//! crates.
 
 mod peers;
+use cottonnotch_fleet::wire::{self, Datagram, Report, Table, Totals};
 use cottonnotch_gossip::{
     Entry, Evidence, Gossip, GossipSection, Input, Keys, Load, Output, State, Strength, Subchannel, To,
 };
@@ -350,3 +352,107 @@
         assert!(said.contains(named), "{operator}: {said}");
     }
 }
+
+// ---- the fleet view ----
+
+const BY_KEEPER: &str = "[gossip]\nstrength = \"address\"\n[fleet]\nmembers_from = 4\nperiod_ms = 200\n";
+
+/// The other members' ends, each of which answers as a keeper would: `full` is the render node that all others have filled.
+struct Keepers {
+    ends: Vec<UdpSocket>,
+    full: &'static str,
+    reports: Vec<Report>,
+    /// These hear nothing.
+    dead: Vec<usize>,
+}
+
+impl Keepers {
+    fn new(addresses: &[SocketAddr], full: &'static str) -> Self {
+        let bind = |address: &SocketAddr| {
+            let socket = UdpSocket::bind(address).unwrap();
+            socket.set_nonblocking(true).unwrap();
+            socket
+        };
+        Keepers {
+            ends: addresses[1..].iter().map(bind).collect(),
+            full,
+            reports: Vec::new(),
+            dead: Vec::new(),
+        }
+    }
+
+    /// Who was asked since the last time.
+    fn play(&mut self) -> Vec<usize> {
+        let (mut bytes, mut asked) = ([0; 512], Vec::new());
+        for (place, end) in self.ends.iter().enumerate() {
+            while let Ok((length, from)) = end.recv_from(&mut bytes) {
+                assert!(length <= 256, "{length} bytes");
+                let Some(Datagram::Report(report)) = wire::read(&bytes[..length]) else {
+                    panic!("no report")
+                };
+                asked.push(place);
+                if !self.dead.contains(&place) && !report.no_answer {
+                    let node = wire::Subchannel(Subchannel::of(self.full).bits());
+                    let nodes = vec![(node, 2.0, wire::Word::Unclear)];
+                    let (generation, totals) =
+                        (report.generation, Totals { connections: 9, ..Totals::default() });
+                    let table = Table { generation, part: (0, 1), young: false, members: 4, totals, nodes };
+                    end.send_to(&wire::write_table(&table)[0], from).unwrap();
+                }
+                self.reports.push(report);
+            }
+        }
+        asked
+    }
+}
+
+#[test]
+fn a_keeper_s_sums_keep_clients_off_a_full_node_where_this_proxy_has_nobody() {
+    let nodes = [Scripted::new(), Scripted::new(), Scripted::new()];
+    let (folder, at) = (TempDir::new().unwrap(), addresses(4));
+    let mut keepers = Keepers::new(&at, "s1");
+    let proxy = proxy(&folder, &at, BY_KEEPER, &[&nodes[0], &nodes[1], &nodes[2]]);
+    // When this proxy has the keeper's part itself, nobody asks the others: the story needs one of the three.
+    let mut kept = Vec::new();
+    within(PATIENCE * 4, "rounds without it", || {
+        keepers.play();
+        let round: Vec<_> = (0..6)
+            .map(|_| {
+                let mut client = proxy.connect();
+                client.say(&fresh(&OPEN.replace(",g=5c0f", "")));
+                let (at, mut far) = called_at(&nodes);
+                far.hear();
+                far.say("UP 1\r\nLOAD 1000\r\n");
+                client.hear();
+                (at, client, far)
+            })
+            .collect();
+        let avoided = round.iter().all(|(at, ..)| *at != 1);
+        kept.extend(round);
+        std::thread::sleep(Duration::from_millis(100));
+        avoided.then_some(())
+    });
+    within(PATIENCE, "its own report", || {
+        keepers.play();
+        let told =
+            |report: &Report| report.totals.connections > 0 && report.entries.iter().any(|e| e.load > 0.0);
+        std::thread::sleep(Duration::from_millis(20));
+        keepers.reports.iter().any(told).then_some(())
+    });
+}
+
+#[test]
+fn a_silent_keeper_is_asked_again_and_then_another_one() {
+    let (folder, at, node) = (TempDir::new().unwrap(), addresses(4), Scripted::new());
+    let mut keepers = Keepers::new(&at, "s9");
+    keepers.dead = vec![0, 1, 2];
+    let proxy = proxy(&folder, &at, BY_KEEPER, &[&node]);
+    let mut asked = Vec::new();
+    within(PATIENCE * 4, "all others to be asked", || {
+        asked.extend(keepers.play());
+        std::thread::sleep(Duration::from_millis(10));
+        (0..3).all(|place| asked.contains(&place)).then_some(())
+    });
+    // It serves on by what it knows itself.
+    let (_client, _far) = proxy.up(&node);
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,25 @@
+//! The fleet view, sans-io: fully deterministic, no sockets, no clocks, no chance but that from one seed. [`Member`] is
+//! `handle(now, input)`, `poll() -> output` and `next_timeout()`.
+//!
+//! Each proxy of a large tier sees a few connections, which say next to nothing of the render nodes. So each *reports* what
+//! it has, once a period, to one proxy that is *keeper* for the time being, and gets the sums of all reports, the *table*,
+//! as the answer. The keeper is another one every [`EPOCH`]; who comes next is the same for everybody.
+//! `docs/design/fleet-view.md` says why, and what it costs.
+
+mod config;
+mod gathering;
+mod member;
+mod order;
+mod pace;
+mod view;
+pub mod wire;
+
+pub use config::{BadFleet, FleetSection, Settings};
+pub use gathering::{Claim, Gathering};
+pub use member::{Counts, Input, Member, Output, Own};
+pub use order::{EPOCH, keepers};
+pub use view::{Told, View};
+pub use wire::{Entry, Subchannel, Word};
+
+/// A point in time or a span, in microseconds.
+pub type Micros = i64;
--- /dev/null
+++ b/crates/fleet/src/order.rs
@@ -0,0 +1,49 @@
+//! Who is keeper, and who takes its place: an order that all members work out alike, another one each epoch.
+
+use crate::Micros;
+
+/// How long one order counts. Short enough that a keeper that lies, one of 300, has its say for 3 s of 1,000; long beside
+/// the period in which a new keeper gathers its reports.
+pub const EPOCH: Micros = 20_000_000;
+/// So many are worth asking when those before them don't answer: with seven of ten gone all at once, all 24 are gone in one
+/// case of 5,000.
+const CANDIDATES: usize = 24;
+
+fn score(epoch: u64, ordinal: u32) -> u64 {
+    // Finaliser of splitmix64 (Steele and others 2014): ordinals and epochs are both counters.
+    let mut z =
+        epoch.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ u64::from(ordinal).wrapping_mul(0xd134_2543_de82_ef95);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+/// The first ones of an epoch's order, the keeper first. One member more or less changes the places of no others.
+pub fn keepers(epoch: u64, members: u32) -> Vec<u32> {
+    let mut all: Vec<(u64, u32)> = (0..members).map(|ordinal| (score(epoch, ordinal), ordinal)).collect();
+    let first = CANDIDATES.min(all.len());
+    if first < all.len() {
+        all.select_nth_unstable(first);
+        all.truncate(first);
+    }
+    all.sort_unstable();
+    all.into_iter().map(|(_, ordinal)| ordinal).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn duty_goes_round_evenly_and_one_more_member_changes_little() {
+        let mut duty = vec![0_u32; 300];
+        for epoch in 0..30_000 {
+            duty[keepers(epoch, 300)[0] as usize] += 1;
+        }
+        assert!(duty.iter().all(|times| (50..170).contains(times)), "{duty:?}");
+        let differ = (0..1_000).filter(|epoch| keepers(*epoch, 300)[0] != keepers(*epoch, 301)[0]).count();
+        assert!(differ < 15, "{differ} of 1,000 epochs have another keeper");
+        assert_eq!(keepers(7, 3).len(), 3);
+        assert!(keepers(7, 0).is_empty());
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/wire.rs
@@ -0,0 +1,388 @@
+//! What goes over the wire: reports and tables, datagrams of 256 bytes at most. Numbers of variable width are LEB128.
+//!
+//! | both | bytes | |
+//! | --- | --- | --- |
+//! | version | 1 | 2; gossip's datagrams begin with 1, and each drops the other's |
+//! | kind | 1 | 1 report, 2 table |
+//! | flags | 1 | report: bit 0 leaving, bit 1 no answer wanted; table: bit 0 no sums yet |
+//! | generation | 2 | of the report; its answer has the same, so nobody can tell a table unasked |
+//! | part | 1 | which of so many datagrams, from 0; high 4 bits: how many more than one there are |
+//! | members | n | table only: whose reports are in it |
+//! | connections | n | open or wanted |
+//! | requests, set-ups, failures | 1 each | a second; [`rate`] |
+//!
+//! | entry | bytes | |
+//! | --- | --- | --- |
+//! | subchannel | 3 | digest of its name |
+//! | report: load | 1 | [`load`]; 2.2% off at most |
+//! | report: word, groups | 1 + n | bits 5 and 6 the word, bits 0 to 4 how many groups, then a byte of each one's digest |
+//! | table: use, word | 1 | bits 0 to 5 load over size, from 0.4 in steps of 1/32; bits 6 and 7 the word |
+//!
+//! Entries that a table leaves out are under 0.4 and nothing is said against them.
+
+/// The longest datagram.
+pub const LONGEST: usize = 256;
+const VERSION: u8 = 2;
+const REPORT: u8 = 1;
+const TABLE: u8 = 2;
+const LEAVING: u8 = 1;
+const NO_ANSWER: u8 = 2;
+const YOUNG: u8 = 1;
+/// Datagrams of one report or table at most.
+pub const MOST_PARTS: usize = 16;
+/// Groups of one entry at most.
+const MOST_GROUPS: usize = 31;
+/// What a table can say of a subchannel's use.
+pub const LEAST_USE: f64 = 0.4;
+const USE_STEP: f64 = 1.0 / 32.0;
+
+/// 24 bits of a digest of a subchannel's name; the embedder's matter which.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Subchannel(pub u32);
+
+/// What proxies met at a subchannel within the last seconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Word {
+    /// Nothing, or both good and bad.
+    #[default]
+    Unclear,
+    /// Attempts went well, none failed.
+    Well,
+    /// Attempts failed, none went well.
+    Unwell,
+}
+
+impl Word {
+    fn bits(self) -> u8 {
+        match self {
+            Word::Unclear => 0,
+            Word::Well => 1,
+            Word::Unwell => 2,
+        }
+    }
+
+    fn of(bits: u8) -> Word {
+        match bits & 3 {
+            1 => Word::Well,
+            2 => Word::Unwell,
+            _ => Word::Unclear,
+        }
+    }
+}
+
+/// What one proxy has at one subchannel.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Which one.
+    pub subchannel: Subchannel,
+    /// Summed load of its connections there, work in microseconds a second.
+    pub load: f64,
+    /// A byte of the digest of each group that has connections of it there.
+    pub groups: Vec<u8>,
+    /// What it met there.
+    pub word: Word,
+}
+
+/// What one proxy, or all together, have in sum.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Totals {
+    /// Connections that are open or wanted.
+    pub connections: u32,
+    /// Requests a second.
+    pub requests: f64,
+    /// Set-ups a second that went well.
+    pub well: f64,
+    /// Set-ups a second that failed, whatever was at fault.
+    pub failed: f64,
+}
+
+/// One datagram of a report.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// Counts this proxy's reports.
+    pub generation: u16,
+    /// Which datagram of it, of how many.
+    pub part: (u8, u8),
+    /// The proxy leaves and has nothing any more.
+    pub leaving: bool,
+    /// It is told ahead of a keeper's time, no answer is wanted.
+    pub no_answer: bool,
+    /// Sums.
+    pub totals: Totals,
+    /// The subchannels of this part.
+    pub entries: Vec<Entry>,
+}
+
+/// One datagram of a table.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Table {
+    /// The report that it answers.
+    pub generation: u16,
+    /// Which datagram of it, of how many.
+    pub part: (u8, u8),
+    /// The keeper has not heard all yet; nothing in it counts but that the keeper is there.
+    pub young: bool,
+    /// Whose reports are in it.
+    pub members: u32,
+    /// Sums.
+    pub totals: Totals,
+    /// Subchannel, load over size, word.
+    pub nodes: Vec<(Subchannel, f64, Word)>,
+}
+
+/// A datagram that was read.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Datagram {
+    /// To a keeper.
+    Report(Report),
+    /// From a keeper.
+    Table(Table),
+}
+
+/// A load as a byte: 0 for none, else 64 us a second times 2 to the power of sixteenths; up to 3.8 cores.
+pub fn load(micros: f64) -> u8 {
+    if micros.is_nan() || micros < 32.0 {
+        0
+    } else {
+        ((micros / 64.0).log2() * 16.0 + 1.0).round().clamp(1.0, 255.0) as u8
+    }
+}
+
+/// The load that a byte stands for.
+pub fn load_of(byte: u8) -> f64 {
+    if byte == 0 { 0.0 } else { 64.0 * (f64::from(byte - 1) / 16.0).exp2() }
+}
+
+/// A rate as a byte: 0 for none, else 1/16 a second times 2 to the power of eighths.
+pub fn rate(per_s: f64) -> u8 {
+    if per_s.is_nan() || per_s < 0.045 {
+        0
+    } else {
+        ((per_s * 16.0).log2() * 8.0 + 1.0).round().clamp(1.0, 255.0) as u8
+    }
+}
+
+/// The rate that a byte stands for.
+pub fn rate_of(byte: u8) -> f64 {
+    if byte == 0 { 0.0 } else { (f64::from(byte - 1) / 8.0).exp2() / 16.0 }
+}
+
+fn number(bytes: &mut Vec<u8>, mut value: u32) {
+    while value >= 0x80 {
+        bytes.push(value as u8 | 0x80);
+        value >>= 7;
+    }
+    bytes.push(value as u8);
+}
+
+fn totals(bytes: &mut Vec<u8>, totals: &Totals) {
+    number(bytes, totals.connections);
+    bytes.extend([rate(totals.requests), rate(totals.well), rate(totals.failed)]);
+}
+
+fn header(kind: u8, flags: u8, generation: u16) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(LONGEST);
+    bytes.extend([VERSION, kind, flags]);
+    bytes.extend(generation.to_le_bytes());
+    // The part, once it is known.
+    bytes.push(0);
+    bytes
+}
+
+/// Cuts what each entry needs into datagrams behind the same header; what does not fit into all of them is left out.
+fn cut(header: &[u8], entries: impl Iterator<Item = Vec<u8>>) -> Vec<Vec<u8>> {
+    let mut parts = vec![header.to_vec()];
+    for entry in entries {
+        let last = parts.len() - 1;
+        if parts[last].len() + entry.len() <= LONGEST {
+            parts[last].extend(entry);
+        } else if parts.len() < MOST_PARTS {
+            parts.push([header, &entry].concat());
+        } else {
+            break;
+        }
+    }
+    let more = (parts.len() - 1) as u8;
+    for (place, part) in parts.iter_mut().enumerate() {
+        part[5] = place as u8 | more << 4;
+    }
+    parts
+}
+
+/// A report as datagrams; the parts' numbers of `report` don't matter. The first entries go first.
+pub fn write_report(report: &Report) -> Vec<Vec<u8>> {
+    let flags = (u8::from(report.leaving) * LEAVING) | (u8::from(report.no_answer) * NO_ANSWER);
+    let mut head = header(REPORT, flags, report.generation);
+    totals(&mut head, &report.totals);
+    let entry = |entry: &Entry| {
+        let mut bytes = entry.subchannel.0.to_le_bytes()[..3].to_vec();
+        let groups = &entry.groups[..entry.groups.len().min(MOST_GROUPS)];
+        bytes.extend([load(entry.load), entry.word.bits() << 5 | groups.len() as u8]);
+        bytes.extend(groups);
+        bytes
+    };
+    cut(&head, report.entries.iter().map(entry))
+}
+
+/// A table as datagrams. Of the nodes only those that say something, the fullest first.
+pub fn write_table(table: &Table) -> Vec<Vec<u8>> {
+    let mut head = header(TABLE, u8::from(table.young) * YOUNG, table.generation);
+    number(&mut head, table.members);
+    totals(&mut head, &table.totals);
+    let mut told: Vec<_> =
+        table.nodes.iter().filter(|(_, used, word)| *used >= LEAST_USE || *word != Word::Unclear).collect();
+    told.sort_by(|a, b| b.1.total_cmp(&a.1));
+    let entry = |(subchannel, used, word): &(Subchannel, f64, Word)| {
+        let mut bytes = subchannel.0.to_le_bytes()[..3].to_vec();
+        let step = ((used - LEAST_USE) / USE_STEP).round().clamp(0.0, 63.0) as u8;
+        bytes.push(step | word.bits() << 6);
+        bytes
+    };
+    cut(&head, told.into_iter().map(entry))
+}
+
+struct Reading<'a>(&'a [u8]);
+
+impl Reading<'_> {
+    fn byte(&mut self) -> Option<u8> {
+        let (first, rest) = self.0.split_first()?;
+        self.0 = rest;
+        Some(*first)
+    }
+
+    fn number(&mut self) -> Option<u32> {
+        let mut value = 0_u64;
+        for shift in (0..35).step_by(7) {
+            let byte = self.byte()?;
+            value |= u64::from(byte & 0x7f) << shift;
+            if byte & 0x80 == 0 {
+                return u32::try_from(value).ok();
+            }
+        }
+        None
+    }
+
+    fn totals(&mut self) -> Option<Totals> {
+        let connections = self.number()?;
+        let mut rate = || self.byte().map(rate_of);
+        Some(Totals { connections, requests: rate()?, well: rate()?, failed: rate()? })
+    }
+
+    fn subchannel(&mut self) -> Option<Subchannel> {
+        Some(Subchannel(u32::from_le_bytes([self.byte()?, self.byte()?, self.byte()?, 0])))
+    }
+}
+
+/// Reads a datagram; `None` if it is none of ours, or broken anywhere.
+pub fn read(bytes: &[u8]) -> Option<Datagram> {
+    if bytes.len() > LONGEST {
+        return None;
+    }
+    let mut reading = Reading(bytes);
+    let (version, kind, flags) = (reading.byte()?, reading.byte()?, reading.byte()?);
+    if version != VERSION {
+        return None;
+    }
+    let generation = u16::from_le_bytes([reading.byte()?, reading.byte()?]);
+    let part = reading.byte()?;
+    let part = (part & 15, (part >> 4) + 1);
+    if part.0 >= part.1 {
+        return None;
+    }
+    match kind {
+        REPORT => {
+            let totals = reading.totals()?;
+            let mut entries = Vec::new();
+            while !reading.0.is_empty() {
+                let (subchannel, load, flags) = (reading.subchannel()?, reading.byte()?, reading.byte()?);
+                let groups = (0..flags & 31).map(|_| reading.byte()).collect::<Option<Vec<u8>>>()?;
+                entries.push(Entry { subchannel, load: load_of(load), groups, word: Word::of(flags >> 5) });
+            }
+            let (leaving, no_answer) = (flags & LEAVING > 0, flags & NO_ANSWER > 0);
+            Some(Datagram::Report(Report { generation, part, leaving, no_answer, totals, entries }))
+        }
+        TABLE => {
+            let (members, totals) = (reading.number()?, reading.totals()?);
+            let mut nodes = Vec::new();
+            while !reading.0.is_empty() {
+                let (subchannel, told) = (reading.subchannel()?, reading.byte()?);
+                let used = LEAST_USE + f64::from(told & 63) * USE_STEP;
+                nodes.push((subchannel, used, Word::of(told >> 6)));
+            }
+            let young = flags & YOUNG > 0;
+            Some(Datagram::Table(Table { generation, part, young, members, totals, nodes }))
+        }
+        _ => None,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn entry() -> impl Strategy<Value = Entry> {
+        (0..1_u32 << 24, 0.0..3.8e6, prop::collection::vec(any::<u8>(), 0..40), 0..3_u8).prop_map(
+            |(subchannel, load, groups, word)| Entry {
+                subchannel: Subchannel(subchannel),
+                load,
+                groups,
+                word: Word::of(word),
+            },
+        )
+    }
+
+    proptest! {
+        #[test]
+        fn reports_come_back_within_the_stated_error(entries in prop::collection::vec(entry(), 0..60), generation: u16) {
+            let totals = Totals { connections: 70_000, requests: 3.0, well: 0.0, failed: 100.0 };
+            let report = Report { generation, part: (0, 1), leaving: false, no_answer: true, totals, entries };
+            let parts = write_report(&report);
+            let mut back = Vec::new();
+            for (place, bytes) in parts.iter().enumerate() {
+                prop_assert!(bytes.len() <= LONGEST);
+                let Some(Datagram::Report(read)) = read(bytes) else { panic!("unreadable") };
+                prop_assert_eq!(read.part, (place as u8, parts.len() as u8));
+                prop_assert!((read.totals.requests / 3.0 - 1.0).abs() < 0.05 && read.totals.connections == 70_000);
+                prop_assert!(read.generation == generation && read.no_answer && !read.leaving);
+                back.extend(read.entries);
+            }
+            for (sent, read) in report.entries.iter().zip(&back) {
+                prop_assert_eq!(sent.subchannel, read.subchannel);
+                prop_assert_eq!(sent.word, read.word);
+                prop_assert!(sent.load < 64.0 || (read.load / sent.load - 1.0).abs() < 0.023);
+                prop_assert_eq!(&sent.groups[..sent.groups.len().min(31)], &read.groups[..]);
+            }
+            prop_assert!(back.len() == report.entries.len() || parts.len() == MOST_PARTS);
+        }
+
+        #[test]
+        fn any_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+            let mut ours = vec![VERSION, bytes.first().copied().unwrap_or(0) % 3];
+            ours.extend(&bytes);
+            read(&bytes);
+            if let Some(Datagram::Report(report)) = read(&ours) {
+                prop_assert!(report.part.0 < report.part.1);
+            }
+        }
+    }
+
+    #[test]
+    fn a_table_tells_what_is_full_or_unwell_and_nothing_else() {
+        let node = |n, used, word| (Subchannel(n), used, word);
+        let nodes = vec![
+            node(1, 0.2, Word::Unclear),
+            node(2, 0.2, Word::Unwell),
+            node(3, 0.93, Word::Well),
+            node(4, 9.0, Word::Unclear),
+        ];
+        let totals = Totals { connections: 1, ..Totals::default() };
+        let table = Table { generation: 9, part: (0, 1), young: false, members: 300, totals, nodes };
+        let Some(Datagram::Table(back)) = read(&write_table(&table)[0]) else { panic!("unreadable") };
+        let told: Vec<u32> = back.nodes.iter().map(|(subchannel, ..)| subchannel.0).collect();
+        assert_eq!(told, [4, 3, 2], "the fullest first");
+        assert!((back.nodes[1].1 - 0.93).abs() <= USE_STEP / 2.0 && back.nodes[1].2 == Word::Well);
+        assert_eq!((back.members, back.generation), (300, 9));
+        assert!(read(&[1, 2, 0, 0, 0, 0]).is_none(), "gossip's version");
+    }
+}
