--- a/crates/cottonnotch/src/net/message_delay.rs
+++ b/crates/cottonnotch/src/net/message_delay.rs
@@ -45,7 +45,7 @@
 const ENOUGH_TOLD: f64 = 0.5;
 /// The same where the fleet's keeper tells it. Lower: loads swing within seconds, what is told is some seconds old, and the
 /// estimate lacks what a full table costs. Render nodes dropped connections at an estimate of 0.5 (calm day).
-const FLEET_MARKS: (f64, f64) = (0.5, 0.9);
+const FLEET_MARKS: (f64, f64) = (0.4, 0.7);
 /// Beyond, each such part of utilisation adds five aims: work piles up.
 const PILE: f64 = 0.7;
 
--- a/crates/decision/src/part.rs
+++ b/crates/decision/src/part.rs
@@ -63,7 +63,7 @@
     }
 }
 
-/// Tokens that come in at a rate which may change. What a second brings is saved, or [`SAVED`].
+/// Tokens that come in at a rate which may change. What a second brings is saved, or two.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Bucket {
     tokens: f64,
