--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -28,7 +28,7 @@
 const LEAST_PACE: f64 = 2.0;
 /// All nodes together set up at most this multiple of what tenants are allowed a second: the store that they
 /// share goes down under all that come again after a break.
-const SETUPS: f64 = 4.0;
+const SETUPS: f64 = 3.0;
 /// Multiple of the usual rate for servers not heard of while most others are piled up.
 const UNHEARD: f64 = 0.1;
 /// Arrivals are averaged over about this many seconds.
