Mend: set-ups are bounded only while they aren't quick; a replaced process served late

Clients of a replaced process came up after 1 to 5 s in place of 0.04. Ruled out: the guess from a thin sample, the least pace. Now a node whose last set-up within a second took no longer than a quarter of the shortest target is not bounded, unless the tier is told of: one of 300 learns too little from its own.

From reading the change once more, in the fleet view: - a node named for a word alone was read as used by 0.4 and paused, whatever it had; use 0 now stands for less than can be told; - a table was taken from anybody with the right number, and an earlier keeper can guess it; now only from who was asked (the test could not fail); - each member's period followed from its own bytes: those with long reports, or a period from quieter times, aged out between two; report and table say now when the next is due, the keeper sets one period for all; - two liars' rates were not bounded: they could stop all set-ups, or raise the price; - connections without load were left out with their groups; a cold node counted with its full size. The driver: one Peers over gossip and fleet view in place of a case in each method; names, sending and what an event shows are written once.

--- a/crates/cottonnotch/src/net/driver/fleet.rs
+++ b/crates/cottonnotch/src/net/driver/fleet.rs
@@ -4,10 +4,10 @@
 use super::gossip::word;
 use super::messages::Messages;
 use super::net::{GOSSIP, Net, PART};
+use super::peers::{self, WireNames};
 use super::subchannels::Subchannels;
 use crate::net::datagrams::Datagrams;
-use crate::net::happening::Object;
-use cottonnotch_decision::{Event, Micros, Outcome, ServerId, Tier, Word};
+use cottonnotch_decision::{Event, Micros, ServerId, Tier, Word};
 use cottonnotch_fleet::{Entry, Input, Member, Output, Own, Settings, View, wire};
 use cottonnotch_gossip::{Ledger, Met, Subchannel};
 use cottonnotch_reactor::Key;
@@ -44,9 +44,7 @@
     member: Member,
     socket: Key,
     ordinals: BTreeMap<SocketAddr, u32>,
-    /// The module's numbers of subchannels by the digests of their names; none where two names share one.
-    numbers: BTreeMap<Subchannel, Option<ServerId>>,
-    known: usize,
+    names: WireNames,
     met: Ledger<ServerId>,
     requests: Rate,
     well: Rate,
@@ -55,19 +53,16 @@
 }
 
 impl FleetMember {
-    /// Opens the socket, if the tier is as large as the operator says. Fails if its address can't be had.
-    pub fn start(net: &mut Net) -> io::Result<Option<Self>> {
+    /// Opens the socket, if the platform gave it one. Fails if its address can't be had.
+    pub fn start(net: &mut Net, settings: Settings) -> io::Result<Option<Self>> {
         let members = net.config.tier.peers.len();
         let me = net.config.profile.settings.ordinal;
-        let (Some(settings), Some(listen)) = (Self::settings(net), net.config.tier.listen) else {
-            return Ok(None);
-        };
+        let Some(listen) = net.config.tier.listen else { return Ok(None) };
         if me as usize >= members {
             log::warn!(target: PART, members; "no fleet view: this proxy is number {me} of {members}");
             return Ok(None);
         }
-        let ordinals =
-            (0..).zip(&net.config.tier.peers).map(|(ordinal, address)| (*address, ordinal)).collect();
+        let ordinals = peers::ordinals(net);
         let (seed, now) = (net.config.seed, net.now());
         let socket = net.reactor.insert(|key, io| Ok(Box::new(Datagrams::bind(listen, key, io)?)))?;
         // The loop's clock is Unix time.
@@ -78,8 +73,7 @@
             member,
             socket,
             ordinals,
-            numbers: BTreeMap::new(),
-            known: 0,
+            names: WireNames::default(),
             met: Ledger::default(),
             requests,
             well,
@@ -112,20 +106,10 @@
 
     /// What the module is about to hear.
     pub fn witness(&mut self, now: Micros, event: &Event) {
-        let (server, met) = match event {
-            Event::Request(_) => return self.requests.note(now, 1.0),
-            Event::Established { server, .. } => (*server, Met::Served),
-            Event::Ended { server, outcome, last, .. } if !last || *outcome == Outcome::Reset => {
-                match outcome {
-                    Outcome::Full => (*server, Met::Full),
-                    Outcome::ConnectFailed => (*server, Met::Failed),
-                    Outcome::TimedOut | Outcome::Error => (*server, Met::TimedOut),
-                    Outcome::Reset => (*server, Met::Silent),
-                    Outcome::Served | Outcome::Cancelled | Outcome::NotSent => return,
-                }
-            }
-            _ => return,
-        };
+        if let Event::Request(_) = event {
+            self.requests.note(now, 1.0);
+        }
+        let Some((server, met)) = peers::shown(event) else { return };
         match met {
             Met::Served => self.well.note(now, 1.0),
             Met::TimedOut => self.failed.note(now, 1.0),
@@ -136,8 +120,15 @@
 
     /// Once a second.
     pub fn tick(&mut self, net: &mut Net, messages: &mut Messages, subchannels: &Subchannels) -> Vec<Event> {
-        self.learn_names(subchannels);
-        let sizes = messages.sizes().map(|(server, size)| (name(subchannels, server), size)).collect();
+        self.names.learn(subchannels);
+        let (now, settings) = (net.now(), &net.config.profile.settings);
+        let size = |(server, size): (ServerId, f64)| {
+            // One that has just started can do less than its size says, and looks empty.
+            let warmth =
+                subchannels.started(server).map_or(1.0, |at| settings.share_at(now.saturating_sub(at)));
+            Some((self.name(server)?, size * warmth))
+        };
+        let sizes = messages.sizes().filter_map(size).collect();
         self.member.handle(net.now(), Input::Sizes(sizes));
         self.carry_out(net, messages)
     }
@@ -179,31 +170,23 @@
         self.carry_out(net, messages);
     }
 
-    /// Numbers are never given anew, so only names that are new since the last time are looked at.
-    fn learn_names(&mut self, subchannels: &Subchannels) {
-        for number in self.known..subchannels.count() {
-            let server = ServerId(number as u32);
-            let digest = Subchannel::of(subchannels.name(server));
-            self.numbers.entry(digest).and_modify(|known| *known = None).or_insert(Some(server));
-        }
-        self.known = subchannels.count();
-    }
-
     fn own(&mut self, now: Micros, messages: &Messages, subchannels: &Subchannels, rpcs: usize) -> Own {
-        self.learn_names(subchannels);
+        self.names.learn(subchannels);
         self.met.forget_old(now);
         let mut standing = messages.standing_by_group();
         let servers: BTreeSet<ServerId> = standing.keys().copied().chain(self.met.subchannels()).collect();
         let entry = |server: ServerId| {
-            let (load, groups) = standing.remove(&server).unwrap_or_default();
+            let stands = standing.remove(&server);
+            let something = stands.is_some();
+            let (load, groups) = stands.unwrap_or_default();
             let word = match word(&self.met.evidence(now, server)) {
                 Word::Well => wire::Word::Well,
                 Word::Unwell => wire::Word::Unwell,
                 Word::Unclear => wire::Word::Unclear,
             };
             // What is over and showed nothing is not worth its bytes.
-            let something = load > 0.0 || word != wire::Word::Unclear;
-            something.then(|| Entry { subchannel: name(subchannels, server), load, groups, word })
+            let subchannel = self.name(server)?;
+            (something || word != wire::Word::Unclear).then_some(Entry { subchannel, load, groups, word })
         };
         let entries = servers.into_iter().filter_map(entry).collect();
         let totals = wire::Totals {
@@ -220,12 +203,8 @@
         while let Some(output) = self.member.poll() {
             match output {
                 Output::Send { to, bytes } => {
-                    if let Some(address) = net.config.tier.peers.get(to as usize).copied() {
-                        let send = |object: &mut dyn Object| {
-                            object.datagrams().is_some_and(|socket| socket.send(address, &bytes))
-                        };
-                        net.reactor.with(self.socket, |object, _| send(object));
-                    }
+                    let address = net.config.tier.peers.get(to as usize).copied();
+                    peers::send(net, self.socket, address, &bytes);
                 }
                 Output::Keeper(Some(keeper)) => {
                     log::debug!(target: PART, keeper; "proxy {keeper} keeps the fleet's view");
@@ -247,8 +226,12 @@
         events
     }
 
+    fn name(&self, server: ServerId) -> Option<wire::Subchannel> {
+        self.names.digest(server).map(|digest| wire::Subchannel(digest.bits()))
+    }
+
     fn number(&self, node: wire::Subchannel) -> Option<ServerId> {
-        *self.numbers.get(&Subchannel::from_bits(node.0))?
+        self.names.number(Subchannel::from_bits(node.0))
     }
 
     fn events<'a>(&'a self, view: &'a View) -> impl Iterator<Item = Event> + 'a {
@@ -265,7 +248,3 @@
         std::iter::once(Event::Tier(tier)).chain(words.flatten())
     }
 }
-
-fn name(subchannels: &Subchannels, server: ServerId) -> wire::Subchannel {
-    wire::Subchannel(Subchannel::of(subchannels.name(server)).bits())
-}
--- a/crates/cottonnotch/src/net/driver/gossip.rs
+++ b/crates/cottonnotch/src/net/driver/gossip.rs
@@ -1,17 +1,15 @@
-//! The other proxies: what they are told of this one's subchannels, and what is made of what they tell. Who is there and
+//! Gossip: what the other proxies are told of this one's subchannels, and what is made of what they tell. Who is there and
 //! what counts is the gossip crate's matter; what follows from a word, the module's.
 
-use super::fleet::FleetMember;
 use super::messages::Messages;
 use super::net::{GOSSIP, Net, PART};
+use super::peers::{self, WireNames};
 use super::subchannels::Subchannels;
 use crate::config::Gossiping;
 use crate::net::datagrams::Datagrams;
 use crate::net::peer_loads::Standing;
-use cottonnotch_decision::{Event, Micros, Outcome, ServerId, Word};
-use cottonnotch_gossip::{
-    Entry, Evidence, Gossip, Input, Ledger, Load, Met, Output, State, Strength, Subchannel, To,
-};
+use cottonnotch_decision::{Event, Micros, ServerId, Word};
+use cottonnotch_gossip::{Entry, Evidence, Gossip, Input, Ledger, Load, Output, State, Strength, To};
 use cottonnotch_reactor::Key;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -20,113 +18,66 @@
 /// Peers' words are as old as they say; older ones are no evidence.
 const MOST_AGE_TENTHS: u8 = 30;
 
-/// The tier, as far as this proxy takes part in it.
-pub struct Peers {
-    member: Option<Member>,
-    /// A large tier has a view of the fleet instead.
-    fleet: Option<FleetMember>,
-    /// Another process of this proxy has the address; it is tried again.
-    waits: bool,
-}
-
-struct Member {
+/// This proxy as a member of a tier that gossips.
+pub struct GossipMember {
     gossip: Gossip,
     strength: Strength,
     socket: Key,
     ordinals: BTreeMap<SocketAddr, u32>,
-    /// The module's numbers of subchannels by the digests of their names; none where two names share one.
-    numbers: BTreeMap<Subchannel, Option<ServerId>>,
-    known: usize,
+    names: WireNames,
     met: Ledger<ServerId>,
     armed: Option<Micros>,
 }
 
-impl Peers {
-    /// Opens the socket, if this proxy is to gossip. Fails if its address can't be had; `waits`: unless another process of
-    /// this proxy may have it still.
-    pub fn start(net: &mut Net, waits: bool) -> io::Result<Self> {
-        match Self::begin(net) {
-            Ok((member, fleet)) => Ok(Peers { member, fleet, waits: false }),
-            Err(error) if waits && error.kind() == io::ErrorKind::AddrInUse => {
-                log::info!(target: PART, "gossip begins once the earlier process has left its address");
-                Ok(Peers { member: None, fleet: None, waits })
-            }
-            Err(error) => Err(error),
-        }
-    }
-
-    fn begin(net: &mut Net) -> io::Result<(Option<Member>, Option<FleetMember>)> {
-        match FleetMember::settings(net) {
-            Some(_) => Ok((None, FleetMember::start(net)?)),
-            None => Ok((Member::start(net)?, None)),
-        }
-    }
-
-    /// Tries again for the address that another process had.
-    pub fn retry(&mut self, net: &mut Net) {
-        if self.waits
-            && let Ok((member, fleet)) = Self::begin(net)
-        {
-            (self.member, self.fleet, self.waits) = (member, fleet, false);
-        }
+impl GossipMember {
+    /// Opens the socket, if this proxy is to gossip.
+    pub fn start(net: &mut Net) -> io::Result<Option<Self>> {
+        let Some(Gossiping { settings, keys, life }) = net.config.gossip.clone() else {
+            return Ok(None);
+        };
+        let tier = &net.config.tier;
+        let Some(listen) = tier.listen else { return Ok(None) };
+        let (me, members) = (net.config.profile.settings.ordinal, tier.peers.len() as u32);
+        let ordinals = peers::ordinals(net);
+        let (seed, now) = (net.config.seed, net.now());
+        let socket = net.reactor.insert(|key, io| Ok(Box::new(Datagrams::bind(listen, key, io)?)))?;
+        let strength = settings.strength;
+        let gossip = Gossip::new(settings, keys, me, members, life, seed, now);
+        let (names, met) = (WireNames::default(), Ledger::default());
+        let mut member = GossipMember { gossip, strength, socket, ordinals, names, met, armed: None };
+        log::info!(target: PART, peers = members, listen:%; "gossip with {} other proxies", members.saturating_sub(1));
+        member.arm(net);
+        Ok(Some(member))
     }
 
-    /// Another process of this proxy takes this one's part, under the same number: no farewell, which would mark both as
-    /// gone.
-    pub fn hand_over(&mut self, net: &mut Net) {
-        self.waits = false;
-        if let Some(member) = self.member.take() {
-            net.reactor.remove(member.socket);
-        }
-        if let Some(fleet) = self.fleet.take() {
-            net.reactor.remove(fleet.socket());
-        }
+    /// Its socket.
+    pub fn socket(&self) -> Key {
+        self.socket
     }
 
-    /// A new configuration was taken: keys may have changed.
+    /// Keys may have changed.
     pub fn reload(&mut self, net: &mut Net) {
-        let (Some(member), Some(gossiping)) = (&mut self.member, net.config.gossip.clone()) else { return };
+        let Some(gossiping) = net.config.gossip.clone() else { return };
         // Another strength takes a restart; the log has said so.
-        if gossiping.keys.strength() == member.strength {
-            member.gossip.handle(net.now(), Input::Keys(gossiping.keys));
-            member.arm(net);
+        if gossiping.keys.strength() == self.strength {
+            self.gossip.handle(net.now(), Input::Keys(gossiping.keys));
+            self.arm(net);
         }
     }
 
-    /// What the module is about to hear, as far as it shows something of a subchannel.
+    /// What the module is about to hear.
     pub fn witness(&mut self, now: Micros, event: &Event) {
-        if let Some(fleet) = &mut self.fleet {
-            return fleet.witness(now, event);
+        if let Some((server, met)) = peers::shown(event) {
+            self.met.met(now, server, met);
         }
-        let Some(member) = &mut self.member else { return };
-        let (server, outcome) = match event {
-            Event::Established { server, .. } => (*server, Outcome::Served),
-            Event::Ended { server, outcome, last, .. } if !last || *outcome == Outcome::Reset => {
-                (*server, *outcome)
-            }
-            _ => return,
-        };
-        let met = match outcome {
-            Outcome::Full => Met::Full,
-            Outcome::ConnectFailed => Met::Failed,
-            Outcome::TimedOut | Outcome::Error => Met::TimedOut,
-            Outcome::Reset => Met::Silent,
-            Outcome::Served => Met::Served,
-            Outcome::Cancelled | Outcome::NotSent => return,
-        };
-        member.met.met(now, server, met);
     }
 
     /// Once a second: what this proxy has to tell.
     pub fn tick(&mut self, net: &mut Net, messages: &mut Messages, subchannels: &Subchannels) -> Vec<Event> {
-        if let Some(fleet) = &mut self.fleet {
-            return fleet.tick(net, messages, subchannels);
-        }
-        let Some(member) = &mut self.member else { return Vec::new() };
-        member.learn_names(subchannels);
-        let entries = member.entries(net.now(), messages, subchannels);
-        member.gossip.handle(net.now(), Input::Own(entries));
-        member.carry_out(net, messages)
+        self.names.learn(subchannels);
+        let entries = self.entries(net.now(), messages);
+        self.gossip.handle(net.now(), Input::Own(entries));
+        self.carry_out(net, messages)
     }
 
     /// Datagrams have come.
@@ -136,67 +87,26 @@
         messages: &mut Messages,
         heard: &[(SocketAddr, Vec<u8>)],
     ) -> Vec<Event> {
-        if let Some(fleet) = &mut self.fleet {
-            return fleet.datagrams(net, messages, heard);
-        }
-        let Some(member) = &mut self.member else { return Vec::new() };
         for (address, bytes) in heard {
-            let from = member.ordinals.get(address).copied();
-            member.gossip.handle(net.now(), Input::Datagram { from, bytes });
+            let from = self.ordinals.get(address).copied();
+            self.gossip.handle(net.now(), Input::Datagram { from, bytes });
         }
-        member.carry_out(net, messages)
+        self.carry_out(net, messages)
     }
 
-    /// The timer is due; it may be outdated. So many RPCs are in progress.
-    pub fn timer(
-        &mut self,
-        net: &mut Net,
-        messages: &mut Messages,
-        subchannels: &Subchannels,
-        rpcs: usize,
-    ) -> Vec<Event> {
-        if let Some(fleet) = &mut self.fleet {
-            return fleet.timer(net, messages, subchannels, rpcs);
-        }
-        let Some(member) = &mut self.member else { return Vec::new() };
-        member.armed = None;
-        if member.gossip.next_timeout() <= net.now() {
-            member.gossip.handle(net.now(), Input::Tick);
+    /// The timer is due; it may be outdated.
+    pub fn timer(&mut self, net: &mut Net, messages: &mut Messages) -> Vec<Event> {
+        self.armed = None;
+        if self.gossip.next_timeout() <= net.now() {
+            self.gossip.handle(net.now(), Input::Tick);
         }
-        member.carry_out(net, messages)
+        self.carry_out(net, messages)
     }
 
     /// The proxy leaves, its clients have been moved: the others count it no more.
     pub fn leave(&mut self, net: &mut Net, messages: &mut Messages) {
-        if let Some(fleet) = &mut self.fleet {
-            fleet.leave(net, messages);
-        }
-        if let Some(member) = &mut self.member {
-            member.gossip.handle(net.now(), Input::Leave);
-            member.carry_out(net, messages);
-        }
-    }
-}
-
-impl Member {
-    /// Opens the socket, if this proxy is to gossip.
-    fn start(net: &mut Net) -> io::Result<Option<Self>> {
-        let Some(Gossiping { settings, keys, life }) = net.config.gossip.clone() else {
-            return Ok(None);
-        };
-        let tier = &net.config.tier;
-        let Some(listen) = tier.listen else { return Ok(None) };
-        let (me, members) = (net.config.profile.settings.ordinal, tier.peers.len() as u32);
-        let ordinals = (0..).zip(&tier.peers).map(|(ordinal, address)| (*address, ordinal)).collect();
-        let (seed, now) = (net.config.seed, net.now());
-        let socket = net.reactor.insert(|key, io| Ok(Box::new(Datagrams::bind(listen, key, io)?)))?;
-        let strength = settings.strength;
-        let gossip = Gossip::new(settings, keys, me, members, life, seed, now);
-        let (numbers, met) = (BTreeMap::new(), Ledger::default());
-        let mut member = Member { gossip, strength, socket, ordinals, numbers, known: 0, met, armed: None };
-        log::info!(target: PART, peers = members, listen:%; "gossip with {} other proxies", members.saturating_sub(1));
-        member.arm(net);
-        Ok(Some(member))
+        self.gossip.handle(net.now(), Input::Leave);
+        self.carry_out(net, messages);
     }
 
     fn arm(&mut self, net: &mut Net) {
@@ -207,23 +117,12 @@
         }
     }
 
-    /// Numbers are never given anew, so only names that are new since the last time are looked at.
-    fn learn_names(&mut self, subchannels: &Subchannels) {
-        for number in self.known..subchannels.count() {
-            let server = ServerId(number as u32);
-            let digest = Subchannel::of(subchannels.name(server));
-            self.numbers.entry(digest).and_modify(|known| *known = None).or_insert(Some(server));
-        }
-        self.known = subchannels.count();
-    }
-
-    fn entries(&mut self, now: Micros, messages: &Messages, subchannels: &Subchannels) -> Vec<Entry> {
+    fn entries(&mut self, now: Micros, messages: &Messages) -> Vec<Entry> {
         let standing = messages.standing();
         self.met.forget_old(now);
         let servers: BTreeSet<ServerId> = standing.keys().copied().chain(self.met.subchannels()).collect();
         let entry = |server: ServerId| {
-            let subchannel = Subchannel::of(subchannels.name(server));
-            self.numbers.get(&subchannel)?.as_ref()?;
+            let subchannel = self.names.digest(server)?;
             let (count, Standing { load, groups }) = standing.get(&server).copied().unwrap_or_default();
             let evidence = self.met.evidence(now, server);
             let load = Load::from_micros_per_s(load.max(0.0) as u64);
@@ -243,12 +142,7 @@
                         To::One(ordinal) => tier.peers.get(ordinal as usize).copied(),
                         To::All => tier.all,
                     };
-                    if let Some(address) = address {
-                        let send = |object: &mut dyn crate::net::happening::Object| {
-                            object.datagrams().is_some_and(|socket| socket.send(address, &bytes))
-                        };
-                        net.reactor.with(self.socket, |object, _| send(object));
-                    }
+                    peers::send(net, self.socket, address, &bytes);
                 }
                 Output::Member { ordinal, state, incarnation } => {
                     let name = state_name(state);
@@ -259,7 +153,7 @@
                 }
                 Output::Heard { from, entries } => {
                     for entry in entries {
-                        let Some(Some(server)) = self.numbers.get(&entry.subchannel).copied() else {
+                        let Some(server) = self.names.number(entry.subchannel) else {
                             continue;
                         };
                         let load = entry.load.micros_per_s() as f64;
--- a/crates/cottonnotch/src/net/driver/subchannels.rs
+++ b/crates/cottonnotch/src/net/driver/subchannels.rs
@@ -231,6 +231,11 @@
         subchannel.is_some_and(|s| s.entry(server, &self.by_hand).state == Listed::Draining)
     }
 
+    /// When its process last started, as discovery tells; `None`: long ago.
+    pub fn started(&self, server: ServerId) -> Option<Micros> {
+        self.known.get(server.0 as usize).and_then(|subchannel| subchannel.started)
+    }
+
     pub fn find(&self, name: &str) -> Option<ServerId> {
         self.names.find(name).map(ServerId)
     }
--- a/crates/cottonnotch/src/net/message_delay.rs
+++ b/crates/cottonnotch/src/net/message_delay.rs
@@ -37,15 +37,15 @@
 /// which is biased low, and where it is told.
 const BUSY: (f64, f64) = (0.6, 0.85);
 const CROWDED: (f64, f64) = (1.0, 1.15);
+/// The same two where the fleet's keeper tells it: loads swing within seconds, and what is told is some seconds old. Render
+/// nodes dropped connections at an estimate of 0.5 (calm day); of seven pairs played, this one.
+const FLEET_MARKS: (f64, f64) = (0.4, 0.7);
 /// A guess at the other proxies' part needs so many connections of ours for each subchannel. Guards against 300 proxies that
 /// each take their one connection here for one of 300 alike, and move their clients all at once (calm day: 227 moves in
 /// the first second of 1,169 clients).
 const LEAST_SAMPLE: f64 = 1.0;
 /// ... unless as large a part of it was told.
 const ENOUGH_TOLD: f64 = 0.5;
-/// The same where the fleet's keeper tells it. Lower: loads swing within seconds, what is told is some seconds old, and the
-/// estimate lacks what a full table costs. Render nodes dropped connections at an estimate of 0.5 (calm day).
-const FLEET_MARKS: (f64, f64) = (0.4, 0.7);
 /// Beyond, each such part of utilisation adds five aims: work piles up.
 const PILE: f64 = 0.7;
 
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -176,6 +176,11 @@
         (allowed > 0.0).then_some(allowed)
     }
 
+    /// A set-up that takes no longer shows that what set-ups share has room: a quarter of the shortest target.
+    pub fn quick(&self) -> Micros {
+        self.classes.iter().map(|class| class.target).min().unwrap_or(0) / 4
+    }
+
     /// The part of its capacity that a server has for certain, this long after its start.
     pub fn share_at(&self, age: Micros) -> f64 {
         let from = self.cold_from.clamp(0.05, 1.0);
--- a/crates/decision/src/part.rs
+++ b/crates/decision/src/part.rs
@@ -45,15 +45,15 @@
         self.told.filter(|(_, at)| now - at < TOLD_FOR).map(|(tier, _)| tier)
     }
 
-    /// Part of all nodes' latest set-ups that failed, if that was told lately; else none did.
-    pub fn failing(&self, now: Micros) -> f64 {
-        self.tier(now).map_or(0.0, |tier| tier.failing)
+    /// Part of the latest set-ups that failed: of this node's own, or of all nodes', as told, whichever is more.
+    pub fn failing(&self, now: Micros, own: f64) -> f64 {
+        self.tier(now).map_or(own, |tier| own.max(tier.failing))
     }
 
     /// This node's part of a figure of the whole tier. Over all nodes the parts add up to no more than half as much again.
     pub fn of(&self, now: Micros, figure: f64) -> f64 {
         let share = match self.tier(now) {
-            Some(tier) if tier.part.is_finite() => {
+            Some(tier) if tier.part.is_finite() && tier.nodes.is_finite() => {
                 let even = 1.0 / tier.nodes.clamp(1.0, self.nodes);
                 tier.part.clamp(LEAST_OF_EVEN * even, 1.0)
             }
@@ -141,7 +141,7 @@
         let mut part = Part::even(10);
         part.told(0, Tier { nodes: 2.0, part: 0.5, failing: 0.0 });
         assert_eq!((part.of(S, 10.0), part.of(9 * S, 10.0)), (5.0, 1.0));
-        for (nodes, told) in [(0.0, 7.0), (f64::NAN, f64::NAN), (1e9, -1.0)] {
+        for (nodes, told) in [(0.0, 7.0), (f64::NAN, f64::NAN), (f64::NAN, 0.5), (1e9, -1.0)] {
             part.told(0, Tier { nodes, part: told, failing: 0.0 });
             let share = part.of(S, 1.0);
             assert!((0.05..=1.0).contains(&share), "{nodes} {told}: {share}");
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -22,12 +22,10 @@
 const COLD_BUDGET_USED: f64 = 0.5;
 /// A group waits rather than go to servers further down its order than this.
 const HOMES: usize = 5;
-/// While most set-ups fail wherever they go, a node keeps to its usual rate, or to its part of so many a
-/// second for all: a new process, to which clients only return, knows no usual rate. One for each node
-/// kept a store down that all share (roll day, 300 nodes).
+/// While most set-ups fail, a node keeps to its usual rate, or to its part of so many for all, if more.
 const LEAST_PACE: f64 = 2.0;
-/// All nodes together set up at most this multiple of what tenants are allowed a second: the store that they
-/// share goes down under all that come again after a break.
+/// All nodes together set up at most this multiple of what tenants are allowed a second, but for nodes whose
+/// last set-up was quick: the store that all share goes down under all that come again after a break.
 const SETUPS: f64 = 3.0;
 /// Multiple of the usual rate for servers not heard of while most others are piled up.
 const UNHEARD: f64 = 0.1;
@@ -138,9 +136,10 @@
     /// Part of the latest set-ups that failed or timed out; when the next may be sent if that is most.
     failing: f64,
     next_send: Micros,
-    /// This node's part of what all have; set-ups that it may send.
+    /// This node's part of what all have; set-ups that it may send; when one was last quick, none slow since.
     part: Part,
     setups: Bucket,
+    quick: Option<Micros>,
     /// Most of the servers heard of lately are piled up.
     crowded: bool,
 }
@@ -173,8 +172,9 @@
                 self.jobs.insert(request.id, job);
                 self.opened(request.id, server);
             }
-            Event::Established { request, server, .. } => {
+            Event::Established { request, server, elapsed, .. } => {
                 self.opened(request, server);
+                self.quick = (elapsed <= self.settings.quick()).then_some(now);
                 self.failing -= self.failing / 8.0;
                 self.server_mut(server).into_iter().for_each(|s| (s.well, s.accused) = (Some(now), None));
                 self.went_well(now, server, request, out);
@@ -397,11 +397,8 @@
     /// The unpaused server whose turn is due first, if any; takes its turn.
     fn pick(&mut self, now: Micros, id: RequestId) -> Option<ServerId> {
         // Failures wherever one turns point at something shared: more tries keep it down (ic7944d).
-        if self.failing.max(self.part.failing(now)) > 0.5 && now < self.next_send {
-            return None;
-        }
-        let setups = self.setups_per_s(now);
-        if !self.setups.fill(now, setups) {
+        let down = self.part.failing(now, self.failing) > 0.5;
+        if down && now < self.next_send || !self.setups.fill(now, self.setups_per_s(now)) {
             return None;
         }
         let job = self.jobs.get(&id)?;
@@ -463,7 +460,7 @@
                 best = Some((key, candidate));
             }
         }
-        self.crowded = 2 * bad > heard;
+        self.crowded = 2 * bad > heard && self.part.tier(now).is_none();
         let server = best?.1;
         let rate = (usual.0 * self.total_weight).max(self.part.of(now, LEAST_PACE));
         self.setups.take();
@@ -487,9 +484,11 @@
         (rate / weight, fill.max(rate) / weight)
     }
 
-    /// Set-ups that this node may send; without allowances any number.
+    /// Set-ups that this node may send. In a large tier, which is told of, its own last one says little.
     fn setups_per_s(&self, now: Micros) -> f64 {
-        self.settings.allowance_per_s().map_or(f64::INFINITY, |allowed| self.part.of(now, SETUPS * allowed))
+        let quick = self.part.tier(now).is_none() && self.quick.is_some_and(|at| now - at < SECOND);
+        let allowed = self.settings.allowance_per_s().filter(|_| !quick);
+        allowed.map_or(f64::INFINITY, |allowed| self.part.of(now, SETUPS * allowed))
     }
 
     /// When some server may next be tried: its pause has lapsed and its budget is there.
@@ -501,8 +500,8 @@
             s.paused_until.unwrap_or(now).max(s.filled.saturating_add(short as Micros))
         };
         let soonest = self.ready.iter().filter_map(|id| self.server(*id)).map(chance).min();
-        let setup = self.setups.next(self.setups_per_s(now));
-        soonest.unwrap_or(now + SECOND).max(setup).clamp(now + SECOND / 20, now + SECOND)
+        let soonest = soonest.unwrap_or(now + SECOND).max(self.setups.next(self.setups_per_s(now)));
+        soonest.clamp(now + SECOND / 20, now + SECOND)
     }
 
     // ---- pauses ----
@@ -514,6 +513,7 @@
             // A reset of an established connection too: the server is lost, or sheds what it cannot carry.
             Outcome::Error | Outcome::ConnectFailed | Outcome::TimedOut | Outcome::Reset => {
                 let unwell = matches!(outcome, Outcome::Error | Outcome::TimedOut);
+                self.quick = self.quick.filter(|_| !unwell);
                 self.failing += if unwell { (1.0 - self.failing) / 8.0 } else { 0.0 };
                 self.pause(now, at, id, true, out);
             }
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -105,8 +105,8 @@
     epoch: u64,
     order: Vec<u32>,
     keeper: Option<u32>,
-    /// Whom the report went to first; periods in which the first in order has not answered.
-    asked: u32,
+    /// Whom the last report went to, the first of them first; periods in which the first in order has not answered.
+    asked: Vec<u32>,
     first_silent: u32,
     stage: Stage,
     next_report: Micros,
@@ -119,8 +119,8 @@
     view: Option<View>,
     announced: bool,
     left: bool,
-    /// Of the last report and the last table.
-    bytes: (usize, usize),
+    /// When the last report went out.
+    reported: Micros,
     counts: Counts,
     out: VecDeque<Output>,
 }
@@ -141,7 +141,7 @@
             epoch: 0,
             order: Vec::new(),
             keeper: None,
-            asked: me,
+            asked: Vec::new(),
             first_silent: 0,
             stage: Stage::Quiet,
             next_report,
@@ -153,7 +153,7 @@
             view: None,
             announced: false,
             left: false,
-            bytes: (40, 120),
+            reported: now,
             counts: Counts::default(),
             out: VecDeque::new(),
         };
@@ -196,13 +196,11 @@
         self.view.as_ref()
     }
 
-    /// Between two reports, as things are.
+    /// Between two reports, as the keeper wants it; within this member's own bounds, whatever that says.
     pub fn period(&self) -> Micros {
-        let bytes = (self.bytes.0 + self.bytes.1) as f64;
         let told = self.view.as_ref().filter(|view| self.now - view.at < 4 * self.settings.longest_period);
-        let members = told.map_or(self.members, |view| view.members.max(1));
-        let requests = told.map(|view| view.totals.requests);
-        pace::period(&self.settings, f64::from(members), bytes, requests)
+        let period = told.map_or(pace::UNKNOWN, |view| view.period);
+        period.clamp(self.settings.period, self.settings.longest_period)
     }
 
     /// Who is keeper, as far as this member knows.
@@ -241,12 +239,12 @@
         let look = self.first_silent < SILENT || self.generation.is_multiple_of(LOOK_AGAIN);
         let keeper = if look { first } else { self.keeper.or(first) };
         let spread = self.period() / 10;
-        let period = self.period() << self.unheard.min(3);
+        let period = (self.period() << self.unheard.min(3)).min(2 * self.settings.longest_period);
         let jitter = self.chance.random_range(-spread..=spread);
-        self.next_report = self.now + period.min(2 * self.settings.longest_period) + jitter;
+        (self.reported, self.next_report) = (self.now, self.now + period + jitter);
+        self.asked.clear();
         let Some(keeper) = keeper else { return };
         self.announce(period);
-        self.asked = keeper;
         self.tell(keeper, false);
         if keeper == self.me {
             self.answer_self();
@@ -278,11 +276,13 @@
         }
         let due = self.now + ANSWER;
         if round == 0 {
-            self.tell(self.asked, false);
+            if let Some(first) = self.asked.first().copied() {
+                self.tell(first, false);
+            }
             self.stage = Stage::Asking { round: 1, next, due };
             return;
         }
-        if round == 1 && self.order.first() == Some(&self.asked) {
+        if round == 1 && self.order.first() == self.asked.first() {
             self.first_silent += 1;
         }
         let many = (1_usize << (round - 1)).min(MOST_AT_ONCE);
@@ -306,14 +306,18 @@
     fn tell(&mut self, to: u32, no_answer: bool) {
         let entries = if self.left { Vec::new() } else { self.own.entries.clone() };
         let (totals, generation) = (self.own.totals, self.generation);
+        // Asking round may have taken longer than to the next report.
+        let next = (self.next_report - self.now).max(self.period());
         let leaving = self.left;
-        let report = Report { generation, part: (0, 1), leaving, no_answer, totals, entries };
+        let report = Report { generation, part: (0, 1), leaving, no_answer, next, totals, entries };
+        if !no_answer && !self.asked.contains(&to) {
+            self.asked.push(to);
+        }
         if to == self.me {
-            self.gathering.take(&self.settings, self.now, to, report);
-            return;
+            // What costs nothing has no bytes.
+            return self.gathering.take(self.now, to, 0, report);
         }
         let parts = wire::write_report(&report);
-        self.bytes.0 = parts.iter().map(Vec::len).sum();
         parts.into_iter().for_each(|bytes| self.send(to, bytes));
     }
 
@@ -326,18 +330,18 @@
     fn datagram(&mut self, from: Option<u32>, bytes: &[u8]) {
         let from = from.filter(|from| *from != self.me && *from < self.members);
         match (from, wire::read(bytes)) {
-            (Some(from), Some(Datagram::Report(report))) if !self.left => self.reported(from, report),
-            (Some(from), Some(Datagram::Table(table))) if !self.left => {
-                self.answered(from, table, bytes.len())
+            (Some(from), Some(Datagram::Report(report))) if !self.left => {
+                self.reported(from, report, bytes.len())
             }
+            (Some(from), Some(Datagram::Table(table))) if !self.left => self.answered(from, table),
             _ => self.counts.dropped += 1,
         }
     }
 
-    fn reported(&mut self, from: u32, report: Report) {
+    fn reported(&mut self, from: u32, report: Report, bytes: usize) {
         let (generation, last) = (report.generation, report.part.0 + 1 == report.part.1);
         let wanted = last && !report.no_answer && !report.leaving;
-        self.gathering.take(&self.settings, self.now, from, report);
+        self.gathering.take(self.now, from, bytes, report);
         if wanted {
             let table = self.table();
             let parts = wire::write_table(&Table { generation, ..table });
@@ -346,21 +350,19 @@
     }
 
     fn table(&mut self) -> Table {
-        let (period, sizes) = (self.period(), &self.sizes);
-        self.gathering.table(&self.settings, self.now, period, |node| sizes.get(&node).copied())
+        let sizes = &self.sizes;
+        self.gathering.table(&self.settings, self.now, |node| sizes.get(&node).copied())
     }
 
-    fn answered(&mut self, from: u32, table: Table, bytes: usize) {
-        // Only what was asked for: nobody can push a table. A later part may follow the first.
-        if table.generation != self.generation {
+    fn answered(&mut self, from: u32, table: Table) {
+        // Only from whom it was asked for, and only to the last report: an earlier keeper could guess the next number.
+        if table.generation != self.generation || !self.asked.contains(&from) {
             self.counts.dropped += 1;
             return;
         }
         let place = |ordinal: u32| self.order.iter().position(|other| *other == ordinal);
-        let Some(rank) = place(from) else {
-            self.counts.dropped += 1;
-            return;
-        };
+        // The order may have changed since it was asked.
+        let rank = place(from).unwrap_or(usize::MAX);
         if rank == 0 {
             self.first_silent = 0;
         }
@@ -369,9 +371,6 @@
         if matches!(self.stage, Stage::Quiet) && better {
             return;
         }
-        if table.part.0 == 0 {
-            self.bytes.1 = bytes * usize::from(table.part.1);
-        }
         self.stage = Stage::Quiet;
         self.unheard = 0;
         self.set_keeper(Some(from));
@@ -395,6 +394,8 @@
         }
         let own = self.own.totals.connections;
         self.view.get_or_insert_default().take(self.now, own, table);
+        // Where more come than before, not only from the next report on.
+        self.next_report = self.next_report.min(self.reported + self.period() * 11 / 10);
         self.out.push_back(Output::View);
     }
 
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -1,13 +1,13 @@
 //! What a member was told last.
 
 use crate::Micros;
-use crate::wire::{LEAST_USE, Subchannel, Table, Totals, Word};
+use crate::wire::{Subchannel, Table, Totals, Word};
 use std::collections::BTreeMap;
 
 /// Of one subchannel.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Told {
-    /// Load over size, of all proxies together, what groups cost included.
+    /// Load over size, of all proxies together, what groups cost included; 0 for less than can be told.
     pub used: f64,
     /// What they met there.
     pub word: Word,
@@ -18,6 +18,8 @@
 pub struct View {
     /// When it came. What is in it is about half a period older.
     pub at: Micros,
+    /// What the keeper wants between two reports.
+    pub period: Micros,
     /// How many proxies' reports are in it.
     pub members: u32,
     /// Sums over these.
@@ -35,13 +37,14 @@
         } else {
             self.nodes.extend(nodes);
         }
-        (self.at, self.members, self.totals) = (now, table.members, table.totals);
+        (self.at, self.period) = (now, table.period);
+        (self.members, self.totals) = (table.members, table.totals);
         self.own_connections = own_connections;
     }
 
-    /// What was told of a subchannel; of one that isn't named, that there is nothing to say.
+    /// What was told of a subchannel. One that isn't named is used by less than [`crate::wire::LEAST_USE`]; that counts as 0.
     pub fn of(&self, node: Subchannel) -> Told {
-        self.nodes.get(&node).copied().unwrap_or(Told { used: LEAST_USE, word: Word::Unclear })
+        self.nodes.get(&node).copied().unwrap_or(Told { used: 0.0, word: Word::Unclear })
     }
 
     /// Those that are named.
