Fleet view: a node that took far more set-ups than others settles until the next table

Now openly, and relative, so that an even rush holds nobody off: a node on which 1.5 times the usual number of proxies for its size have just set up connections is told as used by 0.4 at least (SETTLES in gathering.rs). Untold loads count with the fleet's mean, which the table carries; before, a new connection of a thin proxy weighed nothing. It only touches tiers with a fleet view.

--- a/crates/cottonnotch/src/net/driver/fleet.rs
+++ b/crates/cottonnotch/src/net/driver/fleet.rs
@@ -7,6 +7,7 @@
 use super::peers::{self, WireNames};
 use super::subchannels::Subchannels;
 use crate::net::datagrams::Datagrams;
+use crate::net::message_delay::FleetUse;
 use cottonnotch_decision::{Event, Micros, ServerId, Tier, Word};
 use cottonnotch_fleet::{Entry, Input, Member, Output, Own, Settings, View, wire};
 use cottonnotch_gossip::{Ledger, Met, Subchannel};
@@ -173,7 +174,7 @@
     fn own(&mut self, now: Micros, messages: &Messages, subchannels: &Subchannels, rpcs: usize) -> Own {
         self.names.learn(subchannels);
         self.met.forget_old(now);
-        let mut standing = messages.standing_by_group();
+        let mut standing = messages.standing_by_group(now);
         let servers: BTreeSet<ServerId> = standing.keys().copied().chain(self.met.subchannels()).collect();
         let entry = |server: ServerId| {
             let stands = standing.remove(&server);
@@ -217,7 +218,9 @@
                         events.extend(self.events(view));
                         let used =
                             view.named().filter_map(|(node, told)| Some((self.number(node)?, told.used)));
-                        messages.fleet(view.at, self.member.period(), used.collect());
+                        let fleet =
+                            FleetUse::new(view.at, self.member.period(), view.mean_load, used.collect());
+                        messages.fleet(fleet);
                     }
                 }
             }
--- a/crates/cottonnotch/src/net/driver/messages.rs
+++ b/crates/cottonnotch/src/net/driver/messages.rs
@@ -2,7 +2,7 @@
 
 use super::calls::{Call, Calls};
 use super::net::{Net, TICK};
-use crate::net::message_delay::{EVERY, MessageDelays, Note};
+use crate::net::message_delay::{EVERY, FleetUse, MessageDelays, Note};
 use crate::net::peer_loads::{PeerLoads, Standing};
 use cottonnotch_decision::settings::Profile;
 use cottonnotch_decision::{Event, Micros, ServerId};
@@ -46,8 +46,8 @@
     }
 
     /// The same for the fleet's keeper: load, and a byte of each group's digest.
-    pub fn standing_by_group(&self) -> BTreeMap<ServerId, (f64, Vec<u8>)> {
-        self.delays.standing_by_group()
+    pub fn standing_by_group(&self, now: Micros) -> BTreeMap<ServerId, (f64, Vec<u8>)> {
+        self.delays.standing_by_group(now)
     }
 
     /// The listed subchannels' capacities, microseconds of work a second.
@@ -55,10 +55,9 @@
         self.delays.sizes()
     }
 
-    /// What all proxies together have, as it was told: load over size of the subchannels that are named. The next is told
-    /// after about a `period`.
-    pub fn fleet(&mut self, at: Micros, period: Micros, used: BTreeMap<ServerId, f64>) {
-        self.delays.fleet(at, period, used);
+    /// What all proxies together have, as it was told.
+    pub fn fleet(&mut self, fleet: FleetUse) {
+        self.delays.fleet = Some(fleet);
     }
 
     /// A connection is up; `setup` is how long that took.
--- a/crates/cottonnotch/src/net/message_delay.rs
+++ b/crates/cottonnotch/src/net/message_delay.rs
@@ -101,16 +101,25 @@
     /// What the other proxies say.
     pub peers: PeerLoads,
     /// What all are said to have together.
-    fleet: Option<FleetUse>,
+    pub fleet: Option<FleetUse>,
 }
 
-/// Load over size by subchannel, of all proxies together; those that are not named have little.
+/// What all proxies together have, as the fleet's keeper told.
 #[derive(Debug)]
-struct FleetUse {
+pub struct FleetUse {
     until: Micros,
+    mean_load: f64,
     used: BTreeMap<ServerId, f64>,
 }
 
+impl FleetUse {
+    /// Told at that time; the next is told after about a `period`. Load over size by subchannel (those that are not named
+    /// have little), and the mean load of a connection.
+    pub fn new(at: Micros, period: Micros, mean_load: f64, used: BTreeMap<ServerId, f64>) -> Self {
+        FleetUse { until: at + FLEET_FOR * period, mean_load, used }
+    }
+}
+
 /// What was told of the fleet counts for so many of its periods: two of the next may be lost.
 const FLEET_FOR: Micros = 3;
 
@@ -226,9 +235,11 @@
         all
     }
 
-    /// The same with a byte of each group's digest in place of a sketch.
-    pub fn standing_by_group(&self) -> BTreeMap<ServerId, (f64, Vec<u8>)> {
-        let mean = self.mean();
+    /// The same with a byte of each group's digest in place of a sketch. A connection that has not told its load counts with
+    /// the fleet's mean, if that is known: where a proxy has three, its own say nothing, and new ones would weigh nothing.
+    pub fn standing_by_group(&self, now: Micros) -> BTreeMap<ServerId, (f64, Vec<u8>)> {
+        let told = self.fleet.as_ref().filter(|fleet| fleet.until > now && fleet.mean_load > 0.0);
+        let mean = told.map_or_else(|| self.mean(), |fleet| fleet.mean_load);
         let mut all: BTreeMap<ServerId, (f64, Vec<u8>)> = BTreeMap::new();
         for open in self.open.values() {
             let (load, groups) = all.entry(open.server).or_default();
@@ -245,11 +256,6 @@
         sized.map(|(number, known)| (ServerId(*number), known.weight * WORK_OF_A_CORE))
     }
 
-    /// All proxies' loads over size were told; the next are due after about a `period`.
-    pub fn fleet(&mut self, at: Micros, period: Micros, used: BTreeMap<ServerId, f64>) {
-        self.fleet = Some(FleetUse { until: at + FLEET_FOR * period, used });
-    }
-
     /// Mean load of a connection, of those that told theirs.
     fn mean(&self) -> f64 {
         let loads = self.open.values().filter_map(|open| open.load);
--- a/crates/cottonnotch/tests/gossip.rs
+++ b/crates/cottonnotch/tests/gossip.rs
@@ -415,6 +415,7 @@
                         period: 200_000,
                         members: 4,
                         totals,
+                        mean_load: 1_000.0,
                         nodes,
                     };
                     end.send_to(&wire::write_table(&table)[0], from).unwrap();
--- a/crates/fleet/src/gathering.rs
+++ b/crates/fleet/src/gathering.rs
@@ -1,6 +1,6 @@
 //! What a keeper has been told, and the sums of it. Each member counts with its newest report, as long as that is fresh.
 
-use crate::wire::{Entry, Report, Subchannel, Table, Totals, Word, write_table};
+use crate::wire::{Entry, LEAST_USE, Report, Subchannel, Table, Totals, Word, write_table};
 use crate::{Micros, Settings, pace};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -17,6 +17,9 @@
 const ALWAYS_PER_S: f64 = 0.5;
 /// Mean load of a connection beside the median of what members report.
 const MOST_LOAD: f64 = 4.0;
+/// A node on which this many times the usual number of proxies, for its size, have just set up connections is told as used by
+/// 0.4 at least. Guards against a crowd that all send to the same node before the next table shows what came of it.
+const SETTLES: f64 = 1.5;
 /// So many must agree on a word: one alone may itself be cut off.
 const AGREED: u32 = 2;
 /// A table is made anew after this: with 300 reports a second most would be made for nothing.
@@ -189,9 +192,16 @@
             }
         }
         let mean = if connections > 0.0 { load / connections } else { 0.0 };
+        let taken: f64 = sums.values().map(|sum| f64::from(sum.well)).sum();
+        let sizes: f64 = sums.keys().filter_map(|node| size(*node)).sum();
+        let settles = |well: u32, size: f64| {
+            well >= AGREED && f64::from(well) / size.max(1.0) > SETTLES * taken / sizes.max(1.0)
+        };
         let node = |(subchannel, sum): (Subchannel, Sum)| {
-            let used = size(subchannel)
-                .map_or(0.0, |size| (sum.load + GROUP_COST * mean * sum.groups.len() as f64) / size.max(1.0));
+            let used = size(subchannel).map_or(0.0, |size| {
+                let used = (sum.load + GROUP_COST * mean * sum.groups.len() as f64) / size.max(1.0);
+                if settles(sum.well, size) { used.max(LEAST_USE) } else { used }
+            });
             let word = match (sum.well, sum.unwell) {
                 (well, unwell) if unwell >= AGREED && unwell > well => Word::Unwell,
                 (AGREED.., 0) => Word::Well,
@@ -201,7 +211,7 @@
         };
         let nodes = sums.into_iter().map(node).collect();
         let members = self.claims.len() as u32;
-        Table { generation: 0, part: (0, 1), young, period: 0, members, totals, nodes }
+        Table { generation: 0, part: (0, 1), young, period: 0, members, totals, mean_load: mean, nodes }
     }
 
     /// The most of a figure that one member's report counts for.
@@ -340,6 +350,25 @@
         assert_eq!(used(&mut gathering, 8 * S), BTreeMap::from([(1, 0.1)]));
     }
 
+    /// Ten nodes; where all take as many, nobody is held off, however many that is.
+    #[test]
+    fn a_node_that_took_far_more_than_others_settles_and_an_even_rush_holds_nobody_off() {
+        let told = |crowd: u32| {
+            let mut gathering = Gathering::default();
+            for member in 0..60 {
+                let node = if member < crowd { 0 } else { member % 10 };
+                let mut told = report(1, (0, 1), &[(node, 0.1)]);
+                told.entries[0].word = Word::Well;
+                gathering.take(0, member, 40, told);
+            }
+            used(&mut gathering, 0)
+        };
+        assert!(told(0).values().all(|used| *used < LEAST_USE), "{:?}", told(0));
+        let crowded = told(20);
+        assert!(crowded[&0] >= LEAST_USE, "{crowded:?}");
+        assert!((1..10).all(|node| crowded[&node] < LEAST_USE), "{crowded:?}");
+    }
+
     #[test]
     fn a_word_needs_two_and_no_majority_against_it() {
         let mut gathering = Gathering::default();
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -22,6 +22,8 @@
     pub period: Micros,
     /// How many proxies' reports are in it.
     pub members: u32,
+    /// Mean load of a connection, work in microseconds a second.
+    pub mean_load: f64,
     /// Sums over these.
     pub totals: Totals,
     /// This proxy's own connections, open or wanted, as it last reported them.
@@ -37,7 +39,7 @@
         } else {
             self.nodes.extend(nodes);
         }
-        (self.at, self.period) = (now, table.period);
+        (self.at, self.period, self.mean_load) = (now, table.period, table.mean_load);
         (self.members, self.totals) = (table.members, table.totals);
         self.own_connections = own_connections;
     }
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -11,6 +11,7 @@
 //! | members | n | table only: whose reports are in it |
 //! | connections | n | open or wanted |
 //! | requests, set-ups, failures | 1 each | a second; [`rate`] |
+//! | mean load | 1 | table only: of a connection; [`load`] |
 //!
 //! | entry | bytes | |
 //! | --- | --- | --- |
@@ -133,6 +134,8 @@
     pub members: u32,
     /// Sums.
     pub totals: Totals,
+    /// Mean load of a connection, work in microseconds a second.
+    pub mean_load: f64,
     /// Subchannel, load over size, word.
     pub nodes: Vec<(Subchannel, f64, Word)>,
 }
@@ -246,6 +249,7 @@
     number(&mut head, tenths(table.period));
     number(&mut head, table.members);
     totals(&mut head, &table.totals);
+    head.push(load(table.mean_load));
     let mut told: Vec<_> =
         table.nodes.iter().filter(|(_, used, word)| *used >= LEAST_USE || *word != Word::Unclear).collect();
     told.sort_by(|a, b| b.1.total_cmp(&a.1));
@@ -324,6 +328,7 @@
         TABLE => {
             let period = of_tenths(reading.number()?);
             let (members, totals) = (reading.number()?, reading.totals()?);
+            let mean_load = load_of(reading.byte()?);
             let mut nodes = Vec::new();
             while !reading.0.is_empty() {
                 let (subchannel, told) = (reading.subchannel()?, reading.byte()?);
@@ -334,7 +339,8 @@
                 nodes.push((subchannel, used, Word::of(told >> 6)));
             }
             let young = flags & YOUNG > 0;
-            Some(Datagram::Table(Table { generation, part, young, period, members, totals, nodes }))
+            let table = Table { generation, part, young, period, members, totals, mean_load, nodes };
+            Some(Datagram::Table(table))
         }
         _ => None,
     }
@@ -411,12 +417,14 @@
             period: 1_500_000,
             members: 300,
             totals,
+            mean_load: 40_000.0,
             nodes,
         };
         let Some(Datagram::Table(back)) = read(&write_table(&table)[0]) else { panic!("unreadable") };
         let told: Vec<u32> = back.nodes.iter().map(|(subchannel, ..)| subchannel.0).collect();
         assert_eq!(told, [4, 3, 2], "the fullest first");
         assert!((back.nodes[1].1 - 0.93).abs() <= USE_STEP / 2.0 && back.nodes[1].2 == Word::Well);
+        assert!((back.mean_load / 40_000.0 - 1.0).abs() < 0.023, "{}", back.mean_load);
         assert_eq!(back.nodes[2].1, 0.0, "named for its word alone, not as full");
         assert_eq!((back.members, back.generation, back.period), (300, 9, 1_500_000));
         assert!(read(&[1, 2, 0, 0, 0, 0]).is_none(), "gossip's version");
--- a/crates/fleet/tests/tier.rs
+++ b/crates/fleet/tests/tier.rs
@@ -289,7 +289,8 @@
 fn lie(generation: u16) -> Vec<u8> {
     let nodes = (0..9).map(|node| (Subchannel(node), 2.0, Word::Unwell)).collect();
     let (totals, part) = (Totals::default(), (0, 1));
-    let table = wire::Table { generation, part, young: false, period: S, members: 30, totals, nodes };
+    let (period, mean_load) = (S, 0.0);
+    let table = wire::Table { generation, part, young: false, period, members: 30, totals, mean_load, nodes };
     wire::write_table(&table).remove(0)
 }
 
