Cold render nodes' budget goes by what tenants may hold, each proxy's part of it

At fault: usual_rates in policy.rs, which filled a cold server only to what its neighbours held, so that where most are new, nobody fills any. Change: the budget fills a cold server to what tenants may hold together, or to what is there if that is more.

--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -176,6 +176,11 @@
         (allowed > 0.0).then_some(allowed)
     }
 
+    /// Connections that all tenants may hold open together, over all nodes and servers; 0 if not stated.
+    pub fn allowance_open(&self) -> f64 {
+        self.tenants.iter().map(|tenant| tenant.allowance_open).sum()
+    }
+
     /// A set-up that takes no longer shows that what set-ups share has room: a quarter of the shortest target.
     pub fn quick(&self) -> Micros {
         self.classes.iter().map(|class| class.target).min().unwrap_or(0) / 4
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -474,12 +474,13 @@
         Some(server)
     }
 
-    /// New connections a second that a server of weight 1 usually gets from this node, and that would fill
-    /// it to the others' level within its warm-up.
+    /// New connections a second that a server of weight 1 usually gets from this node, and that would fill it
+    /// to the others' level, or to what tenants may hold, within its warm-up: a fleet a third full has room.
     fn usual_rates(&self, now: Micros) -> (f64, f64) {
         let age = (now - self.started_at).max(SECOND) as f64 / SECOND as f64;
         let rate = self.arrivals / (RATE_MEMORY * (1.0 - (-age / RATE_MEMORY).exp()));
-        let fill = self.jobs.len() as f64 * SECOND as f64 / self.settings.warm_up.max(SECOND) as f64;
+        let full = self.part.of(now, self.settings.allowance_open()).max(self.jobs.len() as f64);
+        let fill = full * SECOND as f64 / self.settings.warm_up.max(SECOND) as f64;
         let weight = self.total_weight.max(1e-9);
         (rate / weight, fill.max(rate) / weight)
     }
@@ -500,8 +501,8 @@
             s.paused_until.unwrap_or(now).max(s.filled.saturating_add(short as Micros))
         };
         let soonest = self.ready.iter().filter_map(|id| self.server(*id)).map(chance).min();
-        let soonest = soonest.unwrap_or(now + SECOND).max(self.setups.next(self.setups_per_s(now)));
-        soonest.clamp(now + SECOND / 20, now + SECOND)
+        let setups = self.setups.next(self.setups_per_s(now));
+        soonest.unwrap_or(now + SECOND).max(setups).clamp(now + SECOND / 20, now + SECOND)
     }
 
     // ---- pauses ----
@@ -520,9 +521,7 @@
             Outcome::Served => self.went_well(now, at, id, out),
             // Shows nothing: a trial leaves the server half-open.
             Outcome::Cancelled | Outcome::NotSent => {
-                if let Some(s) = self.server_mut(at).filter(|s| s.trial == Some(id)) {
-                    s.trial = None;
-                }
+                self.server_mut(at).into_iter().for_each(|s| s.trial = s.trial.filter(|trial| *trial != id));
             }
         }
     }
--- a/crates/decision/tests/tier.rs
+++ b/crates/decision/tests/tier.rs
@@ -29,12 +29,14 @@
     /// Of each request: client, tries, attempts sent.
     requests: Vec<(u64, u32, u32)>,
     up: Vec<Option<Micros>>,
-    sent: u64,
+    /// When and where set-ups were sent.
+    sent: Vec<(Micros, u32)>,
 }
 
 impl Tier {
-    fn new(nodes: u32) -> Self {
-        let tenants = vec![Tenant { allowance_per_s: ALLOWED, allowance_open: 0.0 }];
+    /// Of so many nodes. All servers started at that time, or long ago.
+    fn new(nodes: u32, allowance_open: f64, started: Option<Micros>) -> Self {
+        let tenants = vec![Tenant { allowance_per_s: ALLOWED, allowance_open }];
         let balancer = |ordinal| {
             let settings = Settings { ordinal, nodes, tenants: tenants.clone(), ..settings(Effect::Safe) };
             Balancer::new(settings, u64::from(ordinal) + 1, 0)
@@ -46,10 +48,11 @@
             busy: 0,
             requests: Vec::new(),
             up: vec![None; CLIENTS as usize],
-            sent: 0,
+            sent: Vec::new(),
         };
         for node in 0..nodes as usize {
-            let entries = (0..SERVERS).map(|server| entry(server, Listed::Ready)).collect();
+            let listed = |server| Entry { started, ..entry(server, Listed::Ready) };
+            let entries = (0..SERVERS).map(listed).collect();
             tier.tell(node, 0, Event::List { full: true, copy: false, entries });
         }
         tier
@@ -69,7 +72,7 @@
                     let RequestId(request) = request;
                     let attempt = self.requests[request as usize].2;
                     self.requests[request as usize].2 += 1;
-                    self.sent += 1;
+                    self.sent.push((now, server.0));
                     self.busy = self.busy.max(now) + (1e6 / STORE) as Micros;
                     let timeout = if timeout > 0 { timeout } else { 2 * S };
                     let up = self.busy - now <= timeout;
@@ -126,7 +129,7 @@
 
 /// All clients come again within a second and a half. When nine tenths are up, in seconds; and set-ups sent for each client.
 fn storm(nodes: u32) -> (f64, f64) {
-    let mut tier = Tier::new(nodes);
+    let mut tier = Tier::new(nodes, 0.0, None);
     for client in 0..CLIENTS {
         let at = S + (client as f64 / CLIENTS as f64 * 1.5e6) as Micros;
         tier.push(at, Due::Asks { client, tries: 0 });
@@ -135,7 +138,7 @@
     let mut times: Vec<Micros> = tier.up.iter().map(|up| up.unwrap_or(Micros::MAX)).collect();
     times.sort_unstable();
     let at = times[CLIENTS as usize * 9 / 10];
-    (if at == Micros::MAX { f64::INFINITY } else { at as f64 / 1e6 }, tier.sent as f64 / CLIENTS as f64)
+    (if at == Micros::MAX { f64::INFINITY } else { at as f64 / 1e6 }, tier.sent.len() as f64 / CLIENTS as f64)
 }
 
 #[test]
@@ -150,6 +153,48 @@
     }
 }
 
+/// Found on the vast days (join, seed 3): all servers that were left had just started, and a fleet whose tenants may hold
+/// three times what was open filled them no faster than to what was open, with its clients waiting outside.
+#[test]
+fn cold_servers_fill_as_fast_as_they_can_bear_at_any_number_of_nodes() {
+    const WANTED: u64 = 300;
+    const MAY_HOLD: f64 = 800.0;
+    for nodes in [2, 100, 300] {
+        let mut tier = Tier::new(nodes, MAY_HOLD, Some(0));
+        for client in 0..WANTED {
+            tier.push((client * 5) as Micros * MS, Due::Asks { client, tries: 0 });
+        }
+        tier.run(20 * S);
+        let Settings { fall_multiple, fall_window, .. } = settings(Effect::Safe);
+        let of_all = settings(Effect::Safe);
+        let fills = MAY_HOLD / f64::from(SERVERS) / (of_all.warm_up as f64 / 1e6);
+        for server in 0..SERVERS {
+            let times: Vec<Micros> =
+                tier.sent.iter().filter(|(_, at)| *at == server).map(|(t, _)| *t).collect();
+            for &from in &times {
+                let burst = times.iter().filter(|t| (from..from + fall_window).contains(*t)).count() as f64;
+                let bears = fall_multiple * of_all.share_at(from) * fills * fall_window as f64 / 1e6;
+                // Chance: all nodes together are no clock.
+                let bears = bears + 2.0 * bears.sqrt();
+                assert!(
+                    burst <= bears,
+                    "{nodes} nodes: {burst} to a cold server that bears {bears} after {from} us"
+                );
+            }
+        }
+        let mut up: Vec<Micros> = tier.up.iter().flatten().copied().collect();
+        up.sort_unstable();
+        let half = up.get(WANTED as usize / 2).copied().unwrap_or(Micros::MAX);
+        let most = up.get(WANTED as usize * 9 / 10).copied().unwrap_or(Micros::MAX);
+        eprintln!(
+            "{nodes} nodes: half up after {} s, nine tenths after {} s",
+            half as f64 / 1e6,
+            most as f64 / 1e6
+        );
+        assert!(most <= 9 * S, "{nodes} nodes: nine tenths of the clients are up after {most} us");
+    }
+}
+
 #[test]
 fn what_nodes_are_told_of_the_tier_holds_back_one_that_has_not_failed_itself() {
     let fleet = Settings { nodes: 300, ..settings(Effect::Safe) };
