Delays told in LOAD lines are told apart from loads by their beat

Told loads fell from a mean of 44,000 us a second to 15,000 within two seconds. The lines that drew them down came once a second, with the same figure at all proxies that had a connection there ("LOAD 1230" at 7.52 s at 16 proxies, "LOAD 971" a second later): notes of the second kind in the settings (milliseconds that a message takes, familyInfo.tellsDelay), read as loads. So a node with 1.2 s of work piled up looked the emptiest, was not paused, and its use at the keeper was understated. At fault: Relay::note and Messages::load, which took every LOAD line for a load. Change: net/load_lines.rs tells the two apart by time (a second after one another, at the node's own moment of the second; the first is undecided for a second); told delays are the module's at once, and a node that tells nothing to a connection of ours is not estimated to be slow.

--- a/crates/cottonnotch/src/net/driver/clients.rs
+++ b/crates/cottonnotch/src/net/driver/clients.rs
@@ -213,7 +213,7 @@
             Stage::Reopening(request) => (Event::Open { request: *request, server }, None),
             _ => (Event::Established { request: call.id, attempt, server, elapsed }, Some(elapsed)),
         };
-        messages.opened(call, server, setup);
+        messages.opened(net.now(), call, server, setup);
         Some(event)
     }
 
--- a/crates/cottonnotch/src/net/driver/messages.rs
+++ b/crates/cottonnotch/src/net/driver/messages.rs
@@ -2,15 +2,19 @@
 
 use super::calls::{Call, Calls};
 use super::net::{Net, TICK};
+use crate::net::load_lines::{LoadLines, Told};
 use crate::net::message_delay::{EVERY, FleetUse, MessageDelays, Note};
 use crate::net::peer_loads::{PeerLoads, Standing};
 use cottonnotch_decision::settings::Profile;
-use cottonnotch_decision::{Event, Micros, ServerId};
+use cottonnotch_decision::{Event, Micros, RequestId, ServerId};
 use std::collections::BTreeMap;
 
 /// How messages fare.
 pub struct Messages {
     delays: MessageDelays,
+    lines: LoadLines,
+    /// Lines may tell delays, too.
+    tells_delay: bool,
     /// Groups count.
     groups: bool,
 }
@@ -19,13 +23,15 @@
     /// Nothing seen yet. Sets the timer of the first [`Self::tick`].
     pub fn start(net: &mut Net) -> Self {
         net.timer_in(EVERY, TICK);
-        let settings = &net.config.profile.settings;
+        let Profile { settings, tells_delay, .. } = &net.config.profile;
         let delays = MessageDelays::new(settings.nodes, settings.shortest_aim(), settings.weighted);
-        Messages { delays, groups: settings.groups }
+        let (groups, tells_delay) = (settings.groups, *tells_delay);
+        Messages { delays, lines: LoadLines::default(), tells_delay, groups }
     }
 
     /// The settings have changed.
-    pub fn set(&mut self, Profile { settings, .. }: &Profile) {
+    pub fn set(&mut self, Profile { settings, tells_delay, .. }: &Profile) {
+        self.tells_delay = *tells_delay;
         self.delays.set(settings.nodes, settings.shortest_aim(), settings.weighted);
         self.groups = settings.groups;
     }
@@ -33,6 +39,9 @@
     /// A subchannel is listed; `anew` if it is a new life of its process.
     pub fn listed(&mut self, server: ServerId, weight: f64, anew: bool) {
         self.delays.listed(server, weight, anew);
+        if anew {
+            self.lines.forget(server);
+        }
     }
 
     /// What the other proxies say.
@@ -61,9 +70,9 @@
     }
 
     /// A connection is up; `setup` is how long that took.
-    pub fn opened(&mut self, call: &Call, server: ServerId, setup: Option<Micros>) {
+    pub fn opened(&mut self, now: Micros, call: &Call, server: ServerId, setup: Option<Micros>) {
         let group = call.group.filter(|_| self.groups);
-        self.delays.opened(call.id, server, group, setup);
+        self.delays.opened(now, call.id, server, group, setup);
     }
 
     /// An RPC is over, up or not.
@@ -71,10 +80,25 @@
         self.delays.ended(call.id);
     }
 
-    /// The load of a connection has changed.
-    pub fn load(&mut self, call: &Call, load: f64) -> Event {
-        self.delays.load(call.id, load);
-        Event::LoadNote { request: call.id, load }
+    /// A subchannel has told a figure on this connection: its load, or a delay.
+    pub fn load(&mut self, now: Micros, call: &Call, figure: f64) -> Option<Event> {
+        let told = match call.at {
+            Some((server, _)) if self.tells_delay => self.lines.line(now, server, call.id, figure),
+            _ => Told::Load(figure),
+        };
+        match (told, call.at) {
+            (Told::Load(load), _) => Some(self.loaded(call.id, load)),
+            (Told::Delay(delay), Some((server, _))) => {
+                let Note { server, delay } = self.delays.told(now, server, delay)?;
+                Some(Event::DelayNote { server, delay })
+            }
+            _ => None,
+        }
+    }
+
+    fn loaded(&mut self, request: RequestId, load: f64) -> Event {
+        self.delays.load(request, load);
+        Event::LoadNote { request, load }
     }
 
     /// A client's line was answered after this long, or is unanswered for that long by now.
@@ -85,7 +109,7 @@
     }
 
     /// The notes that are due; sets the next tick's timer.
-    pub fn tick(&mut self, net: &mut Net, calls: &Calls) -> Vec<Note> {
+    pub fn tick(&mut self, net: &mut Net, calls: &Calls) -> Vec<Event> {
         let now = net.now();
         net.timer_in(EVERY, TICK);
         for (key, _) in calls.up() {
@@ -95,6 +119,10 @@
                 self.delayed(net.now(), call, waited);
             }
         }
-        self.delays.notes(now)
+        let settled = self.lines.settle(now);
+        let mut events: Vec<Event> = settled.into_iter().map(|(id, load)| self.loaded(id, load)).collect();
+        let note = |Note { server, delay }| Event::DelayNote { server, delay };
+        events.extend(self.delays.notes(now).into_iter().map(note));
+        events
     }
 }
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -27,7 +27,6 @@
 use super::happening::{Happening, Object};
 use super::management::figures::Gauges;
 use super::management::{Answer, Call};
-use super::message_delay::Note;
 use super::resolver_result::ResolverResult;
 use crate::config::Config;
 use arrivals::Arrivals;
@@ -174,7 +173,8 @@
             Happening::Timer(net::REOPEN) => self.clients.reopen_all(net, &self.subchannels),
 
             Happening::Load { rpc, load } => {
-                let event = self.clients.calls().get(rpc).map(|call| messages.load(call, load));
+                let now = net.now();
+                let event = self.clients.calls().get(rpc).and_then(|call| messages.load(now, call, load));
                 self.tell(event);
             }
             Happening::Message { rpc, delay } => {
@@ -225,9 +225,8 @@
     fn tick(&mut self) {
         let events = self.peers.tick(&mut self.net, &mut self.messages, &self.subchannels);
         self.tell_all(events);
-        for Note { server, delay } in self.messages.tick(&mut self.net, self.clients.calls()) {
-            self.tell(Some(Event::DelayNote { server, delay }));
-        }
+        let events = self.messages.tick(&mut self.net, self.clients.calls());
+        self.tell_all(events);
     }
 
     fn reload(&mut self) {
--- a/crates/cottonnotch/src/net/message_delay.rs
+++ b/crates/cottonnotch/src/net/message_delay.rs
@@ -1,11 +1,11 @@
-//! Delay notes, which the module needs and nobody sends here: the time that a message takes at each
-//! subchannel, once a second while that is over a third of the shortest aim, and once more when it is back
-//! under.
+//! Delay notes, which the module needs: the time that a message takes at each subchannel, once a second while that is over a
+//! third of the shortest aim, and once more when it is back under.
 //!
-//! The plain way is to time a client's line to its reply, and that is done. But measured on overloaded days,
-//! render nodes return a line within 2 ms however much work has piled up behind it (docs/design.md has the
-//! figures), so the time is estimated as well, from what a proxy does see: the loads of its own connections,
-//! the groups they belong to, and how long set-ups take. The larger of the two is noted.
+//! Where render nodes tell it ([`super::load_lines`]), that is passed on at once, and one that tells nothing to a connection of
+//! ours has no such delay. A subchannel without a connection of ours tells us nothing, and there are platforms where none does:
+//! then the time is estimated from what a proxy does see, which is the loads of its own connections, the groups they belong to,
+//! how long set-ups take, and what the fleet's keeper says. A client's line is timed to its reply as well, though render nodes
+//! return one within 2 ms however much work has piled up (docs/design.md has the figures). The larger of the two is noted.
 
 use super::peer_loads::{PeerLoads, Standing, groups_in, sketch};
 use cottonnotch_decision::{Micros, RequestId, ServerId};
@@ -28,6 +28,8 @@
 /// Weight of the past at each set-up of a subchannel, and of the whole fleet.
 const SETUP_MEMORY: f64 = 0.85;
 const FLEET_MEMORY: f64 = 0.98;
+/// A subchannel tells its delay once a second, while there is one to tell.
+const TOLD_WITHIN: Micros = 1_200_000;
 /// So many usual set-ups are imagined beside those seen, since a single one tells little.
 const USUAL_SETUPS: f64 = 3.0;
 /// How much smaller a subchannel is taken to be for set-ups that are longer than usual: the power of their
@@ -55,6 +57,7 @@
     server: ServerId,
     group: Option<u64>,
     load: Option<f64>,
+    since: Micros,
 }
 
 /// A sum that forgets, and how much went into it.
@@ -77,6 +80,8 @@
     weight: f64,
     setups: Average,
     measured: Option<(Micros, Micros)>,
+    /// What it told last, and when.
+    told: Option<(Micros, Micros)>,
     over: bool,
 }
 
@@ -102,6 +107,8 @@
     pub peers: PeerLoads,
     /// What all are said to have together.
     pub fleet: Option<FleetUse>,
+    /// Subchannels tell their delays: one that is silent to connections of ours has none.
+    tells: bool,
 }
 
 /// What all proxies together have, as the fleet's keeper told.
@@ -154,6 +161,7 @@
             setups: Average::default(),
             peers: PeerLoads::default(),
             fleet: None,
+            tells: false,
         }
     }
 
@@ -164,23 +172,24 @@
 
     /// A subchannel is listed; one that is a new life of its process is no longer known.
     pub fn listed(&mut self, server: ServerId, weight: f64, anew: bool) {
-        let fresh = Known { weight, setups: Average::default(), measured: None, over: false };
+        let fresh = Known { weight, setups: Average::default(), measured: None, told: None, over: false };
         let known = self.known.entry(server.0).or_insert(fresh);
         known.weight = weight.max(0.01);
         if anew {
-            known.setups = Average::default();
+            (known.setups, known.told) = (Average::default(), None);
         }
     }
 
     /// A connection is up; `setup` is how long that took.
     pub fn opened(
         &mut self,
+        now: Micros,
         request: RequestId,
         server: ServerId,
         group: Option<u64>,
         setup: Option<Micros>,
     ) {
-        self.open.insert(request, Open { server, group, load: None });
+        self.open.insert(request, Open { server, group, load: None, since: now });
         if let (Some(setup), Some(known)) = (setup, self.known.get_mut(&server.0)) {
             let time = (setup.max(1000) as f64).ln();
             known.setups.add(time, SETUP_MEMORY);
@@ -201,6 +210,21 @@
         }
     }
 
+    /// A subchannel has told how long a message takes there. The note is the module's at once.
+    pub fn told(&mut self, now: Micros, server: ServerId, delay: Micros) -> Option<Note> {
+        self.tells = true;
+        let known = self.known.get_mut(&server.0)?;
+        known.told = Some((now, delay));
+        known.over = self.aim.is_some_and(|aim| delay as f64 > aim / 3.0);
+        Some(Note { server, delay })
+    }
+
+    /// Subchannels with a connection of ours that is old enough to have been told a delay, if there were one.
+    fn silent(&self, now: Micros) -> BTreeSet<u32> {
+        let old = self.open.values().filter(|open| self.tells && now - open.since > TOLD_WITHIN);
+        old.map(|open| open.server.0).collect()
+    }
+
     pub fn ended(&mut self, request: RequestId) {
         self.open.remove(&request);
     }
@@ -209,10 +233,15 @@
     pub fn notes(&mut self, now: Micros) -> Vec<Note> {
         let Some(aim) = self.aim else { return Vec::new() };
         let mut notes = Vec::new();
+        let silent = self.silent(now);
         for (number, of) in self.utilisations(now) {
             let Some(known) = self.known.get_mut(&number) else { continue };
             let measured = known.measured.filter(|(at, _)| now - at < BELIEVED).map_or(0, |(_, d)| d);
-            let delay = measured.max(delay_at(of, aim));
+            if known.told.is_some_and(|(at, _)| now - at < TOLD_WITHIN) {
+                continue;
+            }
+            let estimate = if silent.contains(&number) { 0 } else { delay_at(of, aim) };
+            let delay = measured.max(estimate);
             let over = delay as f64 > aim / 3.0;
             if over || known.over {
                 notes.push(Note { server: ServerId(number), delay });
--- a/crates/cottonnotch/src/net/mod.rs
+++ b/crates/cottonnotch/src/net/mod.rs
@@ -5,7 +5,9 @@
 pub mod driver;
 mod happening;
 mod invariant;
+mod load_lines;
 mod management;
+
 mod message_delay;
 mod objection;
 mod open_line;
--- a/crates/decision/src/settings.rs
+++ b/crates/decision/src/settings.rs
@@ -21,6 +21,8 @@
     pub zones: Names,
     /// A connection that is not up after this long could not be made.
     pub connect_timeout: Micros,
+    /// Servers note how long a message takes there, too, and not only connections' loads.
+    pub tells_delay: bool,
 }
 
 impl Profile {
@@ -219,5 +221,7 @@
         move_price: pairs.figure("prices.moves", 0.0)?,
     };
     let connect_timeout = pairs.time("policyLimits.connectTimeout", 250_000)?;
-    Ok(Profile { settings, classes, withdrawn: BTreeSet::new(), tenants, zones, connect_timeout })
+    let tells_delay = pairs.flag("familyInfo.tellsDelay");
+    let withdrawn = BTreeSet::new();
+    Ok(Profile { settings, classes, withdrawn, tenants, zones, connect_timeout, tells_delay })
 }
