Module: what is owed when the node ends is answered, and repeats tell until when they may be written

Groundwork for the review of endings, not wired to sockets yet: Event::Leaving answers all that is held and all that ends after it by the effect of its class, and Action::Send says up to when a repeat of a keyed class may be written. A place for tests of endings.

--- a/crates/cottonnotch/src/net/driver/clients.rs
+++ b/crates/cottonnotch/src/net/driver/clients.rs
@@ -148,6 +148,7 @@
         request: RequestId,
         server: ServerId,
         timeout: Micros,
+        before: Option<Micros>,
     ) -> Option<Event> {
         let key = self.calls.key(request);
         let call = key.and_then(|key| self.calls.get_mut(key));
@@ -157,7 +158,7 @@
         };
         let attempt = call.attempts;
         call.at = Some((server, attempt));
-        if begin_attempt(net, subchannels, key, call, server, timeout) {
+        if begin_attempt(net, subchannels, key, call, server, timeout, before) {
             return None;
         }
         Some(Event::Ended { request, attempt, server, outcome: Outcome::NotSent, last: false })
@@ -167,7 +168,7 @@
     fn reopen(&mut self, net: &mut Net, subchannels: &Subchannels, key: Key) {
         let Some(call) = self.calls.get_mut(key) else { return };
         let Some((server, _)) = call.at else { return };
-        if !begin_attempt(net, subchannels, key, call, server, 0) {
+        if !begin_attempt(net, subchannels, key, call, server, 0, None) {
             self.reopen_later(net, key);
         }
     }
@@ -338,6 +339,7 @@
     call: &mut Call,
     server: ServerId,
     timeout: Micros,
+    before: Option<Micros>,
 ) -> bool {
     call.attempts += 1;
     call.began = Some(net.now());
@@ -346,7 +348,7 @@
     let connect_timeout = net.config.profile.connect_timeout;
     let act_by = net.rules.as_ref().and_then(|rules| rules.act_by(call.id));
     let order = subchannels.address(server);
-    let order = order.map(|address| AttemptOrder { address, timeout, connect_timeout, act_by });
+    let order = order.map(|address| AttemptOrder { address, timeout, connect_timeout, act_by, before });
     let begun = order.and_then(|order| net.with_front(key, |front, io| front.attempt(io, order)));
     if begun != Some(true) {
         end_attempt(net, call, Outcome::NotSent);
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -403,8 +403,8 @@
     fn act(&mut self, now: Micros, action: Action) {
         let (net, messages) = (&mut self.net, &mut self.messages);
         let event = match action {
-            Action::Send { request, server, timeout } => {
-                self.clients.send(net, &self.subchannels, request, server, timeout)
+            Action::Send { request, server, timeout, before } => {
+                self.clients.send(net, &self.subchannels, request, server, timeout, before)
             }
             Action::Refuse { request, retry_after } => {
                 self.clients.refuse(net, messages, request, retry_after);
--- a/crates/cottonnotch/src/net/happening.rs
+++ b/crates/cottonnotch/src/net/happening.rs
@@ -39,6 +39,8 @@
     pub connect_timeout: Micros,
     /// Its first line is written before this or not at all, by the rules' clock.
     pub act_by: Option<Micros>,
+    /// Its first line is written before this or not at all.
+    pub before: Option<Micros>,
 }
 
 /// What has happened.
--- /dev/null
+++ b/crates/cottonnotch/tests/endings/main.rs
@@ -0,0 +1,10 @@
+//! Endings over real connections: each story forces, by its peers' own steps, the instant in which something ends while
+//! something is still owed. docs/design/endings.md has the whole table.
+
+mod attempts;
+mod clients;
+mod lists;
+mod nodes;
+#[path = "../peers/mod.rs"]
+mod peers;
+mod shutdown;
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -75,6 +75,15 @@
         }
     }
 
+    /// Until when a repeat may be sent, if the first send that may have run was then; `None`: without end.
+    pub fn repeat_until(self, first_sent: Micros) -> Option<Micros> {
+        match self {
+            Effect::Safe => None,
+            Effect::Keyed { window, .. } => Some(first_sent.saturating_add(window)),
+            Effect::Unsafe => Some(first_sent),
+        }
+    }
+
     /// Whether a refusal is allowed though an attempt may have run.
     pub fn may_refuse(self) -> bool {
         matches!(self, Effect::Safe | Effect::Keyed { scope: Scope::All, .. })
@@ -375,6 +384,8 @@
     Tier(Tier),
     /// What the rules say has changed: what is held is looked at anew.
     Ruled,
+    /// The node ends: what is owed or still comes is answered, and nothing is sent any more.
+    Leaving,
     /// A timer is due.
     Timer(u32),
 }
@@ -433,6 +444,8 @@
         server: ServerId,
         /// End it as timed out after this; 0: when the client gives up.
         timeout: Micros,
+        /// Its first line is written before then or not at all: repeats have no effect only up to there.
+        before: Option<Micros>,
     },
     /// Final answer: turned away, trying again is harmless.
     Refuse {
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -126,6 +126,8 @@
     quick: Option<Micros>,
     /// Most of the servers heard of lately are piled up.
     crowded: bool,
+    /// The node ends: nothing is sent any more, what is owed is answered.
+    leaving: bool,
 }
 
 impl Balancer {
@@ -203,6 +205,10 @@
             }
             Event::Tier(tier) => self.part.told(now, tier),
             Event::Ruled => self.release_held(now, out),
+            Event::Leaving => {
+                self.leaving = true;
+                self.release_held(now, out);
+            }
             Event::Peer { from, server, word } => self.heard(now, from, server, word, out),
             Event::Probed { .. } | Event::Timer(_) => {}
         }
@@ -307,7 +313,7 @@
         let effect = self.settings.effect(job.class());
         let repeatable = job.may_have_run.is_none_or(|(_, sent)| effect.may_repeat(now - sent));
         let most = self.settings.attempts(job.class()).min(ruling.attempts);
-        let spent = job.sent >= most || left.is_some_and(|left| left < LEAST_TRY);
+        let spent = self.leaving || job.sent >= most || left.is_some_and(|left| left < LEAST_TRY);
         if spent || !repeatable {
             return self.answer(now, id, self.next_chance(now, &ruling), out);
         }
@@ -326,11 +332,13 @@
             };
             (job.sent, job.last_sent, job.at) = (job.sent + 1, now, Some(server));
             job.tried.push(server);
+            // It may come up late: what would arrive after the window would run a second time.
+            let before = job.may_have_run.and_then(|(_, sent)| effect.repeat_until(sent));
             self.rules.iter_mut().for_each(|rules| rules.sent(now, &job.request, server));
             if let Some(s) = self.server_mut(server) {
                 s.believe(now, server, out);
             }
-            out.push(Action::Send { request: id, server, timeout });
+            out.push(Action::Send { request: id, server, timeout, before });
             return;
         }
         let until = self.next_chance(now, &ruling).max(from);
--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -139,7 +139,7 @@
 ) {
     for action in actions.drain(..) {
         match action {
-            Action::Send { request, server, timeout } => {
+            Action::Send { request, server, timeout, .. } => {
                 assert!(!over.contains(&request.0), "sent for a request that is over");
                 let entry = open.get_mut(&request.0).expect("sent for a known request");
                 assert!(entry.out.is_none() && !entry.begun, "two attempts out");
--- a/crates/decision/tests/tier.rs
+++ b/crates/decision/tests/tier.rs
@@ -86,7 +86,7 @@
         self.nodes[node].handle(now, event, &mut out);
         for action in out {
             match action {
-                Action::Send { request, server, timeout } => {
+                Action::Send { request, server, timeout, .. } => {
                     let RequestId(request) = request;
                     let attempt = self.requests[request as usize].2;
                     self.requests[request as usize].2 += 1;
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -388,7 +388,7 @@
 
     fn write(&mut self, node: u64, action: &Action, to: &mut Vec<u8>) -> io::Result<()> {
         match action {
-            Action::Send { request, server, timeout } => {
+            Action::Send { request, server, timeout, .. } => {
                 let host = self.servers.name(server.0);
                 writeln!(to, "place\tnode-{node}\t{}\t{host}\t{timeout}", request.0)
             }
