--- /dev/null
+++ b/crates/reactor/src/json_texts_tests.rs
@@ -0,0 +1,94 @@
+//! Texts in a stream of bytes, wherever the pieces' borders fall.
+
+use super::*;
+use proptest::prelude::*;
+
+fn split(pieces: &[&[u8]]) -> (Vec<String>, Result<(), BadText>) {
+    let (mut texts, mut found) = (JsonTexts::new(), Vec::new());
+    let result = pieces.iter().try_for_each(|piece| texts.feed(piece, &mut found));
+    (found.into_iter().map(|text| String::from_utf8(text).unwrap()).collect(), result)
+}
+
+#[test]
+fn a_text_over_several_lines_is_one_text_and_several_in_one_piece_are_several() {
+    let indented = "{\n  \"revision\": 1,\n  \"members\": [\n    {\"id\": \"a}\\\"\"}\n  ]\n}";
+    let (found, result) = split(&[format!("\r\n{indented}\r\n{{}}{{\"a\":[]}}\n \n").as_bytes()]);
+    result.unwrap();
+    assert_eq!(found, [indented, "{}", "{\"a\":[]}"]);
+}
+
+#[test]
+fn a_text_is_handed_on_once_it_is_whole_and_half_a_text_never() {
+    let (mut texts, mut found) = (JsonTexts::new(), Vec::new());
+    texts.feed(b"{\"a\":1", &mut found).unwrap();
+    assert!(found.is_empty() && texts.is_within());
+    texts.feed(b"}", &mut found).unwrap();
+    assert!(found.len() == 1 && !texts.is_within(), "no line's end is waited for");
+    texts.feed(b"\n{\"b\":{}", &mut found).unwrap();
+    assert!(found.len() == 1 && texts.is_within());
+}
+
+#[test]
+fn what_is_no_object_is_refused_and_what_came_before_it_is_kept() {
+    for bad in ["{\"a\":1}\nnull\n", "{\"a\":1}\n12", "{\"a\":1} [] ", "{\"a\":1}{\"b\" 1}", "{\"a\":1}]"] {
+        let (found, result) = split(&[bad.as_bytes()]);
+        assert!(matches!(result, Err(BadText::NotJson(_))), "{bad}: {result:?}");
+        assert_eq!(found, ["{\"a\":1}"], "{bad}");
+    }
+}
+
+#[test]
+fn an_endless_text_is_given_up_at_the_bound_without_being_read_again_and_again() {
+    let (mut texts, mut found) = (JsonTexts::new(), Vec::new());
+    texts.feed(b"{\"a\":[", &mut found).unwrap();
+    let piece = b"{\"id\":\"x\"},".repeat(1000);
+    let most = MAX_TEXT / piece.len() + 2;
+    let mut looks = 0;
+    let mut feed = || {
+        let result = texts.feed(&piece, &mut found);
+        looks += u32::from(texts.tried == texts.buffer.len());
+        result.is_ok()
+    };
+    let fed = (0..most).take_while(|_| feed()).count();
+    assert!(fed < most && found.is_empty());
+    assert!((2..=20).contains(&looks), "{looks} looks through {fed} pieces");
+}
+
+proptest! {
+    /// Wherever the pieces' borders fall, the same texts come, and any bytes are taken without a panic.
+    #[test]
+    fn borders_mean_nothing(
+        values in prop::collection::vec(("[a-z{}\\[\\],\\\\\" \n]{0,8}", 0_u32..9, any::<bool>()), 0..6),
+        cuts in prop::collection::vec(0_usize..400, 0..12),
+    ) {
+        let mut all = Vec::new();
+        let mut wanted = Vec::new();
+        for (text, number, pretty) in values {
+            let value = serde_json::json!({"t": text, "n": [{"m": number}, {}], "e": {}});
+            let write = if pretty { serde_json::to_string_pretty } else { serde_json::to_string };
+            wanted.push(write(&value).unwrap());
+            all.extend_from_slice(wanted.last().unwrap().as_bytes());
+            all.extend_from_slice(if pretty { b"\r\n\r\n" } else { b"" });
+        }
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|cut| cut.min(all.len())).collect();
+        cuts.extend([0, all.len()]);
+        cuts.sort_unstable();
+        let pieces: Vec<&[u8]> = cuts.windows(2).map(|cut| &all[cut[0]..cut[1]]).collect();
+        let (found, result) = split(&pieces);
+        prop_assert!(result.is_ok());
+        prop_assert_eq!(found, wanted);
+    }
+
+    #[test]
+    fn any_bytes_are_taken_or_refused(pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 0..8)) {
+        let (mut texts, mut found) = (JsonTexts::new(), Vec::new());
+        for piece in &pieces {
+            if texts.feed(piece, &mut found).is_err() {
+                break;
+            }
+        }
+        for text in found {
+            prop_assert!(serde_json::from_slice::<IgnoredAny>(&text).is_ok());
+        }
+    }
+}
