Endings: late connections, drains, leavers and shutdown settle what is owed by what may have run

Found by reading the paths that end something; each story forces its order over real connections and was seen to fail without its fix (endings/last_answers.rs, late_connections.rs, claims.rs): - Clients::abandon told all who were owed an answer at the end of a shutdown BUSY, also where an unsafe or narrowly keyed attempt was out (deadlines over the 3 s that a shutdown waits). Attempts are called off now, and the module, told that the node leaves, answers by the effect. Without: ["BUSY", "BUSY", "BUSY", "BUSY"] for ["BUSY", "BUSY", "ERR", "ERR"]. - CallAttempt::advance wrote the line of a connection that came up when its time was over, since readiness is told before timers (left: "OPEN ...", right: ""). - A repeat of a keyed class was written when its connection came up, also after its window: Action::Send tells until when, and the line is written before that or not at all (left: "OPEN ...", right: ""). - An attempt that still connected went on when its render node was told to drain, and its line came up to the connect time-out later. It is called off (without: no attempt elsewhere within the test's patience). - A client that only ended its sending was closed without an answer. Also: a close over unread bytes at Front::dismiss, and the timer of a client's end that ended the wait for an answer's reader (one timer had two meanings): mended, with no test that forces them.

--- a/crates/cottonnotch/src/net/call_attempt.rs
+++ b/crates/cottonnotch/src/net/call_attempt.rs
@@ -39,6 +39,7 @@
     connect_until: Micros,
     until: Option<Micros>,
     act_by: Option<Micros>,
+    before: Option<Micros>,
 }
 
 /// What an answer line means, by the protocol's table.
@@ -71,8 +72,9 @@
         link.push(line);
         let started = io.now();
         let connect_until = started + order.connect_timeout;
-        let (address, phase, act_by) = (order.address, Phase::Connecting, order.act_by);
-        Ok(CallAttempt { address, link, phase, told: false, started, connect_until, until, act_by })
+        let AttemptOrder { address, act_by, before, .. } = *order;
+        let phase = Phase::Connecting;
+        Ok(CallAttempt { address, link, phase, told: false, started, connect_until, until, act_by, before })
     }
 
     /// When the attempt is next due to be ended.
@@ -87,8 +89,13 @@
     }
 
     /// Goes on as far as the socket allows.
-    pub fn advance(&mut self) -> Progress {
+    pub fn advance(&mut self, now: Micros) -> Progress {
         if self.phase == Phase::Connecting {
+            // It came up and its time was up in one turn, of which readiness is told first: given up is given up, and
+            // a line that is not written can't run.
+            if let Some(outcome) = self.overdue(now) {
+                return Progress::Ended(outcome);
+            }
             match self.link.connected() {
                 Ok(true) => self.phase = Phase::Writing,
                 Ok(false) => return Progress::Pending,
@@ -100,6 +107,10 @@
             if self.act_by.is_some_and(|act_by| Clock.now() >= act_by) {
                 return Progress::Ended(Outcome::NotSent);
             }
+            // A repeat that arrives after its window has an effect of its own.
+            if self.before.is_some_and(|before| now >= before) {
+                return Progress::Ended(Outcome::NotSent);
+            }
             match self.link.flush() {
                 Ok(true) => self.phase = Phase::Waiting,
                 Ok(false) => return Progress::Pending,
@@ -119,8 +130,12 @@
 
     /// The first line has been written whole; true once for each attempt.
     pub fn newly_written(&mut self) -> bool {
-        let written = self.phase == Phase::Waiting;
-        written && !std::mem::replace(&mut self.told, true)
+        self.is_written() && !std::mem::replace(&mut self.told, true)
+    }
+
+    /// The first line has been written whole: it may have run.
+    pub fn is_written(&self) -> bool {
+        self.phase == Phase::Waiting
     }
 
     /// Ends the attempt if its time is up.
--- a/crates/cottonnotch/src/net/driver/calls.rs
+++ b/crates/cottonnotch/src/net/driver/calls.rs
@@ -96,8 +96,16 @@
         self.by_key.len()
     }
 
-    pub fn keys(&self) -> impl Iterator<Item = Key> {
-        self.by_key.keys().copied()
+    /// Those whose attempt is out, and where.
+    pub fn attempted(&self) -> impl Iterator<Item = (Key, ServerId)> {
+        let out = self.by_key.iter().filter(|(_, call)| call.began.is_some());
+        out.filter_map(|(key, call)| Some((*key, call.at?.0)))
+    }
+
+    /// Those that were open before the start and are not up again.
+    pub fn reopening(&self) -> Vec<Key> {
+        let reopening = self.by_key.iter().filter(|(_, call)| matches!(call.stage, Stage::Reopening(_)));
+        reopening.map(|(key, _)| *key).collect()
     }
 
     /// Those that are up.
--- a/crates/cottonnotch/src/net/driver/clients.rs
+++ b/crates/cottonnotch/src/net/driver/clients.rs
@@ -7,7 +7,7 @@
 use super::net::{Net, PART, REOPEN};
 use super::subchannels::Subchannels;
 use crate::config::Config;
-use crate::net::happening::{AttemptOrder, Front, Io, Wish};
+use crate::net::happening::{AttemptOrder, CallOff, Front, Io, Wish};
 use crate::net::invariant::invariant;
 use crate::net::objection::Objection;
 use cottonnotch_decision::settings::Profile;
@@ -48,7 +48,7 @@
         };
         end_attempt(net, &mut call, Outcome::Cancelled);
         net.records.failed(&call, why);
-        gone(call)
+        gone(call, Outcome::Cancelled)
     }
 
     fn log_rejection(&mut self, net: &Net, why: &Objection) {
@@ -108,6 +108,12 @@
             again: wish.again,
         };
         net.records.request(&request, wish.id);
+        if net.with_front(key, |front, _| front.awaits_answer()) != Some(true) {
+            // It left, or sent too much, right behind its line: what the report of that finds is nobody. Guards the turns
+            // and set-ups of others: the module would try for it again and again, each time for nothing.
+            net.records.client_left(request.id);
+            return None;
+        }
         let call = Call::new(id, class, wish.id, wish.group);
         // One that names a subchannel which is not known is a new connection like any other.
         match wish.at.and_then(|at| subchannels.find(&at)) {
@@ -158,6 +164,11 @@
         };
         let attempt = call.attempts;
         call.at = Some((server, attempt));
+        if net.with_front(key, |front, _| front.awaits_answer()) != Some(true) {
+            // It has left, which is reported and ends this attempt too.
+            call.attempts += 1;
+            return None;
+        }
         if begin_attempt(net, subchannels, key, call, server, timeout, before) {
             return None;
         }
@@ -296,30 +307,42 @@
     }
 
     /// A client left before its answer: that, and the end of its attempt.
-    pub fn left(&mut self, net: &Net, messages: &mut Messages, key: Key) -> [Option<Event>; 2] {
+    pub fn left(
+        &mut self,
+        net: &Net,
+        messages: &mut Messages,
+        key: Key,
+        outcome: Outcome,
+    ) -> [Option<Event>; 2] {
         let Some(mut call) = self.forget(messages, key) else { return [None, None] };
-        end_attempt(net, &mut call, Outcome::Cancelled);
+        end_attempt(net, &mut call, outcome);
         net.records.client_left(call.id);
-        gone(call)
+        gone(call, outcome)
     }
 
-    /// The proxy leaves: all are let go.
-    pub fn abandon(&mut self, net: &mut Net, messages: &mut Messages, subchannels: &Subchannels) {
-        let keys: Vec<Key> = self.calls.keys().collect();
-        for key in keys {
-            if net.with_front(key, |front, io| front.abandon(io)) != Some(true) {
+    /// Attempts whose line is not written yet and whose subchannel may get nothing new any more are called off.
+    pub fn call_off_unwritten(&self, net: &mut Net, subchannels: &Subchannels) {
+        for (key, server) in self.calls.attempted() {
+            if !subchannels.is_ready(server) {
+                net.with_front(key, |front, io| front.call_off(io, CallOff::Unwritten));
+            }
+        }
+    }
+
+    /// The proxy leaves: every attempt that is out is called off, and the module answers by what may have run. Whoever was
+    /// open before the start is unknown to it, and goes back to where it came from by another proxy.
+    pub fn abandon(&mut self, net: &mut Net, messages: &mut Messages) {
+        let out: Vec<Key> = self.calls.attempted().map(|(key, _)| key).collect();
+        for key in out {
+            net.with_front(key, |front, io| front.call_off(io, CallOff::Any));
+        }
+        for key in self.calls.reopening() {
+            if net.with_front(key, |front, io| front.unavailable(io, 0)) != Some(true) {
                 continue;
             }
-            let Some(mut call) = self.forget(messages, key) else { continue };
-            match (&call.stage, call.at) {
-                (Stage::Up, Some((server, _))) => {
-                    net.records.moved(call.id, || subchannels.shared_name(server), MoveReason::Leaving);
-                    net.records.ended(call.id, Outcome::Cancelled);
-                }
-                _ => {
-                    end_attempt(net, &mut call, Outcome::Cancelled);
-                    net.records.refused(&call, 0, || None);
-                }
+            if let Some(mut call) = self.forget(messages, key) {
+                end_attempt(net, &mut call, Outcome::Cancelled);
+                net.records.refused(&call, 0, || None);
             }
         }
     }
@@ -365,11 +388,11 @@
 
 /// What the module hears of a request whose client is gone: that, and the end of its attempt, which is told of each,
 /// or a trial would be out for ever.
-fn gone(call: Call) -> [Option<Event>; 2] {
+fn gone(call: Call, outcome: Outcome) -> [Option<Event>; 2] {
     if let Stage::Reopening(_) = call.stage {
         return [None, None];
     }
-    let (request, outcome) = (call.id, Outcome::Cancelled);
+    let request = call.id;
     let ended =
         call.at.map(|(server, attempt)| Event::Ended { request, attempt, server, outcome, last: true });
     [Some(Event::Gone(request)), ended]
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -172,8 +172,8 @@
                 let event = self.clients.ended(net, messages, rpc, outcome);
                 self.tell(event);
             }
-            Happening::ClientGone { rpc } => {
-                for event in self.clients.left(net, messages, rpc) {
+            Happening::ClientGone { rpc, outcome } => {
+                for event in self.clients.left(net, messages, rpc, outcome) {
                     self.tell(event);
                 }
             }
@@ -228,6 +228,8 @@
     fn resolved(&mut self, result: ResolverResult, copy: bool) {
         let event = self.subchannels.take(&mut self.net, &mut self.messages, result, copy);
         self.tell(Some(event));
+        // After the module knows: what is called off now goes elsewhere.
+        self.clients.call_off_unwritten(&mut self.net, &self.subchannels);
     }
 
     fn tick(&mut self) {
@@ -293,6 +295,7 @@
         let (net, messages, subchannels) = (&mut self.net, &mut self.messages, &mut self.subchannels);
         let (answer, event) = self.management.by_hand(net, messages, subchannels, id, out);
         self.tell(event);
+        self.clients.call_off_unwritten(&mut self.net, &self.subchannels);
         answer
     }
 
@@ -300,6 +303,7 @@
     fn look_for_calls(&mut self) {
         let event = self.management.look(&mut self.net, &mut self.messages, &mut self.subchannels);
         self.tell(event);
+        self.clients.call_off_unwritten(&mut self.net, &self.subchannels);
     }
 
     /// What other processes of this proxy did.
@@ -368,7 +372,9 @@
         self.settle();
         if is_last {
             self.peers.leave(&mut self.net, &mut self.messages);
-            self.clients.abandon(&mut self.net, &mut self.messages, &self.subchannels);
+            // In each round up to the end: clients may still come.
+            self.tell(Some(Event::Leaving));
+            self.clients.abandon(&mut self.net, &mut self.messages);
         }
     }
 
--- a/crates/cottonnotch/src/net/driver/subchannels.rs
+++ b/crates/cottonnotch/src/net/driver/subchannels.rs
@@ -275,6 +275,12 @@
         (listed().count(), listed().filter(skipped).count())
     }
 
+    /// It may get new RPCs, as far as the list and the operators tell.
+    pub fn is_ready(&self, server: ServerId) -> bool {
+        let subchannel = self.known.get(server.0 as usize);
+        subchannel.is_some_and(|s| s.entry(server, &self.by_hand).state == Listed::Ready)
+    }
+
     /// The list, or the operators, say that it drains.
     pub fn is_draining(&self, server: ServerId) -> bool {
         let subchannel = self.known.get(server.0 as usize);
--- a/crates/cottonnotch/src/net/happening.rs
+++ b/crates/cottonnotch/src/net/happening.rs
@@ -62,8 +62,8 @@
     Written,
     /// A connection that was up has ended; nothing more is owed.
     Ended { rpc: Key, outcome: Outcome },
-    /// The client left before it had an answer.
-    ClientGone { rpc: Key },
+    /// The client left before it had an answer; `outcome`: what that makes of its attempt, if one was out.
+    ClientGone { rpc: Key, outcome: Outcome },
     /// The load of a connection has changed.
     Load { rpc: Key, load: f64 },
     /// A client's line was answered after this long, or is unanswered for that long by now.
@@ -114,11 +114,25 @@
 impl Object for Listener<Happening> {}
 impl Object for Signals<Happening> {}
 
+/// Which attempts are called off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallOff {
+    /// Whichever is out.
+    Any,
+    /// One that can't have run: its first line is not written yet.
+    Unwritten,
+}
+
 /// What the driver asks of an RPC, whatever protocol its client speaks.
 pub trait Front {
     /// Makes a call attempt. How it ends is reported; false: it could not even be begun, for want of
     /// something on this machine.
     fn attempt(&mut self, io: &mut Io, order: AttemptOrder) -> bool;
+    /// The client still waits for its answer, and no attempt is out.
+    fn awaits_answer(&self) -> bool;
+    /// Calls off the attempt that is out, in any case or only if nothing of its line was written yet. True if one was
+    /// called off: its end is reported, and an answer is still owed.
+    fn call_off(&mut self, io: &mut Io, what: CallOff) -> bool;
     /// Final answer: the unavailable status. Trying again is harmless, after this; 0: nothing said. False if the
     /// client is gone or has had its answer, which is reported.
     fn unavailable(&mut self, io: &mut Io, retry_after: Micros) -> bool;
@@ -126,9 +140,6 @@
     fn fail(&mut self, io: &mut Io, why: &dyn Display) -> bool;
     /// Ends a connection that is up politely; the client comes again. False if it is not up.
     fn move_away(&mut self, io: &mut Io) -> bool;
-    /// The proxy leaves: an RPC that is up is moved, one that is owed an answer gets the unavailable status. False if
-    /// it was over, which is reported.
-    fn abandon(&mut self, io: &mut Io) -> bool;
     /// Room is needed: a client that has not said what it wants, or that was answered, is let go. True if it had to be
     /// told so.
     fn dismiss(&mut self, io: &mut Io, retry_after: Micros) -> bool;
--- a/crates/cottonnotch/src/net/rpc.rs
+++ b/crates/cottonnotch/src/net/rpc.rs
@@ -1,7 +1,7 @@
 //! A client's RPC: the line protocol in front of the decisions, as an explicit state machine.
 
 use super::call_attempt::{CallAttempt, Progress};
-use super::happening::{AttemptOrder, Front, Happening, Io, Object};
+use super::happening::{AttemptOrder, CallOff, Front, Happening, Io, Object};
 use super::invariant::invariant;
 use super::objection::Objection;
 use super::open_line::OpenLine;
@@ -33,6 +33,7 @@
 const ATTEMPT: u32 = 1;
 const SILENCE: u32 = 2;
 const CLOSE: u32 = 3;
+const FAR_END: u32 = 4;
 
 #[derive(Debug)]
 enum State {
@@ -44,8 +45,8 @@
     Attempting(Box<CallAttempt>),
     /// Served: lines are relayed.
     Up(Box<Relay>),
-    /// The final answer is given, or the connection is over; the client's end is awaited.
-    Answered,
+    /// The final answer is given, or the connection is over; the client's end is awaited up to then.
+    Answered { until: Micros },
     /// Nothing is left to do.
     Closed,
 }
@@ -82,11 +83,12 @@
         self.client.finish();
         self.client.take_rest();
         // Dropping the state closes the call attempt or the relay's far side.
+        let until = io.now() + LINGER;
         self.state = match self.client.flush() {
-            Ok(_) => State::Answered,
+            Ok(_) => State::Answered { until },
             Err(_) => State::Closed,
         };
-        io.timer(io.now() + LINGER, self.key, CLOSE);
+        io.timer(until, self.key, CLOSE);
         // What came with the line is read away, and more that comes: an edge is told once.
         io.call_again(self.key, Leg::Near);
     }
@@ -155,18 +157,30 @@
     /// that sends many commands at once: a client waits for its answer, and what it sends before would have
     /// to be kept, or be lost with the attempt.
     fn watch_client(&mut self, io: &mut Io) {
-        let fill = self.client.fill();
-        if let Fill::Ended | Fill::Broken(_) = fill {
-            self.state = State::Closed;
-            io.tell(Happening::ClientGone { rpc: self.key });
-        } else if self.client.has_input() {
-            self.reject(io, Objection::TooMuch);
+        let outcome = match &self.state {
+            State::Attempting(attempt) if attempt.is_written() => Outcome::Cancelled,
+            _ => Outcome::NotSent,
+        };
+        match self.client.fill() {
+            // By the protocol's pages whoever ends its sending gives up, as the proxy itself does towards a subchannel; and a
+            // client that has closed both sides looks the same from here. But only whoever is answered was not lost, so it
+            // is told: one that reads on hears it, and one that left doesn't.
+            Fill::Ended => {
+                self.answer(io, "ERR the client has ended its sending\r\n");
+                io.tell(Happening::ClientGone { rpc: self.key, outcome });
+            }
+            Fill::Broken(_) => {
+                self.state = State::Closed;
+                io.tell(Happening::ClientGone { rpc: self.key, outcome });
+            }
+            Fill::Blocked | Fill::More if self.client.has_input() => self.reject(io, Objection::TooMuch),
+            Fill::Blocked | Fill::More => {}
         }
     }
 
     fn advance(&mut self, io: &mut Io) {
         let State::Attempting(attempt) = &mut self.state else { return };
-        let progress = attempt.advance();
+        let progress = attempt.advance(io.now());
         if attempt.newly_written() {
             io.tell(Happening::Written);
         }
@@ -218,7 +232,7 @@
         match pass {
             Pass::On => {}
             Pass::More => io.call_again(self.key, from),
-            Pass::ClientEnded => io.timer(now + FAR_END_WITHIN, self.key, CLOSE),
+            Pass::ClientEnded => io.timer(now + FAR_END_WITHIN, self.key, FAR_END),
             Pass::Over { outcome, reset } => self.over(io, outcome, reset),
         }
     }
@@ -252,7 +266,7 @@
             (State::Held | State::Attempting(_), Leg::Near) => self.watch_client(io),
             (State::Attempting(_), Leg::Far) => self.advance(io),
             (State::Up(_), leg) => self.relay(io, leg),
-            (State::Answered, Leg::Near) => match self.client.discard() {
+            (State::Answered { .. }, Leg::Near) => match self.client.discard() {
                 Fill::Ended | Fill::Broken(_) => self.state = State::Closed,
                 Fill::More => io.call_again(self.key, Leg::Near),
                 Fill::Blocked => {}
@@ -276,7 +290,7 @@
                 io.call_again(self.key, Leg::Far);
             }
             (_, Leg::Near) => {
-                if self.client.flush().is_err() && matches!(self.state, State::Answered) {
+                if self.client.flush().is_err() && matches!(self.state, State::Answered { .. }) {
                     self.state = State::Closed;
                 }
             }
@@ -320,8 +334,8 @@
                 Some(waited) => io.timer(now + SILENT - waited, self.key, SILENCE),
                 None => {}
             },
-            (CLOSE, State::Answered) => self.state = State::Closed,
-            (CLOSE, State::Up(_)) => {
+            (CLOSE, State::Answered { until }) if *until <= now => self.state = State::Closed,
+            (FAR_END, State::Up(_)) => {
                 io.tell(Happening::Ended { rpc: self.key, outcome: Outcome::Cancelled });
                 self.state = State::Closed;
             }
@@ -370,6 +384,21 @@
         }
     }
 
+    fn awaits_answer(&self) -> bool {
+        matches!(self.state, State::Held)
+    }
+
+    fn call_off(&mut self, io: &mut Io, what: CallOff) -> bool {
+        let State::Attempting(attempt) = &self.state else { return false };
+        let outcome = match (attempt.is_written(), what) {
+            (true, CallOff::Unwritten) => return false,
+            (true, CallOff::Any) => Outcome::Cancelled,
+            (false, _) => Outcome::NotSent,
+        };
+        self.attempt_ended(io, outcome);
+        true
+    }
+
     fn unavailable(&mut self, io: &mut Io, retry_after: Micros) -> bool {
         let held = self.is_held();
         if held {
@@ -395,18 +424,6 @@
         up
     }
 
-    fn abandon(&mut self, io: &mut Io) -> bool {
-        match self.state {
-            State::Up(_) => self.move_away(io),
-            // Dropping an attempt closes it first.
-            State::Held | State::Attempting(_) => {
-                self.answer(io, &busy(0));
-                true
-            }
-            _ => false,
-        }
-    }
-
     fn dismiss(&mut self, io: &mut Io, retry_after: Micros) -> bool {
         if let State::Reading { .. } = self.state {
             // A usual client's line may be there already and only not read yet.
@@ -420,7 +437,9 @@
             State::Reading { pinged: true, .. } => self.end_client(io),
             _ => {}
         }
-        if let State::Answered = self.state {
+        if let State::Answered { .. } = self.state {
+            // A close over unread bytes resets the connection, and takes the word that was just written with it.
+            self.client.discard();
             self.state = State::Closed;
         }
         told
--- /dev/null
+++ b/crates/cottonnotch/tests/endings/claims.rs
@@ -0,0 +1,41 @@
+//! What was claimed for a client that is gone: turns, set-ups and attempts are there for others.
+
+use crate::peers::*;
+
+/// Each of them cost a turn and a set-up for each attempt that it might have had, all for nobody.
+#[test]
+fn clients_gone_right_behind_their_line_take_no_set_ups_from_others() {
+    let node = Scripted::new();
+    let tenants = r#""tenants":[{"name":"t","allowancePerS":0.01,"share":1.0}],"balancers":1"#;
+    let proxy = Proxy::with(&[&node], 1024, &SETTINGS.replace(r#""balancers":1"#, tenants));
+    for begin in ["", "and more of it"] {
+        proxy.freeze();
+        let mut gone: Vec<Peer> = (0..20).map(|_| proxy.connect()).collect();
+        gone.iter_mut().for_each(|client| client.say(&format!("{}{begin}", fresh(OPEN))));
+        drop(gone);
+        proxy.thaw();
+    }
+    let mut sound = proxy.open();
+    let mut far = node.called().0;
+    assert!(far.try_say("UP 1\r\n").is_ok());
+    assert_eq!(sound.hear(), "UP 1\r\n");
+    assert!(node.poll().is_none(), "nobody else was sent on");
+}
+
+/// A client that ends its sending gives up, as the pages have it of attempts; but it is told so.
+#[test]
+fn a_client_that_only_ends_its_sending_has_given_up_and_is_told() {
+    let node = Scripted::new();
+    let proxy = Proxy::managed(&[&node], 1024, SETTINGS);
+    let mut client = proxy.open();
+    let mut far = node.called().0;
+    client.finish();
+    assert_eq!(client.rest().unwrap(), "ERR the client has ended its sending\r\n");
+    assert_eq!(far.rest().unwrap(), "", "its attempt is closed");
+    assert_eq!(proxy.call("POST", "/maintenance/enter", "s0").0, 200);
+    let mut held = proxy.open();
+    within(PATIENCE, "it is held", || (proxy.figure("in_progress")? == 1).then_some(()));
+    held.finish();
+    assert_eq!(held.rest().unwrap(), "ERR the client has ended its sending\r\n");
+    within(PATIENCE, "nothing is owed", || (proxy.figure("in_progress")? == 0).then_some(()));
+}
--- /dev/null
+++ b/crates/cottonnotch/tests/endings/late_connections.rs
@@ -0,0 +1,83 @@
+//! Connections to render nodes that come up after their attempt was given up: these attempts never ran.
+
+use crate::peers::crowded::Crowded;
+use crate::peers::*;
+use std::time::{Duration, Instant};
+
+/// Tries that are ended by nothing but what the story does.
+fn patient(settings: &str) -> String {
+    settings
+        .replace(r#""connectTimeout":250000"#, r#""connectTimeout":30000000"#)
+        .replace(r#""target":300000"#, r#""target":30000000"#)
+}
+
+/// What was there before has been read once the proxy answers, and what comes of it done once it answers again: an answer may
+/// be written in the turn in which the rest is only read.
+fn taken(proxy: &Proxy) {
+    let mut front = proxy.connect();
+    for _ in 0..2 {
+        front.say("PING\r\n");
+        assert_eq!(front.hear(), "PONG\r\n");
+    }
+}
+
+/// It came up in the turn in which its time was over: the line was written, and the attempt went on.
+#[test]
+fn a_connection_that_comes_up_when_its_time_is_over_gets_no_line() {
+    let crowded = Crowded::new();
+    let time = Duration::from_secs(2);
+    let settings = SETTINGS.replace(r#""connectTimeout":250000"#, r#""connectTimeout":2000000"#);
+    let settings = settings.replace(r#""target":300000"#, r#""target":2000000"#);
+    let proxy = Proxy::with(&[crowded.node()], 1024, &settings);
+    let mut client = proxy.connect();
+    client.say(&fresh(OPEN).replace("d=2000", "d=20000"));
+    taken(&proxy);
+    let begun = Instant::now();
+    proxy.freeze();
+    let mut late = crowded.accept();
+    within(PATIENCE, "its time to be over", || (begun.elapsed() > time).then_some(()));
+    proxy.thaw();
+    assert_eq!(late.hear(), "", "its time was over when it came up");
+    let (mut next, line) = crowded.called();
+    assert!(line.starts_with("OPEN "));
+    next.say("UP 2\r\n");
+    assert_eq!(client.hear(), "UP 2\r\n");
+}
+
+/// The repeat was sent within its window, but came up after it, and would have had an effect of its own.
+#[test]
+fn a_repeat_that_comes_up_after_its_window_gets_no_line() {
+    let (first, crowded) = (Scripted::new(), Crowded::new());
+    let keyed = r#""effect":"keyed","group":"all","window":600000"#;
+    let proxy = Proxy::with(&[&first], 1024, &patient(SETTINGS).replace(r#""effect":"safe""#, keyed));
+    let (mut watch, _) = proxy.discovery.watched();
+    let mut client = proxy.connect();
+    client.say(&fresh(OPEN).replace("d=2000", "d=20000"));
+    let far = first.called().0;
+    watch.say(&chunk(&list(2, false, &[member("s1", crowded.node(), "up")])));
+    taken(&proxy);
+    far.reset();
+    // The repeat is out by now, and the system tries again a second after the first time.
+    taken(&proxy);
+    let mut late = crowded.accept();
+    assert_eq!(late.hear(), "", "the window was over when it came up");
+    assert!(client.rest().unwrap().starts_with("BUSY"), "all of them drop repeats, so it may be refused");
+}
+
+/// It went on connecting, and its line would have come after the drain was told.
+#[test]
+fn an_attempt_that_still_connects_is_called_off_when_its_render_node_drains() {
+    for phase in ["draining", "removed"] {
+        let (crowded, other) = (Crowded::new(), Scripted::new());
+        let proxy = Proxy::with(&[crowded.node()], 1024, &patient(SETTINGS));
+        let (mut watch, _) = proxy.discovery.watched();
+        let mut client = proxy.connect();
+        client.say(&fresh(OPEN).replace("d=2000", "d=20000"));
+        taken(&proxy);
+        let members = [member("s0", crowded.node(), phase), member("s1", &other, "up")];
+        watch.say(&chunk(&list(2, false, &members)));
+        let (mut far, _) = other.called();
+        far.say("UP 1\r\n");
+        assert_eq!(client.hear(), "UP 1\r\n", "{phase}");
+    }
+}
--- a/crates/cottonnotch/tests/endings/main.rs
+++ b/crates/cottonnotch/tests/endings/main.rs
@@ -2,7 +2,10 @@
 //! something is still owed. docs/design/endings.md has the whole table.
 
 mod attempts;
+mod claims;
 mod clients;
+mod last_answers;
+mod late_connections;
 mod lists;
 mod nodes;
 #[path = "../peers/mod.rs"]
--- /dev/null
+++ b/crates/cottonnotch/tests/peers/crowded.rs
@@ -0,0 +1,46 @@
+//! A render node on which no connection comes up for now: its queue is full, and the system drops who comes.
+
+use super::{PATIENCE, Peer, Scripted, within};
+use socket2::{Domain, Socket, Type};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+/// The listener, and those that fill its queue.
+pub struct Crowded {
+    node: Scripted,
+    crowd: Vec<TcpStream>,
+}
+
+impl Crowded {
+    pub fn new() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().unwrap();
+        let come = || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
+        let crowd: Vec<TcpStream> = std::iter::from_fn(come).collect();
+        listener.set_nonblocking(true).unwrap();
+        Crowded { node: Scripted::listening(listener), crowd }
+    }
+
+    /// For the list.
+    pub fn node(&self) -> &Scripted {
+        &self.node
+    }
+
+    /// Makes room; the next who is not of the crowd. Who has come in vain comes up when its system next tries, a second
+    /// after the first time. One of the crowd may come up only now, too, so they are told by their addresses.
+    pub fn accept(&self) -> Peer {
+        let of_crowd = |from: SocketAddr| self.crowd.iter().any(|one| one.local_addr().unwrap() == from);
+        let next = || self.node.poll_from().filter(|(_, from)| !of_crowd(*from));
+        within(PATIENCE, "a connection beside the crowd's", next).0
+    }
+
+    /// As [`Self::accept`], and its first line.
+    pub fn called(&self) -> (Peer, String) {
+        let mut peer = self.accept();
+        let line = peer.hear();
+        (peer, line)
+    }
+}
--- a/crates/cottonnotch/tests/peers/mod.rs
+++ b/crates/cottonnotch/tests/peers/mod.rs
@@ -2,6 +2,7 @@
 //! Ports are ephemeral and every wait is bounded.
 #![allow(dead_code, reason = "each file of stories uses its part")]
 
+pub mod crowded;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -92,6 +93,11 @@
         Scripted(listener, None)
     }
 
+    /// One that listens already, without waiting.
+    pub fn listening(listener: TcpListener) -> Self {
+        Scripted(listener, None)
+    }
+
     /// Stands for one that serves at this address.
     pub fn alias(address: SocketAddr) -> Self {
         Scripted(Scripted::new().0, Some(address))
@@ -102,7 +108,12 @@
     }
 
     pub fn poll(&self) -> Option<Peer> {
-        self.0.accept().ok().map(|(stream, _)| Peer::new(stream))
+        self.poll_from().map(|(peer, _)| peer)
+    }
+
+    /// With the address from which it comes.
+    pub fn poll_from(&self) -> Option<(Peer, SocketAddr)> {
+        self.0.accept().ok().map(|(stream, from)| (Peer::new(stream), from))
     }
 
     pub fn accept(&self) -> Peer {
@@ -453,6 +464,21 @@
         self.signal("-HUP");
     }
 
+    /// Stops it where it stands: what peers do meanwhile is all there when it goes on.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        within(PATIENCE, "the proxy to stand still", || {
+            let text = std::fs::read_to_string(&stat).unwrap();
+            text.rsplit(')').next().unwrap().trim_start().starts_with('T').then_some(())
+        });
+    }
+
+    /// Lets it go on.
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
     fn signal(&self, signal: &str) {
         let killed = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(killed.unwrap().success());
--- a/crates/decision/src/part.rs
+++ b/crates/decision/src/part.rs
@@ -107,6 +107,11 @@
         self.tokens -= 1.0;
     }
 
+    /// Gives back one that was taken and not used.
+    pub fn give_back(&mut self, unused: bool) {
+        self.tokens += f64::from(u8::from(unused));
+    }
+
     /// When there will be one, at this rate.
     pub fn next(&self, per_s: f64) -> Micros {
         let short = (1.0 - self.tokens).max(0.0) * 1e6 / per_s.max(1e-6);
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -524,8 +524,9 @@
                 self.pause(now, at, id, true, out);
             }
             Outcome::Served => self.went_well(now, at, id, out),
-            // Shows nothing: a trial leaves the server half-open.
+            // Shows nothing: a trial leaves the server half-open. What nobody was sent to is there for others.
             Outcome::Cancelled | Outcome::NotSent => {
+                self.setups.give_back(outcome == Outcome::NotSent);
                 self.server_mut(at).into_iter().for_each(|s| s.trial = s.trial.filter(|trial| *trial != id));
             }
         }
