--- /dev/null
+++ b/crates/decision/tests/part.rs
@@ -0,0 +1,59 @@
+//! Parts of what belongs to all nodes together.
+
+use cottonnotch_decision::part::{Bucket, Part};
+use cottonnotch_decision::{Micros, Tier};
+
+const S: Micros = 1_000_000;
+
+#[test]
+fn even_parts_add_up_to_the_whole_at_any_number_of_nodes() {
+    for nodes in [1_u32, 2, 30, 300, 3_000] {
+        let sum: f64 = (0..nodes).map(|_| Part::even(nodes).of(0, 60.0)).sum();
+        assert!((sum - 60.0).abs() < 1e-6, "{nodes} nodes: {sum}");
+    }
+    assert_eq!(Part::even(0).of(0, 60.0), 60.0, "a number that is missing counts as one");
+}
+
+#[test]
+fn parts_by_demand_stay_near_the_whole_and_never_starve_a_node() {
+    // 100 of 300 nodes are there, of which ten have half of the connections.
+    let shares = (0..100).map(|node| if node < 10 { 0.05 } else { 0.5 / 90.0 });
+    let parts: Vec<f64> = shares
+        .map(|part| {
+            let mut own = Part::even(300);
+            own.told(0, Tier { nodes: 100.0, part, failing: 0.0 });
+            own.of(S, 60.0)
+        })
+        .collect();
+    let sum: f64 = parts.iter().sum();
+    assert!((60.0..=90.0).contains(&sum), "{sum}");
+    assert_eq!(parts[0], 3.0);
+    assert!(parts[99] >= 0.3, "{}", parts[99]);
+}
+
+#[test]
+fn what_was_told_lapses_and_nonsense_is_bounded() {
+    let mut part = Part::even(10);
+    part.told(0, Tier { nodes: 2.0, part: 0.5, failing: 0.0 });
+    assert_eq!((part.of(S, 10.0), part.of(9 * S, 10.0)), (5.0, 1.0));
+    for (nodes, told) in [(0.0, 7.0), (f64::NAN, f64::NAN), (f64::NAN, 0.5), (1e9, -1.0)] {
+        part.told(0, Tier { nodes, part: told, failing: 0.0 });
+        let share = part.of(S, 1.0);
+        assert!((0.05..=1.0).contains(&share), "{nodes} {told}: {share}");
+    }
+}
+
+#[test]
+fn a_bucket_gives_its_rate_and_says_when_the_next_is_there() {
+    let mut bucket = Bucket::new(0);
+    let mut taken = 0;
+    for now in (0..100 * S).step_by(10_000) {
+        if bucket.fill(now, 0.5) {
+            bucket.take();
+            taken += 1;
+            assert!(bucket.fill(now, 0.5) || bucket.next(0.5) > now);
+        }
+    }
+    assert!((51..=52).contains(&taken), "{taken}");
+    assert!(Bucket::default().next(0.0) > 1_000 * S);
+}
--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -246,3 +246,16 @@
         }
     }
 }
+
+#[test]
+fn a_set_holds_what_was_put_in_across_words() {
+    let mut set: ServerSet = [0, 63, 64, 200].map(ServerId).into_iter().collect();
+    let held = |set: &ServerSet| (0..300).filter(|n| set.contains(ServerId(*n))).collect::<Vec<_>>();
+    assert_eq!(held(&set), [0, 63, 64, 200]);
+    set.remove(ServerId(64));
+    set.remove(ServerId(4_000));
+    set.intersect(&[0, 64, 200, 299].map(ServerId).into_iter().collect());
+    assert_eq!(held(&set), [0, 200]);
+    set.intersect(&ServerSet::default());
+    assert!(set.is_empty());
+}
