Module: margins by the class's deadline, repeats held to their group's chance and window

Cause: an answer's margin of 30 ms and a least try of 60 ms were constants, so that a class with a deadline of 40 ms was refused always and never tried (10 and 40 ms: 'never tried'; at 100 ms no second try with half of the time left). A class that tells no target had time-outs of 1 us. A repeat that was held was looked at by the chances of servers outside its group, and answered up to a second after the end of its window. Its group was read from the list when it was repeated, not when it was sent: a server put into another cell meanwhile took its repeats along (sent from s0 to s3, of another cell).

Change: both figures are parts of the class's deadline (or of what the client told) up to a second, from which on they are as before; the place of a server is kept with the attempt; the next chance counts the group's servers only, and the timer rings when the window ends.

--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -66,15 +66,6 @@
 }
 
 impl Effect {
-    /// Whether a repeat is allowed this long after the first send that may have run.
-    pub fn may_repeat(self, age: Micros) -> bool {
-        match self {
-            Effect::Safe => true,
-            Effect::Keyed { window, .. } => age < window,
-            Effect::Unsafe => false,
-        }
-    }
-
     /// Until when a repeat may be sent, if the first send that may have run was then; `None`: without end.
     pub fn repeat_until(self, first_sent: Micros) -> Option<Micros> {
         match self {
@@ -93,9 +84,9 @@
 /// A class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
-    /// Connections set up within this time earn their worth.
+    /// Connections set up within this time earn their worth; 0 if not stated.
     pub target: Micros,
-    /// How long a client waits in all.
+    /// How long a client waits in all; 0 if not stated.
     pub deadline: Micros,
     /// Wanted time of one message on an established connection; 0 if not stated.
     pub message_aim: Micros,
@@ -174,6 +165,11 @@
         self.classes.get(class).map_or(1, |c| c.attempts)
     }
 
+    /// Within this time a connection of a class is to be set up; `None`: not told.
+    pub fn target(&self, class: usize) -> Option<Micros> {
+        self.classes.get(class).map(|c| c.target).filter(|target| *target > 0)
+    }
+
     /// The shortest wanted time of a message, if any class states one.
     pub fn shortest_aim(&self) -> Option<Micros> {
         self.classes.iter().map(|c| c.message_aim).filter(|aim| *aim > 0).min()
@@ -192,7 +188,7 @@
 
     /// A set-up that takes no longer shows that what set-ups share has room: a quarter of the shortest target.
     pub fn quick(&self) -> Micros {
-        self.classes.iter().map(|class| class.target).min().unwrap_or(0) / 4
+        (0..self.classes.len()).filter_map(|class| self.target(class)).min().unwrap_or(0) / 4
     }
 
     /// The part of its capacity that a server has for certain, this long after its start.
--- a/crates/decision/src/job.rs
+++ b/crates/decision/src/job.rs
@@ -1,6 +1,30 @@
-//! What a node knows of one request. Nothing is decided here.
+//! What a node knows of one request, and what its class makes of that. Nothing is decided here.
 
-use crate::interface::{Micros, Request, ServerId, Settings};
+use crate::interface::{Effect, Micros, Request, Scope, ServerId, Settings, ZoneId};
+
+/// A client that waits no longer than this leaves less time for answers and tries. One that tells no time waits so long.
+const SECOND: Micros = 1_000_000;
+/// Of a second that a client waits: an answer leaves so long before it gives up ...
+const ANSWER_MARGIN: Micros = 30_000;
+/// ... and a try that leaves less than this is not made.
+const LEAST_TRY: Micros = 60_000;
+
+/// A server's zone and cell.
+pub(crate) type Spot = (ZoneId, u32);
+
+/// The servers that drop the repeats of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Group {
+    scope: Scope,
+    spot: Spot,
+}
+
+impl Group {
+    /// A server there is one of them.
+    pub(crate) fn holds(self, spot: Spot) -> bool {
+        !self.scope.parts(spot, self.spot)
+    }
+}
 
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
@@ -9,11 +33,12 @@
     pub(crate) deadline: Option<Micros>,
     pub(crate) arrived: Micros,
     pub(crate) sent: u32,
-    pub(crate) last_sent: Micros,
     pub(crate) at: Option<ServerId>,
     pub(crate) tried: Vec<ServerId>,
-    /// The first attempt that may have run: where, and when it was sent.
-    pub(crate) may_have_run: Option<(ServerId, Micros)>,
+    /// The last attempt: where its server was when it was sent, and when that was. A server may come back elsewhere.
+    pub(crate) last: Option<(Spot, Micros)>,
+    /// The first attempt that may have run.
+    pub(crate) may_have_run: Option<(Spot, Micros)>,
 }
 
 impl Job {
@@ -23,9 +48,9 @@
             request,
             arrived: now,
             sent: 0,
-            last_sent: now,
             at: None,
             tried: Vec::new(),
+            last: None,
             may_have_run: None,
         }
     }
@@ -41,4 +66,37 @@
         let load = if settings.worth_by_work { 1.0 } else { self.request.load_hint.unwrap_or(1.0) };
         worth / load.max(1e-9)
     }
+
+    /// A figure for clients that wait a second, for this one. Guards against classes of a tenth of that, which would
+    /// never be tried.
+    fn of_its_time(&self, settings: &Settings, of_a_second: Micros) -> Micros {
+        let told = settings.classes.get(self.class()).map(|c| c.deadline).filter(|deadline| *deadline > 0);
+        let waits = told.or(self.request.left).unwrap_or(SECOND).clamp(0, SECOND);
+        of_a_second * waits / SECOND
+    }
+
+    /// A try that leaves less time than this is not made.
+    pub(crate) fn least_try(&self, settings: &Settings) -> Micros {
+        self.of_its_time(settings, LEAST_TRY)
+    }
+
+    /// Until when it may be held. With no time told, a request waits for one pause.
+    pub(crate) fn last_call(&self, settings: &Settings) -> Micros {
+        let Some(deadline) = self.deadline else { return self.arrived.saturating_add(SECOND) };
+        // A timer rings with the next batch.
+        let margin = self.of_its_time(settings, ANSWER_MARGIN).max(settings.step.min(ANSWER_MARGIN));
+        deadline.saturating_sub(margin + self.least_try(settings))
+    }
+
+    /// Until when a repeat has no effect; `None`: without end, or nothing has run.
+    pub(crate) fn repeat_until(&self, settings: &Settings) -> Option<Micros> {
+        let effect = settings.effect(self.class());
+        self.may_have_run.and_then(|(_, sent)| effect.repeat_until(sent))
+    }
+
+    /// The servers that drop its repeats, if an attempt may have run.
+    pub(crate) fn bound_to(&self, settings: &Settings) -> Option<Group> {
+        let Effect::Keyed { scope, .. } = settings.effect(self.class()) else { return None };
+        self.may_have_run.map(|(spot, _)| Group { scope, spot })
+    }
 }
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -5,7 +5,7 @@
 //! are held, and refused early when they cannot wait. What else is here is an exception to that.
 
 use crate::interface::*;
-use crate::job::Job;
+use crate::job::{Group, Job, Spot};
 use crate::list_calls::ListCalls;
 use crate::names::unit;
 use crate::part::{Bucket, Part};
@@ -39,11 +39,9 @@
 const MOVED_PER_NOTE: f64 = 0.1;
 const CLEAR_WITHIN: f64 = 2.0 * SECOND as f64;
 const MOST_MOVED: f64 = 0.25;
-/// An answer leaves this long before the client gives up; a try that leaves less than LEAST_TRY is not made.
-const ANSWER_MARGIN: Micros = 30_000;
-const LEAST_TRY: Micros = 60_000;
 
-/// A draining server's connections are moved within this time, a part each round: what stays is cut off.
+/// A draining server's connections are moved within this time, a part each round: what stays is cut off. New
+/// ones (`rules.stopSendingWithin`) end at once.
 const DRAIN_WITHIN: Micros = 2 * SECOND;
 const DRAIN_ROUND: Micros = SECOND / 10;
 
@@ -65,7 +63,7 @@
     /// Takes new connections, as far as the list tells.
     ready: bool,
     /// Its zone and cell.
-    spot: (ZoneId, u32),
+    spot: Spot,
     weight: f64,
     started: Option<Micros>,
     digest: u64,
@@ -166,7 +164,9 @@
             }
             Event::Open { request, server } => {
                 let id = request.id;
-                self.jobs.insert(id, Job { sent: 1, at: Some(server), ..Job::new(request, now) });
+                let spot = self.server(server).map(|s| s.spot).unwrap_or_default();
+                let last = Some((spot, now));
+                self.jobs.insert(id, Job { sent: 1, at: Some(server), last, ..Job::new(request, now) });
                 self.opened(id, server);
             }
             Event::Established { request, server, elapsed, .. } => {
@@ -306,16 +306,16 @@
         let asked = self.rules.as_mut().map(|rules| rules.ruling(now, &job.request));
         let ruling = asked.unwrap_or_default();
         let left = job.deadline.map(|at| at.saturating_sub(now));
-        // With no time told, a request waits for one pause.
-        let last_call =
-            job.deadline.map_or(job.arrived + SECOND, |at| at.saturating_sub(ANSWER_MARGIN + LEAST_TRY));
-        // No effect twice: also what was held meanwhile is repeated only within its window.
-        let effect = self.settings.effect(job.class());
-        let repeatable = job.may_have_run.is_none_or(|(_, sent)| effect.may_repeat(now - sent));
+        let last_call = job.last_call(&self.settings);
+        // No effect twice: also what was held meanwhile is repeated only within its window, and what comes up
+        // late is not written after it.
+        let before = job.repeat_until(&self.settings);
+        let repeats = job.bound_to(&self.settings);
         let most = self.settings.attempts(job.class()).min(ruling.attempts);
-        let spent = self.leaving || job.sent >= most || left.is_some_and(|left| left < LEAST_TRY);
-        if spent || !repeatable {
-            return self.answer(now, id, self.next_chance(now, &ruling), out);
+        let late = left.is_some_and(|left| left < job.least_try(&self.settings));
+        let spent = self.leaving || job.sent >= most || late;
+        if spent || before.is_some_and(|end| end <= now) {
+            return self.answer(now, id, self.next_chance(now, &ruling, repeats), out);
         }
         if let Some(after) = ruling.refuse {
             return self.answer(now, id, now.saturating_add(after), out);
@@ -323,17 +323,16 @@
         let from = ruling.not_before.unwrap_or(now);
         if let Some(server) = (from <= now).then(|| self.pick(now, id, &ruling)).flatten() {
             let Some(job) = self.jobs.get_mut(&id) else { return };
-            let target = self.settings.classes.get(job.class()).map_or(SECOND, |c| c.target).max(1);
             // A silent server never refuses: the time-out leaves room for another try.
+            let target = self.settings.target(job.class());
             let timeout = match left {
-                Some(left) if job.sent + 1 < most => target.min(left / 2),
+                Some(left) if job.sent + 1 < most => target.unwrap_or(left).min(left / 2),
                 Some(_) => 0,
-                None => target,
+                None => target.unwrap_or(SECOND),
             };
-            (job.sent, job.last_sent, job.at) = (job.sent + 1, now, Some(server));
+            (job.sent, job.at) = (job.sent + 1, Some(server));
+            job.last = self.servers.get(server.0 as usize).map(|s| (s.spot, now));
             job.tried.push(server);
-            // It may come up late: what would arrive after the window would run a second time.
-            let before = job.may_have_run.and_then(|(_, sent)| effect.repeat_until(sent));
             self.rules.iter_mut().for_each(|rules| rules.sent(now, &job.request, server));
             if let Some(s) = self.server_mut(server) {
                 s.believe(now, server, out);
@@ -341,7 +340,8 @@
             out.push(Action::Send { request: id, server, timeout, before });
             return;
         }
-        let until = self.next_chance(now, &ruling).max(from);
+        // What waits for its group is answered as its window ends.
+        let until = self.next_chance(now, &ruling, repeats).max(from).min(before.unwrap_or(Micros::MAX));
         // As the paper's send time-outs shorter than the pause left: what cannot wait is refused early.
         if until > last_call {
             return self.answer(now, id, until, out);
@@ -369,8 +369,8 @@
     fn again(&mut self, now: Micros, id: RequestId, at: ServerId, outcome: Outcome, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&id).filter(|job| job.at == Some(at)) else { return };
         job.at = None;
-        if !outcome.never_ran() && job.may_have_run.is_none() {
-            job.may_have_run = Some((at, job.last_sent));
+        if !outcome.never_ran() {
+            job.may_have_run = job.may_have_run.or(job.last);
         }
         self.dispatch(now, id, out);
     }
@@ -405,10 +405,7 @@
             return None;
         }
         let job = self.jobs.get(&id)?;
-        let repeats = match (self.settings.effect(job.class()), job.may_have_run) {
-            (Effect::Keyed { scope, .. }, Some((at, _))) => Some((scope, self.server(at)?.spot)),
-            _ => None,
-        };
+        let repeats = job.bound_to(&self.settings);
         let group = job.request.group.filter(|_| self.settings.groups && repeats.is_none());
         // Connections of a group share work: spread over the fleet they would multiply it (ie5ddb3), and in
         // overload none would be held out. A group's turns rotate over the servers that come first in an
@@ -448,8 +445,7 @@
                 s.budget = (s.budget + rate * (now - s.filled).max(0) as f64 / SECOND as f64).min(1.0);
             }
             s.filled = now;
-            let outside = repeats.is_some_and(|(scope, spot)| scope.parts(s.spot, spot));
-            if outside
+            if repeats.is_some_and(|group| !group.holds(s.spot))
                 || !ruling.allows(candidate)
                 || s.half_open && s.trial.is_some()
                 || bound.is_some() && s.budget < 1.0
@@ -498,14 +494,15 @@
     }
 
     /// When some server may next be tried: its pause has lapsed and its budget is there.
-    fn next_chance(&self, now: Micros, ruling: &Ruling) -> Micros {
+    fn next_chance(&self, now: Micros, ruling: &Ruling, repeats: Option<Group>) -> Micros {
         let usual = self.usual_rates(now);
         let chance = |s: &Server| {
             let rate = bound(&self.settings, now, usual, s).unwrap_or(f64::INFINITY);
             let short = (1.0 - s.budget).max(0.0) * SECOND as f64 / rate.max(1e-6);
             s.paused_until.unwrap_or(now).max(s.filled.saturating_add(short as Micros))
         };
-        let soonest = self.allowed(ruling).map(chance).min();
+        let within = |s: &&Server| repeats.is_none_or(|group| group.holds(s.spot));
+        let soonest = self.allowed(ruling).filter(within).map(chance).min();
         let setups = self.setups.next(self.setups_per_s(now));
         soonest.unwrap_or(now + SECOND).max(setups).clamp(now + SECOND / 20, now + SECOND)
     }
--- /dev/null
+++ b/crates/decision/tests/short_times.rs
@@ -0,0 +1,114 @@
+//! Deadlines of some ten milliseconds, targets that nobody told, and windows that end while a request is held.
+
+mod common;
+use common::*;
+use cottonnotch_decision::*;
+
+/// Clients that wait so long, where a server answers within a fifth of it.
+fn patience(deadline: Micros, classes: usize) -> Settings {
+    let short = Class { target: deadline / 2, deadline, ..class(Effect::Safe) };
+    Settings { classes: vec![short; classes], ..settings(Effect::Safe) }
+}
+
+#[test]
+fn a_class_of_any_deadline_is_tried_and_its_refusal_leaves_in_time() {
+    for deadline in [10 * MS, 40 * MS, 100 * MS, 300 * MS, S, 2 * S] {
+        let mut node = Node::new(patience(deadline, 1), 2);
+        let told = format!("deadline {} ms", deadline / MS);
+        let (first, timeout) = sent(&node.ask(1, deadline)).unwrap_or_else(|| panic!("{told}: never tried"));
+        assert!((1..=deadline / 2).contains(&timeout), "{told}: time-out {timeout}");
+        // Half its time is gone, and the other server is healthy.
+        node.run_to(node.now + deadline / 2);
+        let (second, _) = sent(&node.end(1, first, Outcome::TimedOut, false))
+            .unwrap_or_else(|| panic!("{told}: no second try with half of its time left"));
+        assert_ne!(first, second, "{told}");
+        // The second is full; nothing else is there, so it is answered, and before the client gives up.
+        let gives_up = node.now + deadline / 2;
+        node.end(1, second, Outcome::Full, false);
+        node.run_to(gives_up - 1);
+        assert!(refused(&node.done), "{told}: no answer in time");
+    }
+}
+
+#[test]
+fn what_is_held_is_answered_before_its_client_gives_up_whatever_its_deadline() {
+    for deadline in [40 * MS, 100 * MS, 300 * MS, S, 60 * S] {
+        let mut node = Node::new(patience(deadline, 1), 0);
+        let gives_up = node.now + deadline;
+        node.ask(1, deadline);
+        node.run_to(gives_up - deadline.min(S) / 100);
+        assert!(refused(&node.done), "deadline {} ms", deadline / MS);
+    }
+}
+
+#[test]
+fn from_a_second_on_the_figures_are_those_of_long_deadlines() {
+    for deadline in [S, 2 * S, 60 * S] {
+        let mut node = Node::new(patience(deadline, 1), 1);
+        assert!(sent(&node.ask(1, 60 * MS)).is_some());
+        assert!(
+            refused(&node.ask(2, 60 * MS - 1)),
+            "a later try of a patient client, which brings too little"
+        );
+    }
+}
+
+#[test]
+fn with_no_target_told_an_attempt_gets_half_of_what_is_left() {
+    let untold = Class { target: 0, ..class(Effect::Safe) };
+    let mut node = Node::new(Settings { classes: vec![untold], ..settings(Effect::Safe) }, 2);
+    assert_eq!(sent(&node.ask(1, 600 * MS)).expect("sent").1, 300 * MS);
+    let unbounded = sent(&node.tell(Event::Request(request(2, None)))).expect("sent");
+    assert_eq!(unbounded.1, S);
+}
+
+fn keyed(scope: Scope, window: Micros) -> Settings {
+    let long = Class { deadline: 30 * S, ..class(Effect::Keyed { scope, window }) };
+    Settings { classes: vec![long], ..settings(Effect::Safe) }
+}
+
+#[test]
+fn a_held_repeat_is_answered_as_its_window_ends() {
+    for (scope, refusable) in [(Scope::All, true), (Scope::Zone, false), (Scope::Cell, false)] {
+        for window in [120 * MS, 380 * MS, 777 * MS] {
+            let mut node = Node::new(keyed(scope, window), 1);
+            let begun = node.now;
+            let at = sent(&node.ask(1, 30 * S)).expect("sent").0;
+            node.run_to(begun + 20 * MS);
+            assert!(sent(&node.end(1, at, Outcome::Reset, false)).is_none(), "paused, nothing else is there");
+            node.run_to(begun + window - 1);
+            assert!(
+                !refused(&node.done) && !failed(&node.done),
+                "{scope:?} {window}: it may still be repeated"
+            );
+            node.run_to(begun + window + MS);
+            let answered = if refusable { refused(&node.done) } else { failed(&node.done) };
+            assert!(answered, "{scope:?}, window {} ms: held beyond its end", window / MS);
+        }
+    }
+}
+
+#[test]
+fn a_repeat_bound_to_a_cell_is_looked_at_when_that_cell_has_a_chance() {
+    // Cells of two: both of the first one are paused, those of the other cells are not.
+    let mut node = Node::new(keyed(Scope::Cell, 20 * S), 6);
+    node.run_to(100 * S + 100 * MS);
+    let first = sent(&node.ask(1, 30 * S)).expect("sent").0;
+    let second = sent(&node.end(1, first, Outcome::Reset, false)).expect("the other one of its cell").0;
+    assert_eq!(first.0 / 2, second.0 / 2);
+    let looks = node.timers.len();
+    assert!(sent(&node.end(1, second, Outcome::Full, false)).is_none(), "held");
+    let set = node.timers[looks..].iter().map(|(at, _)| *at).min();
+    assert!(set >= Some(101 * S), "not several times before the pauses lapse: {set:?}");
+}
+
+#[test]
+fn a_repeat_keeps_to_the_cell_in_which_it_may_have_run() {
+    // The server is put into another cell while the attempt is out: those of its old cell have seen the key.
+    let mut node = Node::new(keyed(Scope::Cell, 20 * S), 6);
+    let at = sent(&node.ask(1, 30 * S)).expect("sent").0;
+    let moved = Entry { cell: (at.0 / 2 + 1) % 3, started: Some(node.now), ..entry(at.0, Listed::Ready) };
+    node.tell(Event::List { full: false, copy: false, entries: vec![moved] });
+    let next = sent(&node.end(1, at, Outcome::Reset, false)).expect("its cell has another server").0;
+    assert_eq!((at.0 / 2, next != at), (next.0 / 2, true), "from {at:?} to {next:?}");
+}
