Where lists are pushed, the watch is opened as the process starts, not within a second

Cause: what a pushed list says counts as told from the first moment of a new process, but over sockets the mode was set to asking, whose first call is spread over a second at least (joint starts): sends to a server that drained meanwhile could go on for that long, on sites that allow 300 ms.

Change: Settings::list_told_unasked (any registryMode but on_request) lets the module call at once when the copy of the start is there; asking keeps its spread.

--- a/crates/cottonnotch/src/config/platform.rs
+++ b/crates/cottonnotch/src/config/platform.rs
@@ -61,7 +61,8 @@
     let tier = reader.tier()?;
     let known = reader.known()?;
     let (mut profile, pairs) = reader.settings()?;
-    // Whatever the mode: over sockets a list comes by a watch only, and what is pushed counts as told without one, too.
+    // Whatever the mode: over sockets a list comes by a watch only. What is pushed counts as told without one, too, from
+    // the first moment: the settings say so, and the module opens the watch at once.
     profile.settings.list_on_request = true;
     let path = reader.effective.json.as_ref().map_or_else(String::new, |file| file.path.clone());
     let told = Told::of(path, &json, &pairs);
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -130,6 +130,8 @@
     pub step: Micros,
     /// The server list must be asked for.
     pub list_on_request: bool,
+    /// What it says counts as told from the start, whether or not it was asked for: the first call is not put off.
+    pub list_told_unasked: bool,
     /// The list's `weight` says how servers compare in size.
     pub weighted: bool,
     /// Refusals carry a time after which the client may come again.
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -193,10 +193,7 @@
                 self.wake = None;
                 self.release_held(now, out);
             }
-            Event::Timer(LIST) if self.list_calls.is_due(now) => {
-                out.push(Action::Watch);
-                ask_list(self.list_calls.called(now), out);
-            }
+            Event::Timer(LIST) if self.list_calls.is_due(now) => self.call_for_list(now, out),
             Event::Timer(DRAIN) if self.drain_due.is_some_and(|at| at <= now) => self.drain(now, out),
             Event::Settings(settings) => {
                 self.part.set_nodes(settings.nodes);
@@ -219,6 +216,8 @@
     fn list(&mut self, now: Micros, full: bool, copy: bool, entries: Vec<Entry>, out: &mut Vec<Action>) {
         if !copy {
             self.list_calls.answered(now);
+        } else if self.settings.list_told_unasked && self.settings.list_on_request {
+            self.call_for_list(now, out);
         } else if self.settings.list_on_request {
             let chance = self.random();
             ask_list(self.list_calls.started(now, chance), out);
@@ -230,6 +229,11 @@
         self.listed(now, entries, out);
     }
 
+    fn call_for_list(&mut self, now: Micros, out: &mut Vec<Action>) {
+        out.push(Action::Watch);
+        ask_list(self.list_calls.called(now), out);
+    }
+
     fn listed(&mut self, now: Micros, entries: Vec<Entry>, out: &mut Vec<Action>) {
         for entry in entries {
             self.entry(now, entry);
--- a/crates/decision/src/settings.rs
+++ b/crates/decision/src/settings.rs
@@ -197,6 +197,7 @@
         });
     }
     let columns = pairs.list("report.columns");
+    let list_on_request = pairs.text("registryMode") == Some("on_request");
     let settings = Settings {
         ordinal: pairs.count("ordinal", 0)?,
         nodes: pairs.count("balancers", 1)?,
@@ -207,7 +208,8 @@
         worth_by_work: pairs.text("worthBy") == Some("work"),
         over_share_worth: pairs.figure("overShareWorth", 1.0)?,
         step: pairs.time("step", 1_000)?,
-        list_on_request: pairs.text("registryMode") == Some("on_request"),
+        list_on_request,
+        list_told_unasked: !list_on_request,
         weighted: pairs.text("weights").is_some_and(|w| w != "none"),
         retry_after: pairs.flag("policyLimits.retryAfter"),
         max_retry_after: pairs.time("policyLimits.maxRetryAfter", 0)?,
--- a/crates/decision/tests/list_clock.rs
+++ b/crates/decision/tests/list_clock.rs
@@ -111,3 +111,54 @@
     node.handle(now + 3 * S, Event::ListFailed, &mut out);
     assert!(matches!(out[..], [Action::Timer { after, .. }] if after < S), "{out:?}");
 }
+
+/// What comes of the copy that a node starts with, of so many nodes.
+fn start(ordinal: u32, nodes: u32, told_unasked: bool) -> Vec<Action> {
+    let asked = Settings { ordinal, nodes, list_on_request: true, ..Settings::default() };
+    let settings = Settings { list_told_unasked: told_unasked, ..asked };
+    let mut out = Vec::new();
+    let copy = Event::List { full: true, copy: true, entries: Vec::new() };
+    Balancer::new(settings, u64::from(ordinal), 0).handle(0, copy, &mut out);
+    out
+}
+
+#[test]
+fn what_counts_as_told_from_the_start_is_asked_for_at_once() {
+    for nodes in [1, 5, 300] {
+        for ordinal in 0..nodes {
+            let out = start(ordinal, nodes, true);
+            assert_eq!(out.first(), Some(&Action::Watch), "{nodes} nodes: {out:?}");
+        }
+    }
+}
+
+#[test]
+fn what_counts_as_told_when_asked_is_asked_for_in_turn_after_a_joint_start() {
+    for nodes in [2_u32, 300] {
+        let after = |ordinal| match start(ordinal, nodes, false)[..] {
+            [Action::Timer { after, .. }] => after,
+            ref other => panic!("{other:?}"),
+        };
+        let calls: Vec<Micros> = (0..nodes).map(after).collect();
+        assert!(calls.iter().all(|at| (1..=S).contains(at)), "{calls:?}");
+        let together = calls.iter().filter(|at| **at < 100 * MS).count();
+        assert!(nodes < 300 || together < 60, "{together} of {nodes} nodes call within 100 ms");
+    }
+}
+
+#[test]
+fn a_first_call_that_fails_or_is_not_answered_is_made_again() {
+    let settings =
+        Settings { nodes: 5, list_on_request: true, list_told_unasked: true, ..Settings::default() };
+    let mut node = Balancer::new(settings, 3, 0);
+    let mut out = Vec::new();
+    node.handle(0, Event::List { full: true, copy: true, entries: Vec::new() }, &mut out);
+    let [Action::Watch, Action::Timer { after: given_up, token }] = out[..] else { panic!("{out:?}") };
+    out.clear();
+    node.handle(CALL, Event::ListFailed, &mut out);
+    let [Action::Timer { after, .. }] = out[..] else { panic!("{out:?}") };
+    assert!(after < S && after < given_up, "{after}");
+    out.clear();
+    node.handle(CALL + after, Event::Timer(token), &mut out);
+    assert_eq!(out.first(), Some(&Action::Watch));
+}
