Settings: what cannot be used is refused with its key, what was found and what is allowed

Cause: mostTries = 0 refused every request unsent, times below 0 and misspelt effects or groups were clamped or read as something else in silence, and lists of figures took no number as 0. A keyed class that told no group was read as 'all', which allows most.

A keyed class without a group repeats within its cell. Over sockets a connectTimeout of 0 is refused, too: no connection is ever up at once.

--- a/crates/cottonnotch/src/config/platform.rs
+++ b/crates/cottonnotch/src/config/platform.rs
@@ -266,6 +266,12 @@
         {
             return refuse("policyLimits.mostTries".to_owned(), trouble);
         }
+        // No connection is ever up at once.
+        if let Some(timeout) = settings.get("policyLimits").and_then(|limits| limits.get("connectTimeout"))
+            && let Some(trouble) = no_number_above_zero(timeout, 0.0, LONGEST_DEADLINE)
+        {
+            return refuse("policyLimits.connectTimeout".to_owned(), trouble);
+        }
         let classes = settings.get_array("requestClasses").map_or(&[][..], |classes| classes.as_slice());
         let mut names = BTreeSet::new();
         for (i, class) in classes.iter().enumerate() {
--- a/crates/cottonnotch/tests/configuration.rs
+++ b/crates/cottonnotch/tests/configuration.rs
@@ -140,6 +140,18 @@
             "settings.policyLimits.mostTries is not a number",
             5,
         ),
+        of_json(
+            "\"effect\":\"safe\"",
+            "\"effect\":\"sfae\"",
+            "settings.requestClasses.0.effect has an unknown value: 'sfae', allowed: safe, keyed, unsafe",
+            7,
+        ),
+        of_json(
+            "\"connectTimeout\":250000",
+            "\"connectTimeout\":0",
+            "settings.policyLimits.connectTimeout is not a number above 0",
+            5,
+        ),
         of_json("requestClasses", "classes", "settings.requestClasses is missing", 4),
         of_json("\"settings\"", "\"known\":{\"revision\":1},\n\"settings\"", "known: 'complete'", 4),
         of_json("\"settings\":", "\"settings\"", "GW_CONFIG", 4),
--- a/crates/decision/src/settings.rs
+++ b/crates/decision/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings' names and units, read into the module's own terms: the one mapping that the adapter (the
-//! simulator's first message) and the proxy (its configuration) share. Unknown keys are ignored.
+//! simulator's first message) and the proxy (its configuration) share. Unknown keys are ignored; a value of a known one
+//! that can't be used is refused, with the key's full path, what was found and what is allowed.
 
 use crate::interface::{Class, Effect, Micros, Scope, Settings, Tenant, ZoneId};
 use crate::names::Names;
@@ -96,6 +97,20 @@
     pub trouble: String,
 }
 
+impl BadSetting {
+    fn new(key: &str, trouble: &str, found: &str, allowed: &str) -> Self {
+        let short: String = found.chars().take(40).collect();
+        BadSetting { key: key.to_owned(), trouble: format!("{trouble}: '{short}', allowed: {allowed}") }
+    }
+}
+
+/// No time is longer; what is, is as good as without end.
+const LONGEST: f64 = 4e15;
+
+fn number(text: &str) -> Option<f64> {
+    text.parse().ok().filter(|value: &f64| value.is_finite())
+}
+
 /// Settings as flat pairs of a path and a value: a list of plain values is joined with commas; a list of
 /// objects has its length under `.count` and its items under `.0`, `.1` ...
 #[derive(Debug, Default)]
@@ -120,27 +135,53 @@
         self.given(key, "-")
     }
 
+    /// A finite number.
     fn figure(&self, key: &str, default: f64) -> Result<f64, BadSetting> {
         let Some(text) = self.given(key, default) else { return Ok(default) };
-        match text.parse::<f64>() {
-            Ok(value) if value.is_finite() => Ok(value),
-            _ => {
-                let short: String = text.chars().take(40).collect();
-                Err(BadSetting { key: key.to_owned(), trouble: format!("is not a number: '{short}'") })
-            }
+        number(text).ok_or_else(|| BadSetting::new(key, "is not a number", text, "a finite number"))
+    }
+
+    /// A number that can't be below `least`. Guards against what a clamp would make of it in silence.
+    fn from(&self, least: f64, key: &str, default: f64) -> Result<f64, BadSetting> {
+        let value = self.figure(key, default)?;
+        if value >= least {
+            return Ok(value);
         }
+        let (trouble, allowed) = (format!("is below {least}"), format!("{least} or more"));
+        Err(BadSetting::new(key, &trouble, self.text(key).unwrap_or_default(), &allowed))
     }
 
     fn time(&self, key: &str, default: Micros) -> Result<Micros, BadSetting> {
-        Ok(self.figure(key, default as f64)?.clamp(-4e15, 4e15) as Micros)
+        Ok(self.from(0.0, key, default as f64)?.min(LONGEST) as Micros)
     }
 
-    fn count(&self, key: &str, default: u32) -> Result<u32, BadSetting> {
-        Ok(self.figure(key, f64::from(default))?.clamp(0.0, 4e9) as u32)
+    fn count(&self, least: u32, key: &str, default: u32) -> Result<u32, BadSetting> {
+        Ok(self.from(f64::from(least), key, f64::from(default))?.min(4e9) as u32)
     }
 
-    fn flag(&self, key: &str) -> bool {
-        matches!(self.given(key, false), Some("true" | "1"))
+    fn flag(&self, key: &str) -> Result<bool, BadSetting> {
+        let word = self.word(key, "false", &["true", "false", "1", "0"])?;
+        Ok(matches!(word, "true" | "1"))
+    }
+
+    /// One of these words. Guards against a misspelt one, which would be read as something else in silence: unknown keys
+    /// are ignored, but what a known one may say is told in full.
+    fn word<'a>(&'a self, key: &str, default: &'a str, words: &[&str]) -> Result<&'a str, BadSetting> {
+        let word = self.given(key, default).unwrap_or(default);
+        if words.contains(&word) {
+            return Ok(word);
+        }
+        Err(BadSetting::new(key, "has an unknown value", word, &words.join(", ")))
+    }
+
+    /// A list of numbers of 0 or more; what is left out of it is 0.
+    fn figures(&self, key: &str) -> Result<Vec<f64>, BadSetting> {
+        let figure = |(i, text): (usize, &str)| match number(text) {
+            _ if text.is_empty() || text == "-" => Ok(0.0),
+            Some(value) if value >= 0.0 => Ok(value),
+            _ => Err(BadSetting::new(&format!("{key}.{i}"), "is no such number", text, "0 or more")),
+        };
+        self.list(key).into_iter().enumerate().map(figure).collect()
     }
 
     fn list(&self, key: &str) -> Vec<&str> {
@@ -154,21 +195,23 @@
     for zone in pairs.list("zones") {
         zones.intern(zone);
     }
-    let aims = pairs.list("familyInfo.messageAim");
-    let attempts = pairs.count("policyLimits.mostTries", 1)?;
+    let aims = pairs.figures("familyInfo.messageAim")?;
+    let attempts = pairs.count(1, "policyLimits.mostTries", 1)?;
     let mut class_list = Vec::new();
-    for i in 0..pairs.count("requestClasses.count", 0)?.min(10_000) {
+    for i in 0..pairs.count(0, "requestClasses.count", 0)?.min(10_000) {
         let key = |name: &str| format!("requestClasses.{i}.{name}");
         let Some(name) = pairs.text(&key("name")) else { continue };
-        let scope = match pairs.text(&key("group")) {
-            None | Some("all") => Scope::All,
-            Some("zone") => Scope::Zone,
-            _ => Scope::Cell,
-        };
-        let effect = match pairs.text(&key("effect")) {
-            Some("safe") => Effect::Safe,
-            Some("keyed") => Effect::Keyed { scope, window: pairs.time(&key("window"), 0)? },
-            // Anything unknown is treated as what allows least.
+        let effect = match pairs.word(&key("effect"), "unsafe", &["safe", "keyed", "unsafe"])? {
+            "safe" => Effect::Safe,
+            "keyed" => {
+                // Left out, it is what allows least.
+                let scope = match pairs.word(&key("group"), "cell", &["all", "zone", "cell"])? {
+                    "all" => Scope::All,
+                    "zone" => Scope::Zone,
+                    _ => Scope::Cell,
+                };
+                Effect::Keyed { scope, window: pairs.time(&key("window"), 0)? }
+            }
             _ => Effect::Unsafe,
         };
         if classes.intern(name) as usize != class_list.len() {
@@ -177,53 +220,53 @@
         class_list.push(Class {
             target: pairs.time(&key("target"), 0)?,
             deadline: pairs.time(&key("deadline"), 0)?,
-            message_aim: aims.get(i as usize).and_then(|a| a.parse::<f64>().ok()).unwrap_or(0.0) as Micros,
+            message_aim: aims.get(i as usize).map_or(0, |aim| aim.min(LONGEST) as Micros),
             attempts,
             effect,
-            worth: pairs.figure(&key("gain"), 1.0)?,
+            worth: pairs.from(0.0, &key("gain"), 1.0)?,
         });
     }
-    let open = pairs.list("familyInfo.tenantQuotaConnections");
+    let open = pairs.figures("familyInfo.tenantQuotaConnections")?;
     let mut tenant_list = Vec::new();
-    for i in 0..pairs.count("tenants.count", 0)?.min(10_000) {
+    for i in 0..pairs.count(0, "tenants.count", 0)?.min(10_000) {
         let key = |name: &str| format!("tenants.{i}.{name}");
         let Some(name) = pairs.text(&key("name")) else { continue };
         if tenants.intern(name) as usize != tenant_list.len() {
             continue;
         }
         tenant_list.push(Tenant {
-            allowance_per_s: pairs.figure(&key("allowancePerS"), 0.0)?,
-            allowance_open: open.get(i as usize).and_then(|a| a.parse().ok()).unwrap_or(0.0),
+            allowance_per_s: pairs.from(0.0, &key("allowancePerS"), 0.0)?,
+            allowance_open: open.get(i as usize).copied().unwrap_or(0.0),
         });
     }
     let columns = pairs.list("report.columns");
     let list_on_request = pairs.text("registryMode") == Some("on_request");
     let settings = Settings {
-        ordinal: pairs.count("ordinal", 0)?,
-        nodes: pairs.count("balancers", 1)?,
+        ordinal: pairs.count(0, "ordinal", 0)?,
+        nodes: pairs.count(0, "balancers", 1)?,
         zone: ZoneId(pairs.text("zone").map_or(0, |z| zones.intern(z)) as u16),
         classes: class_list,
         tenants: tenant_list,
-        groups: pairs.flag("familyInfo.groups"),
+        groups: pairs.flag("familyInfo.groups")?,
         worth_by_work: pairs.text("worthBy") == Some("work"),
-        over_share_worth: pairs.figure("overShareWorth", 1.0)?,
+        over_share_worth: pairs.from(0.0, "overShareWorth", 1.0)?,
         step: pairs.time("step", 1_000)?,
         list_on_request,
         list_told_unasked: !list_on_request,
         weighted: pairs.text("weights").is_some_and(|w| w != "none"),
-        retry_after: pairs.flag("policyLimits.retryAfter"),
+        retry_after: pairs.flag("policyLimits.retryAfter")?,
         max_retry_after: pairs.time("policyLimits.maxRetryAfter", 0)?,
-        cold_from: pairs.figure("rules.coldFrom", 1.0)?,
+        cold_from: pairs.from(0.0, "rules.coldFrom", 1.0)?,
         warm_up: pairs.time("rules.warmUp", 0)?,
-        fall_multiple: pairs.figure("rules.fallMultiple", 1.0)?,
+        fall_multiple: pairs.from(0.0, "rules.fallMultiple", 1.0)?,
         fall_window: pairs.time("rules.fall", 0)?,
-        probes: pairs.flag("policyLimits.probes"),
+        probes: pairs.flag("policyLimits.probes")?,
         report_load: columns.iter().position(|c| *c == "x0"),
         probe_price: pairs.figure("prices.probe", 0.0)?,
         move_price: pairs.figure("prices.moves", 0.0)?,
     };
     let connect_timeout = pairs.time("policyLimits.connectTimeout", 250_000)?;
-    let tells_delay = pairs.flag("familyInfo.tellsDelay");
+    let tells_delay = pairs.flag("familyInfo.tellsDelay")?;
     let withdrawn = BTreeSet::new();
     Ok(Profile { settings, classes, withdrawn, tenants, zones, connect_timeout, tells_delay })
 }
