Module: half of the plays under any settings go by rules that change each second

Change: rules that follow from the seed, the request and the second; the judge asks them itself, and a mutant that doesn't hear them has to be named.

--- a/crates/decision/tests/any_settings/draw.rs
+++ b/crates/decision/tests/any_settings/draw.rs
@@ -22,6 +22,8 @@
     pub list_fails: u64,
     pub clients_leave: u64,
     pub unwell: u64,
+    /// It is under rules.
+    pub ruled: bool,
     /// When the node is told to end, after its start.
     pub leaving: Option<Micros>,
 }
@@ -109,6 +111,7 @@
         requests in 1..=80_u32,
         grace in prop_oneof![Just(0), 1..=S],
         troubles in (0..=60_u64, 0..=30_u64, 0..=100_u64),
+        ruled in any::<bool>(),
         leaving in prop_oneof![3 => Just(None), 1 => (0..=13 * S).prop_map(Some)],
     ) -> Plan {
         let (classes, patience) = classes.into_iter().unzip();
@@ -116,7 +119,7 @@
         let (list_fails, clients_leave, unwell) = troubles;
         Plan {
             seed, settings, patience, servers, zones, cells, requests, grace, list_fails, clients_leave, unwell,
-            leaving,
+            leaving, ruled,
         }
     }
 }
--- a/crates/decision/tests/any_settings/judge.rs
+++ b/crates/decision/tests/any_settings/judge.rs
@@ -1,6 +1,7 @@
 //! What nobody may ever see a node do, judged from outside: by what was asked, sent, written, told and answered. It knows
 //! nothing of the module's own state.
 
+use crate::rulings::Whims;
 use cottonnotch_decision::*;
 use std::collections::BTreeMap;
 
@@ -19,6 +20,8 @@
     Draining,
     /// What its client left is not sent on.
     Gone,
+    /// Nothing is sent but as the rules say at that moment.
+    Ruled,
     /// Nothing is sent after the node was told to end, and what is owed is answered.
     Leaving,
 }
@@ -38,6 +41,8 @@
     pub slack: Micros,
     /// Nothing is sent to a server so long after it was told to drain.
     pub grace: Micros,
+    /// The rules, if there are any.
+    pub whims: Option<Whims>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -184,6 +189,15 @@
             let told = format!("{id:?} is sent to {server:?} at {now}, grace {grace}: {known:?}");
             self.broken(Rule::Draining, told);
         }
+        let sent = self.asked.get(&id).map_or(0, |asked| asked.attempts.len());
+        if let Some(ruling) = self.figures.whims.map(|whims| whims.say(now, id)) {
+            let early = ruling.not_before.is_some_and(|at| now < at);
+            let spent = sent >= ruling.attempts as usize;
+            if early || spent || ruling.refuse.is_some() || !ruling.allows(server) {
+                let told = format!("{id:?} is sent to {server:?} at {now} after {sent} others: {ruling:?}");
+                self.broken(Rule::Ruled, told);
+            }
+        }
         let Some(asked) = self.asked.get_mut(&id) else {
             return self.broken(Rule::Answered, format!("{id:?} is sent, but was never asked for"));
         };
--- a/crates/decision/tests/any_settings/main.rs
+++ b/crates/decision/tests/any_settings/main.rs
@@ -3,6 +3,7 @@
 mod draw;
 mod judge;
 mod mutants;
+mod rulings;
 mod world;
 
 use draw::{Plan, plan};
--- a/crates/decision/tests/any_settings/mutants.rs
+++ b/crates/decision/tests/any_settings/mutants.rs
@@ -16,12 +16,13 @@
     WritesAtAnyTime,
     RefusesWhatFailed,
     MissesDrains,
+    MissesRulings,
     MissesLeftClients,
     MissesItsOwnEnd,
     HoldsAtItsEnd,
 }
 
-pub const ALL: [(Mutant, Rule); 14] = [
+pub const ALL: [(Mutant, Rule); 15] = [
     (Mutant::SwallowsAnswers, Rule::Answered),
     (Mutant::AnswersTwice, Rule::Answered),
     (Mutant::NeverWakes, Rule::Answered),
@@ -33,6 +34,7 @@
     (Mutant::WritesAtAnyTime, Rule::NoEffectTwice),
     (Mutant::RefusesWhatFailed, Rule::NoEffectTwice),
     (Mutant::MissesDrains, Rule::Draining),
+    (Mutant::MissesRulings, Rule::Ruled),
     (Mutant::MissesLeftClients, Rule::Gone),
     (Mutant::MissesItsOwnEnd, Rule::Leaving),
     (Mutant::HoldsAtItsEnd, Rule::Leaving),
--- /dev/null
+++ b/crates/decision/tests/any_settings/rulings.rs
@@ -0,0 +1,48 @@
+//! Rules that change their mind every second: what they say follows from the seed, the request and the second alone, so that
+//! the judge can ask them, too.
+
+use crate::draw::{MS, S};
+use cottonnotch_decision::*;
+use std::sync::Arc;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Whims {
+    pub seed: u64,
+    pub servers: u32,
+}
+
+impl Whims {
+    pub fn say(self, now: Micros, id: RequestId) -> Ruling {
+        let second = (now / S) as u64;
+        let mix =
+            self.seed ^ id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ second.wrapping_mul(0xd6e8_feb8_6659_fd93);
+        let mut z = (mix ^ (mix >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+        z ^= z >> 32;
+        let set = |bits: u64| {
+            let some = (0..self.servers).filter(|server| bits >> (server % 16) & 1 == 1).map(ServerId);
+            Some(Arc::new(some.collect::<ServerSet>()))
+        };
+        let mut ruling = Ruling::default();
+        match z % 8 {
+            0 => ruling.allowed = set(z >> 8),
+            1 => ruling.preferred = set(z >> 8),
+            2 => ruling.attempts = (z >> 8) as u32 % 4,
+            3 => ruling.not_before = Some((second as Micros) * S + (z >> 8) as Micros % (3 * S)),
+            4 if z >> 8 & 3 == 0 => ruling.refuse = Some((z >> 16) as Micros % (500 * MS)),
+            _ => {}
+        }
+        ruling
+    }
+}
+
+impl Rules for Whims {
+    fn ruling(&mut self, now: Micros, request: &Request) -> Ruling {
+        self.say(now, request.id)
+    }
+
+    fn sent(&mut self, _now: Micros, _request: &Request, _server: ServerId) {}
+
+    fn stay(&mut self, _now: Micros, request: &Request, _server: ServerId) -> Option<Stay> {
+        [None, Some(Stay::ToTheLast), Some(Stay::UntilDrained)][request.id.0 as usize % 3]
+    }
+}
--- a/crates/decision/tests/any_settings/world.rs
+++ b/crates/decision/tests/any_settings/world.rs
@@ -3,6 +3,7 @@
 use crate::draw::{MS, Plan, S};
 use crate::judge::{Figures, Judge, Violation};
 use crate::mutants::Mutant;
+use crate::rulings::Whims;
 use cottonnotch_decision::*;
 use std::collections::BTreeMap;
 
@@ -91,13 +92,19 @@
 /// Plays a plan to its end.
 pub fn play(plan: &Plan, mutant: Option<Mutant>) -> (Seen, Vec<Violation>) {
     let settings = mutant.map_or(plan.settings.clone(), |mutant| mutant.settings(plan.settings.clone()));
-    let figures = Figures { slack: SLACK, grace: plan.grace };
+    let whims = plan.ruled.then_some(Whims { seed: plan.seed, servers: plan.servers });
+    let figures = Figures { slack: SLACK, grace: plan.grace, whims };
+    let node = Balancer::new(settings, plan.seed, START);
+    let heard = whims.filter(|_| mutant != Some(Mutant::MissesRulings));
     let mut world = World {
         plan,
         mutant,
         random: plan.seed,
         now: START,
-        node: Balancer::new(settings, plan.seed, START),
+        node: match heard {
+            Some(whims) => node.under(Box::new(whims)),
+            None => node,
+        },
         judge: Judge::new(figures),
         agenda: BTreeMap::new(),
         number: 0,
