Connections: a reset read or written into once stays a reset

Cause: the system tells a reset once, to whoever reads or writes first; whoever reads after that is shown an orderly end. An attempt that read it behind UP, or a client's line that was written into it, left the relay an end, and the client was ended in order where its render node had reset.

Change: a LineStream remembers how it broke and says so again. The scripted peers can stop the process, reset behind their last words, fill a listener's queue, and see that all they said was read.

--- a/crates/cottonnotch/tests/peers/mod.rs
+++ b/crates/cottonnotch/tests/peers/mod.rs
@@ -76,6 +76,36 @@
         socket2::SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
     }
 
+    /// Says it, and ends the connection with a reset at once.
+    pub fn say_and_reset(mut self, text: &str) {
+        self.say(text);
+        self.reset();
+    }
+
+    /// Waits until the other side's process has read all that was said.
+    pub fn is_read(&self) {
+        let (here, there) = (self.0.get_ref().local_addr().unwrap(), self.0.get_ref().peer_addr().unwrap());
+        let wire = |address: SocketAddr| match address {
+            SocketAddr::V4(v4) => format!("{:08X}:{:04X}", u32::from_le_bytes(v4.ip().octets()), v4.port()),
+            SocketAddr::V6(_) => panic!("stories are played over IPv4"),
+        };
+        let (here, there) = (wire(here), wire(there));
+        within(PATIENCE, "all is read", || {
+            let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+            let words = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+            let mut theirs = words.filter(|words| words[1] == there && words[2] == here);
+            theirs.next().is_some_and(|words| words[4].ends_with(":00000000")).then_some(())
+        });
+    }
+
+    /// Says it byte by byte, each once the one before is read.
+    pub fn spell(&mut self, text: &str) {
+        for byte in text.chars() {
+            self.say(&byte.to_string());
+            self.is_read();
+        }
+    }
+
     /// Ends only the sending.
     pub fn finish(&self) {
         self.0.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
@@ -101,6 +131,19 @@
         self.1.unwrap_or_else(|| self.0.local_addr().unwrap())
     }
 
+    /// One whose machine takes no more connections: those that are kept here fill its queue, and others stay pending.
+    pub fn full() -> (Self, Vec<TcpStream>) {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener: TcpListener = socket.into();
+        listener.set_nonblocking(true).unwrap();
+        let address = listener.local_addr().unwrap();
+        let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
+        let queue = std::iter::from_fn(fill).collect();
+        (Scripted(listener, None), queue)
+    }
+
     pub fn poll(&self) -> Option<Peer> {
         self.0.accept().ok().map(|(stream, _)| Peer::new(stream))
     }
@@ -305,6 +348,15 @@
         proxy
     }
 
+    /// One that operators may call, that knows these members.
+    pub fn knowing(known: &[String], settings: &str) -> Self {
+        let command = Command::new(env!("CARGO_BIN_EXE_cottonnotch"));
+        let (listen, mgmt) = ("127.0.0.1:0", Some("127.0.0.1:0"));
+        let mut proxy = Self::begun_with(command, listen, mgmt, Scripted::new(), known, 1024, settings);
+        proxy.address = address_after(&proxy.logged("listens on "), "listens on ");
+        proxy
+    }
+
     /// One that is started by this command.
     pub fn by(command: Command, nodes: &[&Scripted], sockets: u32, settings: &str) -> Self {
         Self::at(command, "127.0.0.1:0", None, Scripted::new(), nodes, sockets, settings)
@@ -336,7 +388,19 @@
     ) -> Self {
         let known: Vec<String> =
             nodes.iter().enumerate().map(|(i, node)| member(&format!("s{i}"), node, "up")).collect();
-        let (found, known, mgmt) = (discovery.address(), list(1, true, &known), mgmt.unwrap_or_default());
+        Self::begun_with(command, listen, mgmt, discovery, &known, sockets, settings)
+    }
+
+    fn begun_with(
+        command: Command,
+        listen: &str,
+        mgmt: Option<&str>,
+        discovery: Scripted,
+        known: &[String],
+        sockets: u32,
+        settings: &str,
+    ) -> Self {
+        let (found, known, mgmt) = (discovery.address(), list(1, true, known), mgmt.unwrap_or_default());
         let config = format!(
             r#"{{"name":"n0","listen":"{listen}","mgmt":"{mgmt}","discovery":"{found}","seed":"7f","limits":{{"sockets":{sockets}}},
             "known":{known},"settings":{settings}}}"#
@@ -421,6 +485,21 @@
         self.signal("-TERM");
     }
 
+    /// Stops the process: what its peers do from now on is there at once when it goes on.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        within(PATIENCE, "the proxy is stopped", || {
+            let stat = std::fs::read_to_string(&stat).unwrap();
+            stat.rsplit(") ").next().unwrap().starts_with('T').then_some(())
+        });
+    }
+
+    /// Lets the stopped process go on.
+    pub fn wake(&self) {
+        self.signal("-CONT");
+    }
+
     /// Ends it as the system does when there is no time left.
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
--- a/crates/reactor/src/line.rs
+++ b/crates/reactor/src/line.rs
@@ -41,6 +41,9 @@
     /// End our sending once all is written.
     finish: bool,
     finished: bool,
+    /// How it broke. The system tells that once, to whoever reads or writes first; whoever reads after that is shown an
+    /// orderly end.
+    broken: Option<io::ErrorKind>,
 }
 
 impl LineStream {
@@ -59,8 +62,8 @@
     }
 
     fn new<R: Report>(stream: TcpStream, io: &Io<R>) -> Self {
-        let (input, output) = (Vec::new(), Vec::new());
-        LineStream { stream, input, output, bound: io.buffer_bound, finish: false, finished: false }
+        let (input, output, bound) = (Vec::new(), Vec::new(), io.buffer_bound);
+        LineStream { stream, input, output, bound, finish: false, finished: false, broken: None }
     }
 
     /// After `writable`: whether the connection stands by now.
@@ -86,14 +89,17 @@
                 return Fill::Blocked;
             }
             match self.stream.read(&mut chunk) {
-                Ok(0) => return Fill::Ended,
+                Ok(0) => return self.broken.map_or(Fill::Ended, |kind| Fill::Broken(kind.into())),
                 Ok(n) => {
                     self.input.extend_from_slice(&chunk[..n]);
                     taken += n;
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Fill::Blocked,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => return Fill::Broken(error),
+                Err(error) => {
+                    self.broken = Some(error.kind());
+                    return Fill::Broken(error);
+                }
             }
         }
         Fill::More
@@ -149,7 +155,10 @@
                 Ok(n) => sent += n,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break Ok(false),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => break Err(error),
+                Err(error) => {
+                    self.broken = self.broken.or(Some(error.kind()));
+                    break Err(error);
+                }
             }
         };
         self.output.drain(..sent);
