Relay: a line over 4 KiB from a render node moves its client instead of cutting it off

Cause: relay.rs took a line that is too long for the end of the connection and reset the client, whose render node still answers: by the protocol that connection is lost.

Change: the client is sent MOVE between two lines, the render node's side is closed, and the module hears of a reset. The log names the render node.

Also: what is left at the end is dropped if it is a second answer that the end cuts short; it went to the client.

Seen: with the old line back, a_line_without_end_moves_the_client_and_counts_as_a_reset finds ECONNRESET.

--- a/crates/cottonnotch/src/net/relay.rs
+++ b/crates/cottonnotch/src/net/relay.rs
@@ -25,6 +25,8 @@
     More,
     /// The client ended its sending; what the subchannel still sends is passed on.
     ClientEnded,
+    /// The subchannel sent what is no line. It runs still, so the client is moved, not cut off.
+    Spoilt,
     /// The connection is over; the client's side is to be closed alike.
     Over {
         outcome: Outcome,
@@ -124,12 +126,15 @@
                     client.push(&line);
                 }
                 Ok(None) => break,
-                Err(TooLong) => return self.over(Outcome::Reset, true),
+                Err(TooLong) => return Pass::Spoilt,
             }
         }
         let pass = match fill {
             Fill::Ended => {
-                client.push(&self.link.take_rest());
+                let rest = self.link.take_rest();
+                if !self.is_second_answer(trim_end(&rest), now) {
+                    client.push(&rest);
+                }
                 self.over(Outcome::Reset, false)
             }
             Fill::Broken(_) => self.over(Outcome::Reset, true),
--- a/crates/cottonnotch/src/net/rpc.rs
+++ b/crates/cottonnotch/src/net/rpc.rs
@@ -7,7 +7,7 @@
 use super::open_line::OpenLine;
 use super::relay::{Pass, Relay, Seen};
 use cottonnotch_decision::{Micros, Outcome};
-use cottonnotch_reactor::line::{Fill, LineStream, trim_end};
+use cottonnotch_reactor::line::{Fill, LineStream, MAX_LINE, trim_end};
 use cottonnotch_reactor::{Connection, Key, Leg};
 use mio::net::TcpStream;
 use std::fmt::Display;
@@ -219,6 +219,13 @@
             Pass::On => {}
             Pass::More => io.call_again(self.key, from),
             Pass::ClientEnded => io.timer(now + FAR_END_WITHIN, self.key, CLOSE),
+            Pass::Spoilt => {
+                let rpc = self.line.as_ref().map_or("-", OpenLine::id);
+                let address = self.at.map_or("-".to_owned(), |at| at.to_string());
+                log::warn!(rpc, address; "subchannel sent a line of over {MAX_LINE} bytes, client moved");
+                self.move_away(io);
+                io.tell(Happening::Ended { rpc: self.key, outcome: Outcome::Reset });
+            }
             Pass::Over { outcome, reset } => self.over(io, outcome, reset),
         }
     }
--- a/crates/cottonnotch/tests/endings/nodes.rs
+++ b/crates/cottonnotch/tests/endings/nodes.rs
@@ -1,7 +1,10 @@
 //! Render nodes that end, spoil or repeat what they say, on connections that are up.
 
 use crate::peers::*;
+use cottonnotch_records::{Event, Outcome, RotatedSet, What};
 use std::io::ErrorKind;
+use std::process::Command;
+use tempfile::TempDir;
 
 /// Render nodes drain from now on; there is no other one.
 fn drains(node: &Scripted) -> String {
@@ -88,6 +91,35 @@
     assert_eq!(client.rest().unwrap(), "M 2 b c\r\nMOVE\r\n");
 }
 
+// Guards relay.rs `pass_subchannel` and rpc.rs `relay`: the render node runs, so its client is moved, not cut off.
+#[test]
+fn a_line_without_end_moves_the_client_and_counts_as_a_reset() {
+    let folder = TempDir::new().unwrap();
+    let (records, operator) = (folder.path().join("records"), folder.path().join("operator.toml"));
+    let text = format!("[records]\nfile = \"{}\"\nflush_ms = 10\n", records.display());
+    std::fs::write(&operator, text).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cottonnotch"));
+    command.env("COTTONNOTCH_OPERATOR", operator);
+    let node = Scripted::new();
+    let mut proxy = Proxy::by(command, &[&node], 1024, SETTINGS);
+    let (mut client, mut far) = proxy.up(&node);
+    proxy.pause();
+    far.say(&format!("M 1 a\r\nM 2 {}", "x".repeat(5000)));
+    proxy.wake();
+    assert_eq!(client.rest().unwrap(), "M 1 a\r\nMOVE\r\n");
+    within(PATIENCE, "the render node's side is closed", || far.try_say("x").err());
+    proxy.terminate();
+    assert!(proxy.exited().success());
+    let ended = RotatedSet::open(&records).unwrap().filter_map(|line| match line.what {
+        What::Record(record) => match record.event {
+            Event::Ended { outcome, .. } => Some(outcome),
+            _ => None,
+        },
+        What::Finding(finding) => panic!("{finding:?}"),
+    });
+    assert_eq!(ended.collect::<Vec<_>>(), [Outcome::Reset]);
+}
+
 // Guards line.rs `take_line`: the longest line that the protocol has is one.
 #[test]
 fn a_line_of_just_four_kibibytes_is_passed_on() {
