Endings: watches that fall silent, break or end around a drain

Nine stories: silent from the start, reset or ended with a drain or half a list in hand, discovery back after an outage, discovery moved while a call is out, two lists in one write, a new id at an old address.

--- a/crates/cottonnotch/tests/endings/lists.rs
+++ b/crates/cottonnotch/tests/endings/lists.rs
@@ -1,1 +1,226 @@
 //! Watches and lists that end, and what counts as told meanwhile.
+
+use crate::peers::*;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+/// What the silence of a watch, or of a call that waits, may cost: from then on what it missed counts as told.
+const TOLD_AFTER: Duration = Duration::from_secs(6);
+/// From when it is told of a drain, a proxy has this long to send nothing there any more.
+const STOP_WITHIN: Duration = Duration::from_secs(1);
+
+/// Two render nodes, of which the proxy knows the first; a client that is up there, and its far end.
+fn served() -> (Proxy, [Scripted; 2], Peer, Peer) {
+    let nodes = [Scripted::new(), Scripted::new()];
+    let proxy = Proxy::start(&[&nodes[0]]);
+    let (client, far) = proxy.up(&nodes[0]);
+    (proxy, nodes, client, far)
+}
+
+/// The first render node drains, and the second one is up.
+fn drain(revision: u32, nodes: &[Scripted; 2]) -> String {
+    list(revision, false, &[member("s0", &nodes[0], "draining"), member("s1", &nodes[1], "up")])
+}
+
+/// The drain is obeyed: the client is moved, and what comes after it goes elsewhere.
+fn is_obeyed(proxy: &Proxy, nodes: &[Scripted; 2], mut client: Peer) {
+    assert_eq!(client.rest().unwrap(), "MOVE\r\n");
+    let _held: Vec<(Peer, Peer)> = (0..3).map(|_| proxy.up(&nodes[1])).collect();
+    assert!(nodes[0].poll().is_none(), "nothing new to what drains");
+}
+
+/// The last good list serves: a client is up where it says.
+fn is_served(proxy: &Proxy, nodes: &[Scripted; 2]) {
+    proxy.up(&nodes[0]);
+    assert!(nodes[1].poll().is_none(), "nothing of a list that was not taken");
+}
+
+const BUSY: &str = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// Guards resolver.rs `readable` and `timer`: a response's head is its last word as a beat is.
+#[test]
+fn a_watch_that_says_nothing_but_its_head_is_opened_anew_and_tells_the_drain() {
+    let (proxy, nodes, client, _far) = served();
+    let (_silent, asked) = proxy.discovery.watched();
+    let begun = Instant::now();
+    assert!(asked.contains("from=1 "), "{asked}");
+    is_served(&proxy, &nodes);
+    let (mut watch, asked) = proxy.discovery.watched();
+    assert!(asked.contains("from=1 "), "{asked}");
+    watch.say(&chunk(&drain(2, &nodes)));
+    assert!(begun.elapsed() < TOLD_AFTER, "{:?}", begun.elapsed());
+    is_obeyed(&proxy, &nodes, client);
+}
+
+// Guards resolver.rs `timer`: a call without any answer is given up too.
+#[test]
+fn a_call_that_is_never_answered_is_made_anew_and_tells_the_drain() {
+    let (proxy, nodes, client, _far) = served();
+    let (_silent, _) = proxy.discovery.called();
+    let begun = Instant::now();
+    is_served(&proxy, &nodes);
+    let (mut watch, asked) = proxy.discovery.watched();
+    assert!(asked.contains("from=1 "), "{asked}");
+    watch.say(&chunk(&drain(2, &nodes)));
+    assert!(begun.elapsed() < TOLD_AFTER, "{:?}", begun.elapsed());
+    is_obeyed(&proxy, &nodes, client);
+}
+
+// Guards resolver.rs `readable`: a lost watch is reported, and asked for again.
+#[test]
+fn a_watch_that_was_reset_just_before_a_drain_is_opened_anew_and_tells_it() {
+    let (proxy, nodes, client, _far) = served();
+    let (watch, _) = proxy.discovery.watched();
+    watch.say_and_reset(&chunk(&list(4, false, &[])));
+    let (mut watch, asked) = proxy.discovery.watched();
+    assert!(asked.contains("from=4 "), "{asked}");
+    watch.say(&chunk(&drain(5, &nodes)));
+    is_obeyed(&proxy, &nodes, client);
+}
+
+// Guards resolver.rs `readable`: what was written counts as told, so it is taken before the end that came with it.
+#[test]
+fn a_drain_that_a_watch_told_in_the_moment_of_its_end_is_obeyed() {
+    for reset in [true, false] {
+        let (proxy, nodes, client, _far) = served();
+        let (mut watch, _) = proxy.discovery.watched();
+        proxy.pause();
+        let told = chunk(&drain(2, &nodes));
+        match reset {
+            true => watch.say_and_reset(&told),
+            false => {
+                watch.say(&told);
+                drop(watch);
+            }
+        }
+        proxy.wake();
+        is_obeyed(&proxy, &nodes, client);
+        let (_, asked) = proxy.discovery.watched();
+        assert!(asked.contains("from=2 "), "{asked}");
+    }
+}
+
+// Guards resolver.rs `take` and `end`: whole lists count, and half a one is dropped and asked for again.
+#[test]
+fn a_watch_that_ends_within_an_object_keeps_what_was_whole_and_asks_for_the_rest() {
+    for reset in [true, false] {
+        let (proxy, nodes, client, _far) = served();
+        let (mut watch, _) = proxy.discovery.watched();
+        let (whole, next) = (list(3, false, &[member("s1", &nodes[1], "up")]), drain(4, &nodes));
+        let half = format!("{}{:x}\r\n{}", chunk(&whole), next.len() + 1, &next[..next.len() / 2]);
+        match reset {
+            true => watch.say_and_reset(&half),
+            false => {
+                watch.say(&half);
+                drop(watch);
+            }
+        }
+        let lost = proxy.logged("watch on discovery lost");
+        assert!(reset || lost.contains("in the middle of a list"), "{lost}");
+        let (mut watch, asked) = proxy.discovery.watched();
+        assert!(asked.contains("from=3 "), "{asked}");
+        watch.say(&chunk(&next));
+        is_obeyed(&proxy, &nodes, client);
+    }
+}
+
+// Guards policy.rs `list_failed` and subchannels.rs `take`: the last list serves, and what comes counts at once.
+#[test]
+fn a_discovery_that_was_down_and_returns_with_a_drain_is_obeyed_within_a_second() {
+    let (proxy, nodes, client, _far) = served();
+    for _ in 0..3 {
+        let (mut call, asked) = proxy.discovery.called();
+        assert!(asked.contains("from=1 "), "{asked}");
+        call.say(BUSY);
+        is_served(&proxy, &nodes);
+    }
+    let (mut call, _) = proxy.discovery.called();
+    // An attempt is out as the drain is told; what it becomes is no new attempt.
+    let mut late = proxy.open();
+    let first = nodes[0].called().0;
+    proxy.pause();
+    call.say(&format!("{HEAD}{}", chunk(&drain(2, &nodes))));
+    first.reset();
+    let told = Instant::now();
+    proxy.wake();
+    let mut second = nodes[1].called().0;
+    second.say("UP 2\r\n");
+    assert_eq!(late.hear(), "UP 2\r\n");
+    let _next = proxy.up(&nodes[1]);
+    assert!(told.elapsed() < STOP_WITHIN, "{:?}", told.elapsed());
+    is_obeyed(&proxy, &nodes, client);
+}
+
+// Guards subchannels.rs `watch` and `is_watch`: the old call is closed, and what it said later is not heard.
+#[test]
+fn the_late_answer_of_a_discovery_that_has_moved_does_not_count() {
+    let (old, elsewhere) = (Scripted::new(), Scripted::new());
+    let nodes = [Scripted::new(), Scripted::new()];
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cottonnotch"));
+    command.env("GW_DISCOVERY", old.address().to_string());
+    let proxy = Proxy::by(command, &[&nodes[0]], 1024, SETTINGS);
+    let (client, _far) = proxy.up(&nodes[0]);
+    let (mut call, _) = old.called();
+    let (here, there) = (proxy.discovery.address().to_string(), elsewhere.address().to_string());
+    proxy.reconfigure(&[(&here, &there)]);
+    let (mut watch, asked) = elsewhere.watched();
+    assert!(asked.contains("from=1 "), "{asked}");
+    // It may be closed already.
+    let gone = list(90, true, &[member("s9", &nodes[1], "up")]);
+    let _ = call.try_say(&format!("{HEAD}{}", chunk(&gone)));
+    watch.say(&chunk(&list(2, false, &[member("s2", &nodes[0], "removed")])));
+    proxy.logged("subchannel s2 is Gone");
+    is_served(&proxy, &nodes);
+    watch.say(&chunk(&drain(3, &nodes)));
+    is_obeyed(&proxy, &nodes, client);
+}
+
+// Guards resolver.rs `take`: every text that is whole is taken, in order.
+#[test]
+fn two_lists_in_one_write_are_both_taken_in_order() {
+    let (proxy, nodes, client, _far) = served();
+    let (mut watch, _) = proxy.discovery.watched();
+    proxy.pause();
+    let (first, second) = (list(2, false, &[member("s0", &nodes[1], "up")]), drain(3, &nodes));
+    watch.say(&format!("{}{}", chunk(&first), chunk(&second)));
+    drop(watch);
+    proxy.wake();
+    is_obeyed(&proxy, &nodes, client);
+    let (_, asked) = proxy.discovery.watched();
+    assert!(asked.contains("from=3 "), "{asked}");
+}
+
+// Guards subchannels.rs `take`: a new id is another render node, though it is found where the old one was.
+#[test]
+fn a_new_id_at_an_old_address_gets_what_is_new_and_the_old_ids_clients_stay() {
+    let node = Scripted::new();
+    let proxy = Proxy::start(&[&node]);
+    let (mut client, mut far) = proxy.up(&node);
+    // This one's attempt is out while its render node is replaced.
+    let mut between = proxy.open();
+    let mut far_between = node.called().0;
+    let (mut watch, _) = proxy.discovery.watched();
+    watch.say(&chunk(&list(2, false, &[member("s0", &node, "removed"), member("s9", &node, "up")])));
+    proxy.logged("subchannel s0 is Gone");
+    far_between.say("UP 2\r\n");
+    assert_eq!(between.hear(), "UP 2\r\n");
+    let (mut later, mut far_later) = proxy.up(&node);
+    for (client, far) in
+        [(&mut client, &mut far), (&mut between, &mut far_between), (&mut later, &mut far_later)]
+    {
+        client.say("M 1 a\r\n");
+        assert_eq!(far.hear(), "M 1 a\r\n");
+        far.say("M 1 a\r\n");
+        assert_eq!(client.hear(), "M 1 a\r\n");
+    }
+    // The new one drains: its own client is moved, and no other.
+    watch.say(&chunk(&list(3, false, &[member("s9", &node, "draining")])));
+    assert_eq!(later.rest().unwrap(), "MOVE\r\n");
+    far.say("BYE\r\n");
+    drop(far);
+    assert_eq!(client.rest().unwrap(), "BYE\r\n");
+    far_between.say("BYE\r\n");
+    drop(far_between);
+    assert_eq!(between.rest().unwrap(), "BYE\r\n");
+}
