Attempts: a connection that comes up after its time carries no line

Cause: call_attempt.rs 'advance' wrote the first line as soon as the connection stood, and looked at the time only in the timer, which comes after what is readable. A process that was stopped meanwhile wrote a line whose time was over, and the attempt ended as timed out: it may have run, where it need not.

Change: once connected, an attempt whose time is over ends as one that could not connect.

--- a/crates/cottonnotch/src/net/call_attempt.rs
+++ b/crates/cottonnotch/src/net/call_attempt.rs
@@ -87,9 +87,11 @@
     }
 
     /// Goes on as far as the socket allows.
-    pub fn advance(&mut self) -> Progress {
+    pub fn advance(&mut self, now: Micros) -> Progress {
         if self.phase == Phase::Connecting {
             match self.link.connected() {
+                // It came up while the process was stopped: for what is over no line is written any more.
+                Ok(true) if self.overdue(now).is_some() => return Progress::Ended(Outcome::ConnectFailed),
                 Ok(true) => self.phase = Phase::Writing,
                 Ok(false) => return Progress::Pending,
                 Err(_) => return Progress::Ended(Outcome::ConnectFailed),
--- a/crates/cottonnotch/src/net/rpc.rs
+++ b/crates/cottonnotch/src/net/rpc.rs
@@ -166,7 +166,7 @@
 
     fn advance(&mut self, io: &mut Io) {
         let State::Attempting(attempt) = &mut self.state else { return };
-        let progress = attempt.advance();
+        let progress = attempt.advance(io.now());
         if attempt.newly_written() {
             io.tell(Happening::Written);
         }
