--- a/crates/cottonnotch/tests/endings/attempts.rs
+++ b/crates/cottonnotch/tests/endings/attempts.rs
@@ -266,6 +266,17 @@
     assert!(is_refusal(&answer), "{answer}");
 }
 
+// Guards policy.rs `again`: what was turned away once may have run at the next one.
+#[test]
+fn an_unsafe_attempt_that_broke_after_another_was_turned_away_is_a_failure() {
+    let (_proxy, nodes, mut client, at, mut far) = first_attempt(&effect(&patient(), UNSAFE));
+    far.say("BUSY\r\n");
+    nodes[1 - at].called().0.reset();
+    let answer = client.rest().unwrap();
+    assert!(is_failure(&answer), "{answer}");
+    assert!(nodes.iter().all(|node| node.poll().is_none()), "no third attempt");
+}
+
 // Guards call_attempt.rs `advance`: a refused connect never ran.
 #[test]
 fn an_unsafe_attempt_that_could_not_connect_is_tried_elsewhere_and_may_be_refused() {
@@ -294,6 +305,28 @@
     }
 }
 
+// Guards call_attempt.rs `advance`: what comes up when its time is over carries nothing, so that it never ran.
+#[test]
+fn a_connection_that_comes_up_after_its_time_carries_nothing() {
+    // The system tries to connect again after 1 s.
+    for (target, connect) in [("700000", "5000000"), ("30000000", "700000")] {
+        let settings = effect(&patient(), UNSAFE).replace("30000000", target).replace("250000", connect);
+        let (node, queue) = Scripted::full();
+        let proxy = Proxy::managed(&[&node], 1024, &settings);
+        let mut client = open(&proxy);
+        within(PATIENCE, "the attempt is out", || (proxy.figure("in_progress") == Some(1)).then_some(()));
+        proxy.pause();
+        // There is room now, and the system connects while the proxy stands still.
+        queue.iter().for_each(|_| drop(node.accept()));
+        let mut late = node.accept();
+        proxy.wake();
+        assert_eq!(late.rest().unwrap(), "", "{target}, {connect}: no line");
+        let mut far = node.called().0;
+        far.say("UP 2\r\n");
+        assert_eq!(client.hear(), "UP 2\r\n", "{target}, {connect}: it never ran, and may be tried again");
+    }
+}
+
 /// Two zones of two cells each, of two render nodes each.
 fn spread() -> (Vec<Scripted>, Vec<String>) {
     let nodes: Vec<Scripted> = (0..8).map(|_| Scripted::new()).collect();
@@ -311,20 +344,24 @@
 fn a_keyed_repeat_stays_in_its_cell_or_zone_and_then_fails() {
     for (group, size) in [("cell", 2), ("zone", 4)] {
         let keyed = format!(r#""effect":"keyed","group":"{group}","window":60000000"#);
-        let settings = effect(&patient(), &keyed).replace(r#""zones":["a"]"#, r#""zones":["a","b"]"#);
+        let settings = effect(SETTINGS, &keyed).replace(r#""zones":["a"]"#, r#""zones":["a","b"]"#);
         let (nodes, members) = spread();
         let proxy = Proxy::knowing(&members, &settings);
         let mut client = open(&proxy);
-        let mut tried = Vec::new();
-        for _ in 0..3 {
-            let (at, mut far) = called_at(&nodes);
-            far.hear();
-            far.reset();
-            tried.push(at);
-        }
+        // No answer in time, then turned away, then broken.
+        let (first, mut silent) = called_at(&nodes);
+        silent.hear();
+        let (second, mut full) = called_at(&nodes);
+        full.hear();
+        assert_eq!(silent.rest().unwrap(), "", "{group}: given up");
+        full.say("BUSY\r\n");
+        let (third, mut broken) = called_at(&nodes);
+        broken.hear();
+        broken.reset();
         let answer = client.rest().unwrap();
         assert!(is_failure(&answer), "{group}: {answer}");
-        assert!(tried.iter().all(|at| at / size == tried[0] / size), "{group}: {tried:?}");
+        let tried = [first, second, third];
+        assert!(tried.iter().all(|at| at / size == first / size), "{group}: {tried:?}");
         assert!(nodes.iter().all(|node| node.poll().is_none()), "{group}: no fourth attempt");
     }
 }
--- a/crates/cottonnotch/tests/endings/nodes.rs
+++ b/crates/cottonnotch/tests/endings/nodes.rs
@@ -38,7 +38,7 @@
     assert_eq!(client.rest().unwrap_err().kind(), ErrorKind::ConnectionReset);
 }
 
-// Guards line.rs `flush` on the client's side.
+// Guards relay.rs `pass_subchannel`: a client that cannot be written to has broken off, and is told on as that.
 #[test]
 fn a_clients_reset_that_a_line_runs_into_reaches_the_render_node_as_a_reset() {
     let node = Scripted::new();
