Connections: an end in order stays one though writes fail after it

Cause: what was remembered of a failed write took a broken pipe for a reset, though the peer had ended in order before.

Change: a broken pipe is not remembered. Three stories of who comes upon an end first, in the reactor's own tests.

Seen: an_end_stays_an_end_though_writes_fail_after_it read a break where the peer had ended.

--- a/crates/reactor/src/line.rs
+++ b/crates/reactor/src/line.rs
@@ -156,7 +156,10 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break Ok(false),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => {
-                    self.broken = self.broken.or(Some(error.kind()));
+                    // A broken pipe is no news: the peer had ended in order before, or the reset was told already.
+                    if error.kind() != io::ErrorKind::BrokenPipe {
+                        self.broken = Some(error.kind());
+                    }
                     break Err(error);
                 }
             }
--- /dev/null
+++ b/crates/reactor/tests/line.rs
@@ -0,0 +1,110 @@
+//! How a connection ended, whoever came upon it first: a write, a read, or a read after those.
+
+use cottonnotch_reactor::line::{Fill, LineStream};
+use cottonnotch_reactor::{Clock, Connection, Io, Key, Leg, Reactor, Report};
+use std::io::{ErrorKind, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+struct Nothing;
+
+impl Report for Nothing {
+    fn timer(_: u32) -> Self {
+        Nothing
+    }
+}
+
+/// Holds a stream on the loop; these stories read and write by themselves.
+struct Holder(LineStream);
+
+impl Connection for Holder {
+    type Report = Nothing;
+    fn readable(&mut self, _: &mut Io<Nothing>, _: Leg) {}
+    fn writable(&mut self, _: &mut Io<Nothing>, _: Leg) {}
+    fn timer(&mut self, _: &mut Io<Nothing>, _: u32) {}
+    fn done(&self) -> bool {
+        false
+    }
+}
+
+/// Tries again until it finds something; fails the story if it never does.
+fn until<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + Duration::from_secs(10);
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(Instant::now() < end, "waited in vain: {what}");
+    }
+}
+
+/// A stream and its peer, used by a story.
+fn play(story: impl FnOnce(&mut LineStream, TcpStream)) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut reactor = Reactor::<Holder>::new(Clock::unix()).unwrap();
+    let connect = |key: Key, io: &mut Io<Nothing>| {
+        Ok(Box::new(Holder(LineStream::connect(address, io, key, Leg::Near)?)))
+    };
+    let key = reactor.insert(connect).unwrap();
+    let (peer, _) = listener.accept().unwrap();
+    reactor.with(key, |Holder(stream), _| story(stream, peer)).unwrap();
+}
+
+fn reset(peer: &TcpStream) {
+    socket2::SockRef::from(peer).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
+/// Writes until that fails.
+fn broken(stream: &mut LineStream) -> ErrorKind {
+    until("a write that fails", || {
+        stream.push(b"M 1 a\r\n");
+        stream.flush().err().map(|error| error.kind())
+    })
+}
+
+fn kind(fill: Fill) -> Option<ErrorKind> {
+    match fill {
+        Fill::Broken(error) => Some(error.kind()),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_reset_that_was_read_is_read_again() {
+    play(|stream, mut peer| {
+        peer.write_all(b"UP 1\r\n").unwrap();
+        reset(&peer);
+        drop(peer);
+        let first = until("the reset", || kind(stream.fill()));
+        assert_eq!(stream.take_line().unwrap().unwrap(), b"UP 1\r\n");
+        assert_eq!(
+            (first, kind(stream.fill())),
+            (ErrorKind::ConnectionReset, Some(ErrorKind::ConnectionReset))
+        );
+    });
+}
+
+#[test]
+fn a_reset_that_a_write_ran_into_is_read_after_what_came_before_it() {
+    play(|stream, mut peer| {
+        peer.write_all(b"LOAD 2\r\n").unwrap();
+        reset(&peer);
+        drop(peer);
+        assert_eq!(broken(stream), ErrorKind::ConnectionReset);
+        assert_eq!(kind(stream.fill()), Some(ErrorKind::ConnectionReset));
+        assert_eq!(stream.take_line().unwrap().unwrap(), b"LOAD 2\r\n");
+    });
+}
+
+#[test]
+fn an_end_stays_an_end_though_writes_fail_after_it() {
+    play(|stream, mut peer| {
+        peer.write_all(b"BYE\r\n").unwrap();
+        drop(peer);
+        // The peer's system answers what it gets now with a reset.
+        assert_eq!(broken(stream), ErrorKind::BrokenPipe);
+        assert!(matches!(stream.fill(), Fill::Ended));
+        assert_eq!(stream.take_line().unwrap().unwrap(), b"BYE\r\n");
+    });
+}
