Relay: a second answer is dropped though a client's line is unanswered

Cause: relay.rs took any line for the answer to a client's own as soon as one was unanswered, so a second UP or BUSY reached a client that had sent a line at once, and counted as that line's answer.

ERR may answer any line and passes as before.

Seen: a_second_answer_is_dropped_though_a_clients_line_is_unanswered heard 'UP 2' before its own line, each time.

--- a/crates/cottonnotch/src/net/relay.rs
+++ b/crates/cottonnotch/src/net/relay.rs
@@ -38,8 +38,8 @@
 #[derive(Debug)]
 pub struct Relay {
     link: LineStream,
-    /// When each line of the client's that is unanswered was passed on.
-    waiting: VecDeque<Micros>,
+    /// When each line of the client's that is unanswered was passed on, and whether it reads like an answer.
+    waiting: VecDeque<(Micros, bool)>,
     /// What the subchannel's last line makes of an end that follows it.
     farewell: Option<Outcome>,
     client_ended: bool,
@@ -47,6 +47,11 @@
     answers_until: Micros,
 }
 
+/// The first word of a line, its end included or not.
+fn verb(line: &[u8]) -> &[u8] {
+    trim_end(line).split(|b| *b == b' ').next().unwrap_or_default()
+}
+
 impl Relay {
     /// One whose answer has come now.
     pub fn new(link: LineStream, now: Micros) -> Self {
@@ -55,15 +60,19 @@
     }
 
     /// A second answer is no line of the session, and to the client it would be a second final answer. A client's own
-    /// line that looks like one comes back only while it is unanswered.
+    /// line that looks like one comes back only while it is unanswered; an error may be the answer to any line.
     fn is_second_answer(&self, line: &[u8], now: Micros) -> bool {
-        let verb = line.split(|b| *b == b' ').next().unwrap_or_default();
-        now < self.answers_until && self.waiting.is_empty() && matches!(verb, b"UP" | b"BUSY" | b"ERR")
+        now < self.answers_until
+            && match verb(line) {
+                b"UP" | b"BUSY" => !self.waiting.iter().any(|(_, alike)| *alike),
+                b"ERR" => self.waiting.is_empty(),
+                _ => false,
+            }
     }
 
     /// For how long the oldest unanswered line has waited.
     pub fn waiting_for(&self, now: Micros) -> Option<Micros> {
-        self.waiting.front().map(|since| now - since)
+        self.waiting.front().map(|(since, _)| now - since)
     }
 
     /// Passes on what the client sent.
@@ -78,7 +87,7 @@
                     log::trace!("client says '{}'", line.escape_ascii());
                     self.link.push(&line);
                     if self.waiting.len() < MAX_WAITING {
-                        self.waiting.push_back(now);
+                        self.waiting.push_back((now, matches!(verb(&line), b"UP" | b"BUSY")));
                     }
                 }
                 Ok(None) => break,
@@ -171,7 +180,7 @@
             }
             b"BYE" => self.farewell = Some(Outcome::Served),
             b"MOVE" => self.farewell = Some(Outcome::Cancelled),
-            _ => seen.extend(self.waiting.pop_front().map(|since| Seen::Answered(now - since))),
+            _ => seen.extend(self.waiting.pop_front().map(|(since, _)| Seen::Answered(now - since))),
         }
     }
 }
--- a/crates/cottonnotch/tests/endings/attempts.rs
+++ b/crates/cottonnotch/tests/endings/attempts.rs
@@ -173,6 +173,26 @@
     assert_eq!(client.hear(), "LOAD 3\r\n");
 }
 
+// Guards relay.rs `is_second_answer`: no client's line is answered by an answer to its first one.
+#[test]
+fn a_second_answer_is_dropped_though_a_clients_line_is_unanswered() {
+    for second in ["UP 2\r\n", "BUSY 5\r\n"] {
+        let (_proxy, _nodes, mut client, _, mut far) = first_attempt(&patient());
+        far.say("UP 1\r\n");
+        assert_eq!(client.hear(), "UP 1\r\n");
+        client.say("M 1 x\r\n");
+        assert_eq!(far.hear(), "M 1 x\r\n");
+        far.say(&format!("{second}M 1 x\r\n"));
+        assert_eq!(client.hear(), "M 1 x\r\n");
+        // Its own lines come back whatever they say.
+        client.say("M 2 y\r\nBUSY 5\r\nUP 2\r\n");
+        assert_eq!([far.hear(), far.hear(), far.hear()], ["M 2 y\r\n", "BUSY 5\r\n", "UP 2\r\n"]);
+        far.say("M 2 y\r\nBUSY 5\r\nUP 2\r\nBYE\r\n");
+        drop(far);
+        assert_eq!(client.rest().unwrap(), "M 2 y\r\nBUSY 5\r\nUP 2\r\nBYE\r\n");
+    }
+}
+
 // ---- answers that come late ----
 
 // Guards rpc.rs `timer` and `attempt_ended`: an attempt whose time is up is closed, and its number is not reused.
