Endings: a drain told in the moment in which discovery moves

The old discovery's last words and SIGHUP are there at once; they count, and the new one is asked from there. A silent watch and a reset one are told apart by the log.

--- a/crates/cottonnotch/tests/endings/lists.rs
+++ b/crates/cottonnotch/tests/endings/lists.rs
@@ -48,6 +48,7 @@
     is_served(&proxy, &nodes);
     let (mut watch, asked) = proxy.discovery.watched();
     assert!(asked.contains("from=1 "), "{asked}");
+    assert!(proxy.logged("watch on discovery lost").contains("it is silent"));
     watch.say(&chunk(&drain(2, &nodes)));
     assert!(begun.elapsed() < TOLD_AFTER, "{:?}", begun.elapsed());
     is_obeyed(&proxy, &nodes, client);
@@ -73,6 +74,8 @@
     let (proxy, nodes, client, _far) = served();
     let (watch, _) = proxy.discovery.watched();
     watch.say_and_reset(&chunk(&list(4, false, &[])));
+    let lost = proxy.logged("watch on discovery lost");
+    assert!(!lost.contains("silent"), "not only once a beat is missed: {lost}");
     let (mut watch, asked) = proxy.discovery.watched();
     assert!(asked.contains("from=4 "), "{asked}");
     watch.say(&chunk(&drain(5, &nodes)));
@@ -176,6 +179,26 @@
     is_obeyed(&proxy, &nodes, client);
 }
 
+// Guards driver/mod.rs `reload`: the new one is asked from the last revision that the old one told.
+#[test]
+fn what_a_discovery_told_in_the_moment_of_its_move_counts_and_is_not_asked_for_again() {
+    let (old, elsewhere) = (Scripted::new(), Scripted::new());
+    let nodes = [Scripted::new(), Scripted::new()];
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cottonnotch"));
+    command.env("GW_DISCOVERY", old.address().to_string());
+    let proxy = Proxy::by(command, &[&nodes[0]], 1024, SETTINGS);
+    let (client, _far) = proxy.up(&nodes[0]);
+    let (mut watch, _) = old.watched();
+    let (here, there) = (proxy.discovery.address().to_string(), elsewhere.address().to_string());
+    proxy.pause();
+    watch.say(&chunk(&drain(9, &nodes)));
+    proxy.reconfigure(&[(&here, &there)]);
+    proxy.wake();
+    let (_watch, asked) = elsewhere.watched();
+    assert!(asked.contains("from=9 "), "{asked}");
+    is_obeyed(&proxy, &nodes, client);
+}
+
 // Guards resolver.rs `take`: every text that is whole is taken, in order.
 #[test]
 fn two_lists_in_one_write_are_both_taken_in_order() {
