Settings: a connection is not waited for until a drain is due to be obeyed

Cause: a connection that comes up late carries its line whatever lists have told meanwhile; with a connect time of a second or more, that is later than sends to what drains must have ended.

Change: a connection is waited for at most nine tenths of rules.stopSendingWithin.

Seen: a_connection_that_is_still_being_made_at_a_drain_is_given_up waited in vain for the attempt elsewhere.

--- a/crates/cottonnotch/tests/endings/lists.rs
+++ b/crates/cottonnotch/tests/endings/lists.rs
@@ -155,6 +155,26 @@
     is_obeyed(&proxy, &nodes, client);
 }
 
+// Guards settings.rs `read`: no connection is waited for so long that its line came too late after a drain.
+#[test]
+fn a_connection_that_is_still_being_made_at_a_drain_is_given_up() {
+    let settings = SETTINGS
+        .replace("250000", "60000000")
+        .replace(r#""target":300000,"deadline":2000000"#, r#""target":60000000,"deadline":180000000"#);
+    let ((full, queue), other) = (Scripted::full(), Scripted::new());
+    let nodes = [full, other];
+    let proxy = Proxy::managed(&[&nodes[0]], 1024, &settings);
+    let mut client = proxy.connect();
+    client.say(&fresh(OPEN).replace("d=2000", "d=180000"));
+    within(PATIENCE, "the attempt is out", || (proxy.figure("in_progress") == Some(1)).then_some(()));
+    let (mut watch, _) = proxy.discovery.watched();
+    watch.say(&chunk(&drain(2, &nodes)));
+    nodes[1].called().0.say("UP 2\r\n");
+    assert_eq!(client.hear(), "UP 2\r\n");
+    let there = std::iter::from_fn(|| nodes[0].poll()).count();
+    assert_eq!(there, queue.len(), "none but those that filled it");
+}
+
 // Guards subchannels.rs `watch` and `is_watch`: the old call is closed, and what it said later is not heard.
 #[test]
 fn the_late_answer_of_a_discovery_that_has_moved_does_not_count() {
--- a/crates/decision/src/settings.rs
+++ b/crates/decision/src/settings.rs
@@ -221,6 +221,8 @@
         move_price: pairs.figure("prices.moves", 0.0)?,
     };
     let connect_timeout = pairs.time("policyLimits.connectTimeout", 250_000)?;
+    // A drain may be told while a connection is being made, and a line must not be written there later than this.
+    let connect_timeout = connect_timeout.min(pairs.time("rules.stopSendingWithin", 1_000_000)? / 10 * 9);
     let tells_delay = pairs.flag("familyInfo.tellsDelay");
     let withdrawn = BTreeSet::new();
     Ok(Profile { settings, classes, withdrawn, tenants, zones, connect_timeout, tells_delay })
