--- a/crates/cottonnotch/tests/endings/attempts.rs
+++ b/crates/cottonnotch/tests/endings/attempts.rs
@@ -240,9 +240,14 @@
 // Guards interface.rs `Effect::may_repeat` and `may_refuse`: where an attempt may have run, an unsafe class fails.
 #[test]
 fn an_unsafe_attempt_that_broke_after_its_last_byte_is_a_failure_and_tried_nowhere_else() {
-    for (words, reset) in
-        [("", true), ("", false), ("UP 1", false), ("ERR no\r\n", false), ("what\r\n", false)]
-    {
+    for (words, reset) in [
+        ("", true),
+        ("", false),
+        ("UP 1", false),
+        ("ERR no\r\n", false),
+        ("MOVE\r\n", false),
+        ("what\r\n", false),
+    ] {
         let (_proxy, nodes, mut client, at, mut far) = first_attempt(&effect(&patient(), UNSAFE));
         match reset {
             true => far.say_and_reset(words),
