--- a/crates/cottonnotch/src/net/call_attempt.rs
+++ b/crates/cottonnotch/src/net/call_attempt.rs
@@ -90,12 +90,12 @@
 
     /// Goes on as far as the socket allows.
     pub fn advance(&mut self, now: Micros) -> Progress {
+        // It came up and its time was up in one turn, of which readiness is told first: given up is given up, and a line
+        // that is not written can't run.
+        if let Some(outcome) = self.overdue(now).filter(|_| !self.is_written()) {
+            return Progress::Ended(outcome);
+        }
         if self.phase == Phase::Connecting {
-            // It came up and its time was up in one turn, of which readiness is told first: given up is given up, and
-            // a line that is not written can't run.
-            if let Some(outcome) = self.overdue(now) {
-                return Progress::Ended(outcome);
-            }
             match self.link.connected() {
                 Ok(true) => self.phase = Phase::Writing,
                 Ok(false) => return Progress::Pending,
