--- /dev/null
+++ b/crates/cottonnotch/tests/endings/late_connections.rs
@@ -0,0 +1,59 @@
+//! Connections to render nodes that come up after their attempt was given up: these attempts never ran.
+
+use crate::peers::crowded::Crowded;
+use crate::peers::*;
+
+/// Tries that are ended by nothing but what the story does.
+fn patient(settings: &str) -> String {
+    settings
+        .replace(r#""connectTimeout":250000"#, r#""connectTimeout":30000000"#)
+        .replace(r#""target":300000"#, r#""target":30000000"#)
+}
+
+/// What was there before has been read once the proxy answers, and what comes of it done once it answers again: an answer may
+/// be written in the turn in which the rest is only read.
+fn taken(proxy: &Proxy) {
+    let mut front = proxy.connect();
+    for _ in 0..2 {
+        front.say("PING\r\n");
+        assert_eq!(front.hear(), "PONG\r\n");
+    }
+}
+
+/// The repeat was sent within its window, but came up after it, and would have had an effect of its own.
+#[test]
+fn a_repeat_that_comes_up_after_its_window_gets_no_line() {
+    let (first, crowded) = (Scripted::new(), Crowded::new());
+    let keyed = r#""effect":"keyed","group":"all","window":600000"#;
+    let proxy = Proxy::with(&[&first], 1024, &patient(SETTINGS).replace(r#""effect":"safe""#, keyed));
+    let (mut watch, _) = proxy.discovery.watched();
+    let mut client = proxy.connect();
+    client.say(&fresh(OPEN).replace("d=2000", "d=20000"));
+    let far = first.called().0;
+    watch.say(&chunk(&list(2, false, &[member("s1", crowded.node(), "up")])));
+    taken(&proxy);
+    far.reset();
+    // The repeat is out by now, and the system tries again a second after the first time.
+    taken(&proxy);
+    let mut late = crowded.accept();
+    assert_eq!(late.hear(), "", "the window was over when it came up");
+    assert!(client.rest().unwrap().starts_with("BUSY"), "all of them drop repeats, so it may be refused");
+}
+
+/// It went on connecting, and its line would have come after the drain was told.
+#[test]
+fn an_attempt_that_still_connects_is_called_off_when_its_render_node_drains() {
+    for phase in ["draining", "removed"] {
+        let (crowded, other) = (Crowded::new(), Scripted::new());
+        let proxy = Proxy::with(&[crowded.node()], 1024, &patient(SETTINGS));
+        let (mut watch, _) = proxy.discovery.watched();
+        let mut client = proxy.connect();
+        client.say(&fresh(OPEN).replace("d=2000", "d=20000"));
+        taken(&proxy);
+        let members = [member("s0", crowded.node(), phase), member("s1", &other, "up")];
+        watch.say(&chunk(&list(2, false, &members)));
+        let (mut far, _) = other.called();
+        far.say("UP 1\r\n");
+        assert_eq!(client.hear(), "UP 1\r\n", "{phase}");
+    }
+}
