Shutdown: clients that rest are told before the process ends, and what they say then is sent nowhere

Driver::round abandoned the calls it knew of, and a client in State::Reading is none; its line, read or not, went with the process.

In each round of the end, Front::go_away looks once more for a line, says BUSY, ends our sending and reads on; whoever asked by PING gets the end alone. Taking the last look for room (dismiss) is the same step now, with the close behind it. Without the fix: left "", right "BUSY".

--- a/crates/cottonnotch/src/net/driver/arrivals.rs
+++ b/crates/cottonnotch/src/net/driver/arrivals.rs
@@ -170,6 +170,15 @@
         self.make_room(net, rpcs, Wanted::Call)
     }
 
+    /// The proxy goes away: clients that rest are told, or a line that comes when the process has ended would be lost.
+    pub fn go_away(&mut self, net: &mut Net) {
+        for (_, key) in self.arrived.drain(..) {
+            if net.with_front(key, |front, io| front.go_away(io, 0)) == Some(true) {
+                net.records.turned_away(|| "the proxy leaves, and it had said nothing".into());
+            }
+        }
+    }
+
     /// Guards against clients that connect by hundreds and say nothing, or stay when they were answered: they
     /// would hold the descriptors of others.
     fn make_room(&mut self, net: &mut Net, rpcs: usize, wanted: Wanted) -> bool {
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -375,6 +375,7 @@
             // In each round up to the end: clients may still come.
             self.tell(Some(Event::Leaving));
             self.clients.abandon(&mut self.net, &mut self.messages);
+            self.arrivals.go_away(&mut self.net);
         }
     }
 
--- a/crates/cottonnotch/src/net/happening.rs
+++ b/crates/cottonnotch/src/net/happening.rs
@@ -140,8 +140,10 @@
     fn fail(&mut self, io: &mut Io, why: &dyn Display) -> bool;
     /// Ends a connection that is up politely; the client comes again. False if it is not up.
     fn move_away(&mut self, io: &mut Io) -> bool;
-    /// Room is needed: a client that has not said what it wants, or that was answered, is let go. True if it had to be
-    /// told so.
+    /// The proxy goes away: a client that has not said what it wants is told to ask elsewhere. What it sends then is read
+    /// and sent nowhere. True if it was told.
+    fn go_away(&mut self, io: &mut Io, retry_after: Micros) -> bool;
+    /// Room is needed: as [`Self::go_away`], and it is let go at once, as is one that was answered before.
     fn dismiss(&mut self, io: &mut Io, retry_after: Micros) -> bool;
     /// For how long the oldest unanswered line of the client's has waited.
     fn waiting_for(&self, now: Micros) -> Option<Micros>;
--- a/crates/cottonnotch/src/net/rpc.rs
+++ b/crates/cottonnotch/src/net/rpc.rs
@@ -431,7 +431,7 @@
         up
     }
 
-    fn dismiss(&mut self, io: &mut Io, retry_after: Micros) -> bool {
+    fn go_away(&mut self, io: &mut Io, retry_after: Micros) -> bool {
         if let State::Reading { .. } = self.state {
             // A usual client's line may be there already and only not read yet.
             self.first_line(io);
@@ -439,11 +439,16 @@
         let told = matches!(self.state, State::Reading { pinged: false, .. });
         match self.state {
             State::Reading { pinged: false, .. } => self.answer(io, &busy(retry_after)),
-            // It has had its PONG, and would take a BUSY for another one's. Guards against those that ask once
-            // and stay: by hundreds, they kept every other client from being accepted.
+            // It has had its PONG, and would take a BUSY for another one's.
             State::Reading { pinged: true, .. } => self.end_client(io),
             _ => {}
         }
+        told
+    }
+
+    fn dismiss(&mut self, io: &mut Io, retry_after: Micros) -> bool {
+        let told = self.go_away(io, retry_after);
+        // Guards against those that ask by PING and stay, too: by hundreds, they kept every other client from being accepted.
         if let State::Answered { .. } = self.state {
             // A close over unread bytes resets the connection, and takes the word that was just written with it.
             self.client.discard();
--- a/crates/cottonnotch/tests/endings/last_answers.rs
+++ b/crates/cottonnotch/tests/endings/last_answers.rs
@@ -36,3 +36,29 @@
     assert!(node.poll().is_none(), "nothing is sent on any more");
     assert!(proxy.exited().success());
 }
+
+/// They were told nothing, and what they asked in that moment was lost with the process.
+#[test]
+fn clients_that_rest_until_the_proxys_end_are_told_and_sent_nowhere() {
+    let node = Scripted::new();
+    // The shutdown ends before those that rest have rested too long.
+    let settings = SETTINGS.replace(r#""deadline":2000000"#, r#""deadline":300000"#);
+    let mut proxy = Proxy::with(&[&node], 1024, &settings);
+    let (mut silent, mut half, mut late) = (proxy.connect(), proxy.connect(), proxy.connect());
+    let mut asking = proxy.connect();
+    asking.say("PING\r\n");
+    assert_eq!(asking.hear(), "PONG\r\n");
+    let line = fresh(OPEN);
+    half.say(&line[..20]);
+    proxy.terminate();
+    assert_eq!(silent.rest().unwrap(), "BUSY\r\n");
+    // Each says its line, or the rest of it, once it could have read that.
+    assert_eq!(half.hear(), "BUSY\r\n");
+    half.say(&line[20..]);
+    assert_eq!(late.hear(), "BUSY\r\n");
+    late.say(&fresh(OPEN));
+    assert_eq!((half.rest().unwrap(), late.rest().unwrap()), (String::new(), String::new()), "no reset");
+    assert_eq!(asking.rest().unwrap(), "", "the front asks elsewhere");
+    assert!(proxy.exited().success());
+    assert!(node.poll().is_none(), "what was read after the last word is sent nowhere");
+}
