Endings: clients that leave while held, while attempts are out, in the instant of an answer

Cause: what is settled when clients leave was shown for one client at a time, and not in the instants in which two things come at once.

Change: tests/endings/clients.rs, seven stories. Also a render node whose queue is full, and a wait until something lies unread.

Each story fails when its line is broken. Clients::left without the module being told: the first two, and "waited in vain: an attempt". Relay::pass_client without link.reset() at Fill::Broken: the unread line's story, whose render node saw a plain end.

--- a/crates/cottonnotch/tests/endings/clients.rs
+++ b/crates/cottonnotch/tests/endings/clients.rs
@@ -1,1 +1,223 @@
 //! Clients that leave, end their sending, or send too much, while something is owed to them.
+
+use super::peers::*;
+use std::io::ErrorKind;
+use std::time::Duration;
+
+/// Attempts and clients have time enough: nothing in these stories ends because its time is up.
+fn patient() -> String {
+    let settings = SETTINGS.replace("\"target\":300000", "\"target\":8000000");
+    settings.replace("\"connectTimeout\":250000", "\"connectTimeout\":8000000")
+}
+
+fn line() -> String {
+    fresh(OPEN).replace("d=2000", "d=20000")
+}
+
+/// A client that has asked, and its line's id.
+fn asks(proxy: &Proxy) -> (Peer, u64) {
+    let (mut client, line) = (proxy.connect(), line());
+    client.say(&line);
+    (client, id_of(&line))
+}
+
+fn in_progress(proxy: &Proxy, count: u64) {
+    within(PATIENCE, "so many in progress", || (proxy.figure("in_progress") == Some(count)).then_some(()));
+}
+
+/// A sound client is served, and its line is the first that has come to any of these nodes: nothing was sent before it.
+fn first_to_come(proxy: &Proxy, nodes: &[Scripted]) -> (Peer, Peer) {
+    let (mut client, id) = asks(proxy);
+    let (_, mut far) = called_at(nodes);
+    assert_eq!(id_of(&far.hear()), id, "nothing was sent for those that left");
+    far.say("UP 1\r\n");
+    assert_eq!(client.hear(), "UP 1\r\n");
+    (client, far)
+}
+
+type Leave = fn(Peer);
+
+const LEAVINGS: [(&str, Leave); 4] = [
+    ("an end", |client| drop(client)),
+    ("a reset", |client| client.reset()),
+    ("bytes and an end", |mut client| client.say("M 1 a\r\nM 2")),
+    ("bytes and a reset", |mut client| {
+        client.say("M 1 a\r\nM 2");
+        client.reset();
+    }),
+];
+
+#[test]
+fn five_hundred_held_clients_leave_at_once_and_nothing_is_sent_for_them() {
+    let nodes = [Scripted::new()];
+    let proxy = Proxy::managed(&[&nodes[0]], 4096, &patient());
+    let mut largest = Duration::ZERO;
+    for (how, leave) in LEAVINGS {
+        assert_eq!(proxy.call("POST", "/maintenance/enter", "s0").0, 200);
+        let clients: Vec<Peer> = (0..500).map(|_| asks(&proxy).0).collect();
+        in_progress(&proxy, 500);
+        proxy.freeze();
+        clients.into_iter().for_each(leave);
+        let left = proxy.thaw();
+        in_progress(&proxy, 0);
+        let took = left.elapsed();
+        println!("500 held clients left by {how}: none in progress after {} ms", took.as_millis());
+        largest = largest.max(took);
+        assert_eq!(proxy.call("POST", "/maintenance/exit", "s0").0, 200);
+        first_to_come(&proxy, &nodes);
+        in_progress(&proxy, 0);
+    }
+    assert!(nodes[0].poll().is_none());
+    assert_eq!(proxy.figure("handled.look.passed"), Some(4));
+    assert!(largest < Duration::from_millis(300), "{largest:?}");
+}
+
+#[test]
+fn held_clients_that_leave_in_the_instant_in_which_they_might_be_sent_on_are_not() {
+    let nodes = [Scripted::new()];
+    let proxy = Proxy::managed(&[&nodes[0]], 4096, &patient());
+    for (_, leave) in LEAVINGS {
+        for call_first in [true, false] {
+            assert_eq!(proxy.call("POST", "/maintenance/enter", "s0").0, 200);
+            let clients: Vec<Peer> = (0..100).map(|_| asks(&proxy).0).collect();
+            let mut operator = Peer::new(std::net::TcpStream::connect(proxy.mgmt()).unwrap());
+            operator.say("POST /maintenance/exit HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\ns");
+            in_progress(&proxy, 100);
+            proxy.freeze();
+            if call_first {
+                operator.say("0");
+                clients.into_iter().for_each(leave);
+            } else {
+                clients.into_iter().for_each(leave);
+                operator.say("0");
+            }
+            proxy.thaw();
+            assert_eq!(operator.answer().0, 200);
+            in_progress(&proxy, 0);
+            first_to_come(&proxy, &nodes);
+            in_progress(&proxy, 0);
+        }
+    }
+    assert!(nodes[0].poll().is_none());
+    assert_eq!(proxy.figure("skipped_render_nodes"), Some(0));
+}
+
+#[test]
+fn clients_that_leave_while_their_attempts_are_out_end_them_at_once() {
+    let nodes = [Scripted::new()];
+    let proxy = Proxy::managed(&[&nodes[0]], 1024, &patient());
+    for (_, leave) in LEAVINGS {
+        let pairs: Vec<(Peer, Peer)> = (0..50).map(|_| (asks(&proxy).0, nodes[0].called().0)).collect();
+        let (clients, fars): (Vec<Peer>, Vec<Peer>) = pairs.into_iter().unzip();
+        proxy.freeze();
+        clients.into_iter().for_each(leave);
+        let left = proxy.thaw();
+        for mut far in fars {
+            assert_eq!(far.rest().unwrap(), "", "its connection is closed, and nothing more is said on it");
+        }
+        assert!(left.elapsed() < Duration::from_secs(1), "not by a time-out: {:?}", left.elapsed());
+        in_progress(&proxy, 0);
+    }
+    assert!(nodes[0].poll().is_none());
+    assert_eq!(proxy.figure("skipped_render_nodes"), Some(0));
+}
+
+/// In one instant the client leaves and its render node answers; whichever is first, nothing more is sent for it.
+#[test]
+fn a_client_that_leaves_in_the_instant_of_its_answer_is_sent_nowhere_else() {
+    let nodes = [Scripted::new(), Scripted::new()];
+    let proxy = Proxy::managed(&[&nodes[0], &nodes[1]], 1024, &patient());
+    let mut up = 0;
+    for (_, leave) in [LEAVINGS[0], LEAVINGS[1]] {
+        for (answer, answer_first) in
+            [("UP 1\r\n", true), ("UP 1\r\n", false), ("BUSY\r\n", true), ("BUSY\r\n", false)]
+        {
+            let client = asks(&proxy).0;
+            let (_, mut far) = called_at(&nodes);
+            far.hear();
+            proxy.freeze();
+            if answer_first {
+                far.say(answer);
+                leave(client);
+            } else {
+                leave(client);
+                far.say(answer);
+            }
+            proxy.thaw();
+            match far.rest() {
+                Ok(more) => assert_eq!(more, ""),
+                // The client's was one, or the answer was not read any more.
+                Err(error) => assert_eq!(error.kind(), ErrorKind::ConnectionReset),
+            }
+            drop(far);
+            in_progress(&proxy, 0);
+            up += u64::from(answer_first && answer.starts_with("UP"));
+            assert_eq!(
+                proxy.figure("handled.look.passed").unwrap_or(0),
+                up,
+                "{answer:?}, first: {answer_first}"
+            );
+            first_to_come(&proxy, &nodes);
+            in_progress(&proxy, 0);
+            up += 1;
+        }
+    }
+    assert!(nodes.iter().all(|node| node.poll().is_none()));
+}
+
+/// The render node's queue is full, so that the attempt doesn't come up. A SYN that was dropped is sent again after a
+/// second: if the attempt of the client that left went on, it would come before that of the one that asked later.
+#[test]
+fn a_client_that_leaves_before_its_attempt_is_up_takes_the_attempt_with_it() {
+    for (_, leave) in [LEAVINGS[0], LEAVINGS[1]] {
+        let (node, inside) = Scripted::full();
+        let proxy = Proxy::managed(&[&node], 1024, &patient());
+        let gone = asks(&proxy).0;
+        in_progress(&proxy, 1);
+        leave(gone);
+        in_progress(&proxy, 0);
+        let (mut client, id) = asks(&proxy);
+        in_progress(&proxy, 1);
+        inside.iter().for_each(|_| drop(node.accept()));
+        let (mut far, line) = node.called();
+        assert_eq!(id_of(&line), id, "the one that is still there");
+        far.say("UP 1\r\n");
+        assert_eq!(client.hear(), "UP 1\r\n");
+        assert!(node.poll().is_none());
+    }
+}
+
+#[test]
+fn clients_whose_end_comes_with_their_line_are_sent_nowhere() {
+    let nodes = [Scripted::new()];
+    let proxy = Proxy::managed(&[&nodes[0]], 4096, &patient());
+    for (_, leave) in LEAVINGS {
+        proxy.freeze();
+        (0..200).for_each(|_| leave(asks(&proxy).0));
+        let (mut client, id) = asks(&proxy);
+        proxy.thaw();
+        let (mut far, line) = nodes[0].called();
+        assert_eq!(id_of(&line), id, "nothing was sent for those that left");
+        far.say("UP 1\r\n");
+        assert_eq!(client.hear(), "UP 1\r\n");
+        drop((client, far));
+        in_progress(&proxy, 0);
+    }
+    assert!(nodes[0].poll().is_none());
+    assert_eq!(proxy.figure("skipped_render_nodes"), Some(0));
+}
+
+/// It is up, and a line has come that it doesn't read: closing over that is a reset, and passes as one.
+#[test]
+fn a_client_that_closes_over_an_unread_line_ends_its_render_nodes_side_by_a_reset() {
+    let node = Scripted::new();
+    let proxy = Proxy::managed(&[&node], 1024, &patient());
+    let (mut client, mut far) = proxy.up(&node);
+    client.say("M 1 a\r\n");
+    assert_eq!(far.hear(), "M 1 a\r\n");
+    far.say("M 1 a\r\nM 2");
+    client.leave_unread();
+    drop(client);
+    assert_eq!(far.rest().unwrap_err().kind(), ErrorKind::ConnectionReset);
+    in_progress(&proxy, 0);
+}
--- a/crates/cottonnotch/tests/peers/mod.rs
+++ b/crates/cottonnotch/tests/peers/mod.rs
@@ -2,6 +2,7 @@
 //! Ports are ephemeral and every wait is bounded.
 #![allow(dead_code, reason = "each file of stories uses its part")]
 
+use std::collections::{HashMap, HashSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -58,6 +59,11 @@
         line
     }
 
+    /// Waits until something has come, and leaves it unread.
+    pub fn leave_unread(&self) {
+        assert_eq!(self.0.get_ref().peek(&mut [0]).expect("something in time"), 1);
+    }
+
     /// What is left, up to the end; the error if it ends in a reset.
     pub fn rest(&mut self) -> std::io::Result<String> {
         let mut text = String::new();
@@ -76,6 +82,12 @@
         socket2::SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
     }
 
+    /// So much may be sent at once though nobody reads it.
+    pub fn roomy(self, bytes: usize) -> Self {
+        socket2::SockRef::from(self.0.get_ref()).set_send_buffer_size(bytes).unwrap();
+        self
+    }
+
     /// Ends only the sending.
     pub fn finish(&self) {
         self.0.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
@@ -92,6 +104,20 @@
         Scripted(listener, None)
     }
 
+    /// One whose queue is full: who connects now doesn't come up before it has accepted those that are in it, which are
+    /// returned.
+    pub fn full() -> (Self, Vec<TcpStream>) {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        socket.set_nonblocking(true).unwrap();
+        let node = Scripted(socket.into(), None);
+        let one_more = || TcpStream::connect_timeout(&node.address(), Duration::from_millis(200)).ok();
+        let inside: Vec<TcpStream> = std::iter::from_fn(one_more).collect();
+        assert!(!inside.is_empty());
+        (node, inside)
+    }
+
     /// Stands for one that serves at this address.
     pub fn alias(address: SocketAddr) -> Self {
         Scripted(Scripted::new().0, Some(address))
@@ -196,6 +222,29 @@
     rest.split(['"', ' ']).next().unwrap().parse().unwrap()
 }
 
+/// All that peers have sent to a process has arrived, also at those of its doors. The system delivers a packet later where
+/// it is busy, and one that was sent after it may be there sooner.
+fn has_arrived(process: u32, doors: &[SocketAddr]) -> bool {
+    let folder = std::fs::read_dir(format!("/proc/{process}/fd")).unwrap();
+    let links = folder.filter_map(|entry| std::fs::read_link(entry.ok()?.path()).ok());
+    let own: HashSet<String> = links
+        .filter_map(|link| Some(link.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?.to_owned()))
+        .collect();
+    // Address and port are in hexadecimal, states by their numbers.
+    const ESTABLISHED: &str = "01";
+    const UNDER_WAY: [&str; 4] = ["03", "04", "09", "0B"];
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let rows: Vec<Vec<&str>> = table.lines().skip(1).map(|line| line.split_whitespace().collect()).collect();
+    let by_ends: HashMap<(&str, &str), &Vec<&str>> = rows.iter().map(|row| ((row[1], row[2]), row)).collect();
+    let at_door = |end: &str| doors.iter().any(|door| end.ends_with(&format!(":{:04X}", door.port())));
+    let is_there = |row: &Vec<&str>| match by_ends.get(&(row[2], row[1])) {
+        None => row[3] != ESTABLISHED,
+        Some(far) => !UNDER_WAY.contains(&far[3]) && far[4].starts_with("00000000:"),
+    };
+    let ours = |row: &&Vec<&str>| own.contains(row[9]) || at_door(row[1]) || at_door(row[2]);
+    rows.iter().filter(ours).all(is_there)
+}
+
 /// An operator's call of any proxy's: the status code, and the body.
 pub fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
     let mut caller = Peer::new(TcpStream::connect(address).unwrap());
@@ -453,6 +502,27 @@
         self.signal("-HUP");
     }
 
+    /// Stops the process: whatever its peers do until [`Self::thaw`] is all there at once when it goes on.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+        let state = || std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        within(PATIENCE, "the proxy to stop", || state().contains(") T ").then_some(()));
+    }
+
+    /// The process goes on, once all that was sent to it is there; since when.
+    pub fn thaw(&self) -> Instant {
+        let doors: Vec<SocketAddr> = [Some(self.address), self.mgmt].into_iter().flatten().collect();
+        within(PATIENCE, "bytes and ends to arrive", || has_arrived(self.child.id(), &doors).then_some(()));
+        let since = Instant::now();
+        self.go_on();
+        since
+    }
+
+    /// The process goes on, whatever is still on its way.
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
     fn signal(&self, signal: &str) {
         let killed = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(killed.unwrap().success());
