Endings: floods of clients, and descriptors at their limit while answers are owed

Cause: floods and the limit were shown for clients that are owed nothing, or one by one.

Change: tests/endings/floods.rs. 200 clients send 100 KB and go, sound ones among them; 1,000 come again at once while one is served; 60 come at once where the system gives 40 descriptors: held ones have them all, or attempts lack them.

Seen: every client has its one answer, no render node is blamed, and sound clients are served afterwards.

--- /dev/null
+++ b/crates/cottonnotch/tests/endings/floods.rs
@@ -0,0 +1,159 @@
+//! Floods of clients, and descriptors at their limit, while answers are owed.
+
+use super::peers::*;
+use std::collections::BTreeSet;
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// What the system can't take at once waits at the client; a client that goes leaves it to the system, or drops it.
+const MUCH: usize = 100_000;
+
+#[test]
+fn clients_that_send_much_at_once_and_go_keep_no_sound_one_out() {
+    let node = Scripted::new();
+    let settings = SETTINGS.replace("\"target\":300000", "\"target\":8000000");
+    let proxy = Proxy::managed(&[&node], 4096, &settings);
+    let kinds: [fn() -> String; 4] = [
+        || "x".repeat(MUCH),
+        || fresh(OPEN) + &"x".repeat(MUCH),
+        || (0..MUCH / OPEN.len()).map(|_| fresh(OPEN)).collect(),
+        || "PING\r\n".repeat(MUCH / 6) + &fresh(OPEN).repeat(2),
+    ];
+    proxy.freeze();
+    let mut sound = Vec::new();
+    for kind in kinds {
+        for leave in [|client: Peer| drop(client), |client: Peer| client.reset()] {
+            for _ in 0..25 {
+                let mut client = proxy.connect().roomy(4 * MUCH);
+                client.say(&kind());
+                leave(client);
+            }
+            let (mut client, line) = (proxy.connect(), fresh(OPEN).replace("d=2000", "d=20000"));
+            client.say(&line);
+            sound.push((client, id_of(&line)));
+        }
+    }
+    proxy.go_on();
+    let asked: BTreeSet<u64> = sound.iter().map(|(_, id)| *id).collect();
+    let mut came: Vec<(Peer, u64)> = (0..sound.len())
+        .map(|_| {
+            let (far, line) = node.called();
+            (far, id_of(&line))
+        })
+        .collect();
+    assert_eq!(
+        came.iter().map(|(_, id)| *id).collect::<BTreeSet<u64>>(),
+        asked,
+        "each once, and nobody else"
+    );
+    for (far, _) in &mut came {
+        far.say("UP 1\r\n");
+    }
+    for (client, _) in &mut sound {
+        assert_eq!(client.hear(), "UP 1\r\n");
+    }
+    within(PATIENCE, "the flood to be over", || {
+        (proxy.figure("in_progress")? == asked.len() as u64).then_some(())
+    });
+    assert!(node.poll().is_none());
+    assert_eq!(proxy.figure("skipped_render_nodes"), Some(0));
+}
+
+#[test]
+fn clients_that_come_again_at_once_by_the_thousand_are_each_answered_once() {
+    const CROWD: usize = 40;
+    const ROUNDS: usize = 25;
+    let node = Scripted::new();
+    let proxy = Proxy::managed(&[&node], 4096, SETTINGS);
+    let (mut client, mut far) = proxy.up(&node);
+    // Too little time is left for any attempt, so each is refused at once.
+    let line = OPEN.replace("d=2000", "d=50");
+    let (address, is_over) = (proxy.address(), AtomicBool::new(false));
+    let answers: Vec<String> = std::thread::scope(|scope| {
+        let again = || -> Vec<String> {
+            let once = || {
+                let mut client = Peer::new(TcpStream::connect(address).unwrap());
+                client.say(&fresh(&line));
+                client.rest().unwrap()
+            };
+            (0..ROUNDS).map(|_| once()).collect()
+        };
+        let crowd: Vec<_> = (0..CROWD).map(|_| scope.spawn(again)).collect();
+        let served = scope.spawn(|| {
+            let mut lines = 0;
+            while !is_over.load(Ordering::Relaxed) || lines < 100 {
+                client.say("M 1 x\r\n");
+                assert_eq!(far.hear(), "M 1 x\r\n");
+                far.say("M 1 x\r\n");
+                assert_eq!(client.hear(), "M 1 x\r\n");
+                lines += 1;
+            }
+        });
+        let answers: Vec<_> = crowd.into_iter().map(|one| one.join()).collect();
+        is_over.store(true, Ordering::Relaxed);
+        served.join().unwrap();
+        answers.into_iter().flat_map(|one| one.unwrap()).collect()
+    });
+    assert_eq!(answers.len(), CROWD * ROUNDS);
+    let is_refusal = |answer: &String| answer.starts_with("BUSY") && answer.lines().count() == 1;
+    assert!(answers.iter().all(is_refusal), "{:?}", answers.iter().find(|answer| !is_refusal(answer)));
+    within(PATIENCE, "the one that is up", || (proxy.figure("in_progress")? == 1).then_some(()));
+    assert!(node.poll().is_none(), "none was sent on");
+    proxy.up(&node);
+}
+
+/// Held clients have all descriptors; what comes meanwhile waits in the queue, and is answered in its turn.
+#[test]
+fn with_all_descriptors_held_by_clients_that_are_owed_an_answer_each_gets_its_one() {
+    let node = Scripted::new();
+    let proxy = Proxy::managed_by(short_of_descriptors(40), &[&node], 1024, SETTINGS);
+    assert_eq!(proxy.call("POST", "/maintenance/enter", "s0").0, 200);
+    proxy.freeze();
+    let asks = |_| {
+        let mut client = proxy.connect();
+        client.say(&fresh(OPEN).replace("d=2000", "d=1300"));
+        client
+    };
+    let crowd: Vec<Peer> = (0..60).map(asks).collect();
+    proxy.thaw();
+    proxy.logged("cannot accept");
+    for mut client in crowd {
+        let answer = client.rest().unwrap();
+        assert!(answer.starts_with("BUSY ") && answer.lines().count() == 1, "{answer:?}");
+    }
+    assert!(node.poll().is_none());
+    assert_eq!(proxy.call("POST", "/maintenance/exit", "s0").0, 200);
+    proxy.up(&node);
+}
+
+/// Clients have all descriptors, and attempts can't begin: whoever can't be placed is refused, the others are served.
+#[test]
+fn without_descriptors_for_attempts_clients_are_refused_and_the_rest_is_served() {
+    let node = Scripted::new();
+    let proxy = Proxy::managed_by(short_of_descriptors(40), &[&node], 1024, SETTINGS);
+    proxy.freeze();
+    let crowd: Vec<Peer> = (0..60).map(|_| proxy.open()).collect();
+    proxy.thaw();
+    proxy.logged("could not begin");
+    let is_over = AtomicBool::new(false);
+    let (up, refused) = std::thread::scope(|scope| {
+        scope.spawn(|| {
+            while !is_over.load(Ordering::Relaxed) {
+                let Some(mut far) = node.poll() else { continue };
+                assert!(far.hear().starts_with("OPEN "));
+                far.say("UP 1\r\nBYE\r\n");
+            }
+        });
+        let answers: std::io::Result<Vec<String>> =
+            crowd.into_iter().map(|mut client| client.rest()).collect();
+        is_over.store(true, Ordering::Relaxed);
+        let answers = answers.unwrap();
+        let up = answers.iter().filter(|answer| *answer == "UP 1\r\nBYE\r\n").count();
+        (up, answers.iter().filter(|answer| answer.starts_with("BUSY")).count())
+    });
+    assert_eq!(up + refused, 60, "{up} up, {refused} refused");
+    assert!(refused > 0);
+    within(PATIENCE, "nobody left", || (proxy.figure("in_progress")? == 0).then_some(()));
+    assert_eq!(proxy.figure("skipped_render_nodes"), Some(0), "the render node is not to blame");
+    proxy.up(&node);
+}
--- a/crates/cottonnotch/tests/endings/main.rs
+++ b/crates/cottonnotch/tests/endings/main.rs
@@ -3,6 +3,7 @@
 
 mod attempts;
 mod clients;
+mod floods;
 mod lists;
 mod nodes;
 #[path = "../peers/mod.rs"]
