Endings: what is owed at SIGTERM, and what comes in the instant of a word or a MOVE

Cause: a shutdown was shown with clients that are up and rest; not with attempts out, lines half through, clients on their way in, or bytes under way.

Change: tests/endings/shutdown.rs, six stories: attempts out, by effect and answer, before SIGTERM and in its instant; lines half through on both sides; a client in the queue, half a first line, and resting ones; a first line in the instant of its time-out and after the word; SIGTERM three times and SIGHUP; unread answers with more bytes coming.

--- a/crates/cottonnotch/tests/endings/shutdown.rs
+++ b/crates/cottonnotch/tests/endings/shutdown.rs
@@ -1,1 +1,192 @@
 //! A proxy that ends: what is owed at that moment is answered, and nothing is sent on any more.
+
+use super::peers::*;
+use std::time::{Duration, Instant};
+
+/// One attempt each, with time enough; class `once` must not run twice.
+fn settings() -> String {
+    let once = r#"{"name":"once","effect":"unsafe","target":8000000,"deadline":2000000,"gain":1.0}"#;
+    let settings = SETTINGS
+        .replace("\"target\":300000", "\"target\":8000000")
+        .replace("\"mostTries\":3", "\"mostTries\":1");
+    settings.replace("\"gain\":1.0}]", &format!("\"gain\":1.0}},{once}]"))
+}
+
+fn asks(proxy: &Proxy, class: &str) -> Peer {
+    let mut client = proxy.connect();
+    client.say(&fresh(OPEN).replace("c=look", &format!("c={class}")).replace("d=2000", "d=20000"));
+    client
+}
+
+/// What each of these hears, and that the proxy ends well.
+fn told(mut proxy: Proxy, clients: &mut [Peer]) -> Vec<String> {
+    let told = clients.iter_mut().map(|client| client.rest().unwrap()).collect();
+    assert!(proxy.exited().success());
+    told
+}
+
+#[test]
+fn attempts_that_are_out_get_their_final_answer_by_what_they_came_to() {
+    for at_once in [false, true] {
+        let node = Scripted::new();
+        let proxy = Proxy::with(&[&node], 1024, &settings());
+        let pairs = ["look", "look", "look", "once", "once", "once"].map(|class| {
+            let client = asks(&proxy, class);
+            (client, node.called().0)
+        });
+        let (mut clients, mut fars): (Vec<Peer>, Vec<Peer>) = pairs.into_iter().unzip();
+        if at_once {
+            proxy.freeze();
+        } else {
+            proxy.terminate();
+            proxy.logged("asked to stop");
+        }
+        for (far, answer) in fars.iter_mut().zip(["UP 1\r\n", "BUSY\r\n", "", "UP 2\r\n", "BUSY\r\n", ""]) {
+            far.say(answer);
+        }
+        fars.remove(5).reset();
+        fars.remove(2).reset();
+        if at_once {
+            proxy.terminate();
+            proxy.thaw();
+        }
+        let told = told(proxy, &mut clients);
+        assert_eq!((&*told[0], &*told[3]), ("UP 1\r\nMOVE\r\n", "UP 2\r\nMOVE\r\n"));
+        for (told, verb) in [(&told[1], "BUSY"), (&told[2], "BUSY"), (&told[4], "BUSY"), (&told[5], "ERR")] {
+            assert!(told.starts_with(verb) && told.lines().count() == 1, "{told:?} for {verb}");
+        }
+        assert!(node.poll().is_none(), "nothing was tried again");
+    }
+}
+
+#[test]
+fn a_move_falls_between_two_lines_also_where_lines_are_half_through() {
+    let node = Scripted::new();
+    let proxy = Proxy::start(&[&node]);
+    let mut pairs: Vec<(Peer, Peer)> = (0..10).map(|_| proxy.up(&node)).collect();
+    proxy.freeze();
+    for (client, far) in &mut pairs {
+        far.say("LOAD 1\r\nLOAD 2\r\nM 1");
+        client.say("M 2 a\r\nM 3");
+    }
+    proxy.terminate();
+    proxy.thaw();
+    let (mut clients, fars): (Vec<Peer>, Vec<Peer>) = pairs.into_iter().unzip();
+    for told in told(proxy, &mut clients) {
+        assert_eq!(told, "LOAD 1\r\nLOAD 2\r\nMOVE\r\n");
+    }
+    for mut far in fars {
+        assert_eq!(far.hear(), "M 2 a\r\n");
+        assert!(!far.try_hear().is_ok_and(|more| !more.is_empty()), "no half line");
+    }
+}
+
+#[test]
+fn clients_on_their_way_in_are_served_and_moved() {
+    let node = Scripted::new();
+    let proxy = Proxy::start(&[&node]);
+    let mut resting = proxy.connect();
+    let mut half = proxy.connect();
+    let line = fresh(OPEN);
+    let (head, tail) = line.split_at(30);
+    half.say(head);
+    // Both are in once a later one has been answered.
+    let mut later = proxy.connect();
+    later.say("PING\r\n");
+    assert_eq!(later.hear(), "PONG\r\n");
+    proxy.freeze();
+    // In the queue: its handshake is done, and nobody has accepted it.
+    let queued = proxy.open();
+    let silent = proxy.connect();
+    proxy.terminate();
+    proxy.thaw();
+    proxy.logged("asked to stop");
+    resting.say(&fresh(OPEN));
+    half.say(tail);
+    let mut clients = [queued, resting, half, silent];
+    clients[3].say(&fresh(OPEN));
+    let mut fars: Vec<Peer> = clients.iter().map(|_| node.called().0).collect();
+    fars.iter_mut().for_each(|far| far.say("UP 1\r\n"));
+    for told in told(proxy, &mut clients) {
+        assert_eq!(told, "UP 1\r\nMOVE\r\n");
+    }
+}
+
+/// The line of one that has said nothing so far crosses the word that it has waited too long, or comes just before.
+#[test]
+fn a_resting_client_is_served_or_told_but_never_sent_on_after_it_was_told() {
+    let node = Scripted::new();
+    let proxy = Proxy::start(&[&node]);
+    let mut just = proxy.connect();
+    let mut later = proxy.connect();
+    later.say("PING\r\n");
+    assert_eq!(later.hear(), "PONG\r\n");
+    proxy.freeze();
+    // Its time is up before the process goes on, and its line is there.
+    std::thread::sleep(Duration::from_millis(1600));
+    just.say(&fresh(OPEN));
+    proxy.thaw();
+    node.called().0.say("UP 1\r\n");
+    assert_eq!(just.hear(), "UP 1\r\n");
+    let mut late = proxy.connect();
+    proxy.logged("client turned away");
+    late.say(&fresh(OPEN));
+    assert_eq!(late.rest().unwrap(), "ERR no first line came\r\n");
+    let (mut next, line) = (proxy.connect(), fresh(OPEN));
+    next.say(&line);
+    assert_eq!(id_of(&node.called().1), id_of(&line), "what came after its word is not sent on");
+}
+
+#[test]
+fn a_second_sigterm_and_a_new_configuration_change_nothing_about_the_time_there_is() {
+    let node = Scripted::new();
+    let proxy = Proxy::start(&[&node]);
+    let pairs: Vec<(Peer, Peer)> = (0..8).map(|_| proxy.up(&node)).collect();
+    let (mut clients, _fars): (Vec<Peer>, Vec<Peer>) = pairs.into_iter().unzip();
+    proxy.terminate();
+    let began = Instant::now();
+    let mut log = proxy.log_until("asked to stop");
+    assert_eq!(clients.remove(0).rest().unwrap(), "MOVE\r\n");
+    proxy.terminate();
+    proxy.reconfigure(&[("\"deadline\":2000000", "\"deadline\":2900000")]);
+    log.extend(proxy.log_until("configuration read again"));
+    // One that asks after all that.
+    clients.push(proxy.open());
+    let mut far = node.called().0;
+    far.say("UP 2\r\n");
+    proxy.terminate();
+    let last = clients.len() - 1;
+    let mut proxy = proxy;
+    for (number, client) in clients.iter_mut().enumerate() {
+        let told = if number == last { "UP 2\r\nMOVE\r\n" } else { "MOVE\r\n" };
+        assert_eq!(client.rest().unwrap(), told);
+    }
+    assert!(proxy.exited().success());
+    assert!(began.elapsed() < Duration::from_millis(2700), "{:?}", began.elapsed());
+    log.extend(proxy.log_so_far());
+    assert_eq!(log.iter().filter(|line| line.contains("asked to stop")).count(), 1);
+}
+
+/// Its client has lines that it has not read, and sends on: a close over what it sent would be a reset, which can take
+/// the `MOVE` with it.
+#[test]
+fn a_move_reaches_a_client_that_reads_late_and_sends_on() {
+    let node = Scripted::new();
+    let proxy = Proxy::start(&[&node]);
+    let pairs: Vec<(Peer, Peer)> = (0..5).map(|_| proxy.up(&node)).collect();
+    let (mut clients, mut fars): (Vec<Peer>, Vec<Peer>) = pairs.into_iter().unzip();
+    let (lines, more) = ("LOAD 1\r\n".repeat(500), "M 1 x\r\n".repeat(2000));
+    proxy.freeze();
+    fars.iter_mut().for_each(|far| far.say(&lines));
+    clients.iter_mut().for_each(|client| client.say(&more));
+    proxy.terminate();
+    proxy.thaw();
+    proxy.logged("asked to stop");
+    for (client, far) in clients.iter_mut().zip(&mut fars) {
+        // Its render node's side has ended: it was moved, and what it says now comes after that.
+        while far.try_hear().is_ok_and(|line| !line.is_empty()) {}
+        client.say(&more);
+        client.finish();
+        assert_eq!(client.rest().unwrap(), format!("{lines}MOVE\r\n"));
+    }
+}
