Relay: a client that leaves after it ended its sending ends its render node's side at once

Cause: Relay::pass_client looked no more at a client that had ended its sending, and reading would not have shown it: after an end the system reports a reset as a pending error only. The render node kept the connection for 2 s more.

Change: LineStream::is_broken asks for that error; the relay resets the other side.

Seen: with the line taken out, "waited in vain: its reset"; with it, the render node sees the reset within the second.

--- a/crates/cottonnotch/src/net/relay.rs
+++ b/crates/cottonnotch/src/net/relay.rs
@@ -66,7 +66,11 @@
 
     /// Passes on what the client sent.
     pub fn pass_client(&mut self, client: &mut LineStream, now: Micros) -> Pass {
-        if self.link.is_full() || self.client_ended {
+        if self.client_ended {
+            // It may have left altogether since.
+            return if client.is_broken() { self.reset() } else { Pass::On };
+        }
+        if self.link.is_full() {
             return Pass::On;
         }
         let fill = client.fill();
@@ -89,10 +93,7 @@
                 self.link.finish();
                 self.client_ended = true;
             }
-            Fill::Broken(_) => {
-                self.link.reset();
-                return self.over(Outcome::Cancelled, true);
-            }
+            Fill::Broken(_) => return self.reset(),
             Fill::Blocked | Fill::More => {}
         }
         if self.link.flush().is_err() {
@@ -137,10 +138,7 @@
             Fill::More => Pass::More,
         };
         match client.flush() {
-            Err(_) if !matches!(pass, Pass::Over { .. }) => {
-                self.link.reset();
-                self.over(Outcome::Cancelled, true)
-            }
+            Err(_) if !matches!(pass, Pass::Over { .. }) => self.reset(),
             _ => pass,
         }
     }
@@ -151,6 +149,12 @@
         let _ = self.link.flush();
     }
 
+    /// The client's reset passes on.
+    fn reset(&self) -> Pass {
+        self.link.reset();
+        self.over(Outcome::Cancelled, true)
+    }
+
     fn over(&self, outcome: Outcome, reset: bool) -> Pass {
         let left = self.client_ended.then_some(Outcome::Cancelled);
         Pass::Over { outcome: self.farewell.or(left).unwrap_or(outcome), reset }
--- a/crates/cottonnotch/tests/endings/clients.rs
+++ b/crates/cottonnotch/tests/endings/clients.rs
@@ -2,7 +2,7 @@
 
 use super::peers::*;
 use std::io::ErrorKind;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Attempts and clients have time enough: nothing in these stories ends because its time is up.
 fn patient() -> String {
@@ -86,9 +86,11 @@
             proxy.freeze();
             if call_first {
                 operator.say("0");
+                proxy.arrived();
                 clients.into_iter().for_each(leave);
             } else {
                 clients.into_iter().for_each(leave);
+                proxy.arrived();
                 operator.say("0");
             }
             proxy.thaw();
@@ -138,9 +140,11 @@
             proxy.freeze();
             if answer_first {
                 far.say(answer);
+                proxy.arrived();
                 leave(client);
             } else {
                 leave(client);
+                proxy.arrived();
                 far.say(answer);
             }
             proxy.thaw();
@@ -221,3 +225,18 @@
     assert_eq!(far.rest().unwrap_err().kind(), ErrorKind::ConnectionReset);
     in_progress(&proxy, 0);
 }
+
+/// It has ended its sending, which its render node has seen; what it does then passes as well.
+#[test]
+fn a_client_that_resets_after_it_ended_its_sending_ends_its_render_nodes_side_at_once() {
+    let node = Scripted::new();
+    let proxy = Proxy::managed(&[&node], 1024, &patient());
+    let (client, mut far) = proxy.up(&node);
+    client.finish();
+    assert_eq!(far.hear(), "");
+    let ended = Instant::now();
+    client.reset();
+    within(PATIENCE, "its reset", || far.is_broken().then_some(()));
+    assert!(ended.elapsed() < Duration::from_secs(1), "not by a time-out: {:?}", ended.elapsed());
+    in_progress(&proxy, 0);
+}
--- a/crates/cottonnotch/tests/peers/mod.rs
+++ b/crates/cottonnotch/tests/peers/mod.rs
@@ -88,6 +88,11 @@
         self
     }
 
+    /// The other side has broken it, also where it had ended its sending before and reading shows only that.
+    pub fn is_broken(&self) -> bool {
+        self.0.get_ref().take_error().unwrap().is_some()
+    }
+
     /// Ends only the sending.
     pub fn finish(&self) {
         self.0.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
@@ -509,10 +514,15 @@
         within(PATIENCE, "the proxy to stop", || state().contains(") T ").then_some(()));
     }
 
-    /// The process goes on, once all that was sent to it is there; since when.
-    pub fn thaw(&self) -> Instant {
+    /// Waits until all that was sent to the process is there: what is sent from now on comes after it.
+    pub fn arrived(&self) {
         let doors: Vec<SocketAddr> = [Some(self.address), self.mgmt].into_iter().flatten().collect();
         within(PATIENCE, "bytes and ends to arrive", || has_arrived(self.child.id(), &doors).then_some(()));
+    }
+
+    /// The process goes on, once all that was sent to it is there; since when.
+    pub fn thaw(&self) -> Instant {
+        self.arrived();
         let since = Instant::now();
         self.go_on();
         since
--- a/crates/reactor/src/line.rs
+++ b/crates/reactor/src/line.rs
@@ -117,6 +117,11 @@
         fill
     }
 
+    /// The peer has broken the connection after it ended its sending: reading shows only the end, for good.
+    pub fn is_broken(&self) -> bool {
+        !matches!(self.stream.take_error(), Ok(None))
+    }
+
     /// Something has come that was not taken.
     pub fn has_input(&self) -> bool {
         !self.input.is_empty()
