--- a/crates/cottonnotch/tests/endings/main.rs
+++ b/crates/cottonnotch/tests/endings/main.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod claims;
 mod clients;
+mod floods;
 mod last_answers;
 mod late_connections;
 mod lists;
--- a/crates/cottonnotch/tests/peers/mod.rs
+++ b/crates/cottonnotch/tests/peers/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each file of stories uses its part")]
 
 pub mod crowded;
+use std::collections::{HashMap, HashSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -59,6 +60,11 @@
         line
     }
 
+    /// Waits until something has come, and leaves it unread.
+    pub fn leave_unread(&self) {
+        assert_eq!(self.0.get_ref().peek(&mut [0]).expect("something in time"), 1);
+    }
+
     /// What is left, up to the end; the error if it ends in a reset.
     pub fn rest(&mut self) -> std::io::Result<String> {
         let mut text = String::new();
@@ -107,6 +113,17 @@
         }
     }
 
+    /// So much may be sent at once though nobody reads it.
+    pub fn roomy(self, bytes: usize) -> Self {
+        socket2::SockRef::from(self.0.get_ref()).set_send_buffer_size(bytes).unwrap();
+        self
+    }
+
+    /// The other side has broken it, also where it had ended its sending before and reading shows only that.
+    pub fn is_broken(&self) -> bool {
+        self.0.get_ref().take_error().unwrap().is_some()
+    }
+
     /// Ends only the sending.
     pub fn finish(&self) {
         self.0.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
@@ -237,6 +254,29 @@
     rest.split(['"', ' ']).next().unwrap().parse().unwrap()
 }
 
+/// All that peers have sent to a process has arrived, also at those of its doors. The system delivers a packet later where
+/// it is busy, and one that was sent after it may be there sooner.
+fn has_arrived(process: u32, doors: &[SocketAddr]) -> bool {
+    let folder = std::fs::read_dir(format!("/proc/{process}/fd")).unwrap();
+    let links = folder.filter_map(|entry| std::fs::read_link(entry.ok()?.path()).ok());
+    let own: HashSet<String> = links
+        .filter_map(|link| Some(link.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?.to_owned()))
+        .collect();
+    // Address and port are in hexadecimal, states by their numbers.
+    const ESTABLISHED: &str = "01";
+    const UNDER_WAY: [&str; 4] = ["03", "04", "09", "0B"];
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let rows: Vec<Vec<&str>> = table.lines().skip(1).map(|line| line.split_whitespace().collect()).collect();
+    let by_ends: HashMap<(&str, &str), &Vec<&str>> = rows.iter().map(|row| ((row[1], row[2]), row)).collect();
+    let at_door = |end: &str| doors.iter().any(|door| end.ends_with(&format!(":{:04X}", door.port())));
+    let is_there = |row: &Vec<&str>| match by_ends.get(&(row[2], row[1])) {
+        None => row[3] != ESTABLISHED,
+        Some(far) => !UNDER_WAY.contains(&far[3]) && far[4].starts_with("00000000:"),
+    };
+    let ours = |row: &&Vec<&str>| own.contains(row[9]) || at_door(row[1]) || at_door(row[2]);
+    rows.iter().filter(ours).all(is_there)
+}
+
 /// An operator's call of any proxy's: the status code, and the body.
 pub fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
     let mut caller = Peer::new(TcpStream::connect(address).unwrap());
@@ -483,21 +523,6 @@
         self.signal("-TERM");
     }
 
-    /// Stops the process: what its peers do from now on is there at once when it goes on.
-    pub fn pause(&self) {
-        self.signal("-STOP");
-        let stat = format!("/proc/{}/stat", self.child.id());
-        within(PATIENCE, "the proxy is stopped", || {
-            let stat = std::fs::read_to_string(&stat).unwrap();
-            stat.rsplit(") ").next().unwrap().starts_with('T').then_some(())
-        });
-    }
-
-    /// Lets the stopped process go on.
-    pub fn wake(&self) {
-        self.signal("-CONT");
-    }
-
     /// Ends it as the system does when there is no time left.
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
@@ -530,6 +555,32 @@
         self.signal("-HUP");
     }
 
+    /// Stops the process: whatever its peers do until [`Self::wake`] is all there at once when it goes on.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+        let state = || std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        within(PATIENCE, "the proxy to stop", || state().contains(") T ").then_some(()));
+    }
+
+    /// Waits until all that was sent to the process is there: what is sent from now on comes after it.
+    pub fn arrived(&self) {
+        let doors: Vec<SocketAddr> = [Some(self.address), self.mgmt].into_iter().flatten().collect();
+        within(PATIENCE, "bytes and ends to arrive", || has_arrived(self.child.id(), &doors).then_some(()));
+    }
+
+    /// The process goes on, once all that was sent to it is there; since when.
+    pub fn wake(&self) -> Instant {
+        self.arrived();
+        let since = Instant::now();
+        self.go_on();
+        since
+    }
+
+    /// The process goes on, whatever is still on its way.
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
     fn signal(&self, signal: &str) {
         let killed = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(killed.unwrap().success());
