Module: what drained and is removed has its connections moved all the same

Found by reading policy: entry: leave_by was cleared by any state but Draining, so a removal within the 2 s of a drain left the clients that were still to be moved where they were, to be cut off. Without the fix 12 clients of a node that drains and is removed in one write: one of them waits for its MOVE in vain (endings/lists.rs). And a story of a client whose line has no end (proved by passing over the fault: MOVE after 4.5 s instead of its end).

--- a/crates/cottonnotch/tests/endings/clients.rs
+++ b/crates/cottonnotch/tests/endings/clients.rs
@@ -240,3 +240,17 @@
     assert!(ended.elapsed() < Duration::from_secs(1), "not by a time-out: {:?}", ended.elapsed());
     in_progress(&proxy, 0);
 }
+
+// Guards relay.rs `pass_client`: what is no line any more ends its own connection, and nothing of it is passed on.
+#[test]
+fn a_client_whose_line_has_no_end_is_ended_and_its_render_node_sees_none_of_it() {
+    let node = Scripted::new();
+    let proxy = Proxy::managed(&[&node], 1024, &patient());
+    let (mut client, mut far) = proxy.up(&node);
+    client.say("M 1 a\r\n");
+    assert_eq!(far.hear(), "M 1 a\r\n");
+    client.say(&"x".repeat(5000));
+    assert_eq!(client.rest().unwrap(), "");
+    assert_eq!(far.rest().unwrap(), "");
+    in_progress(&proxy, 0);
+}
--- a/crates/cottonnotch/tests/endings/lists.rs
+++ b/crates/cottonnotch/tests/endings/lists.rs
@@ -292,3 +292,17 @@
     assert!(proxy.discovery.poll().is_none(), "the watch stands");
     assert!(nodes[0].poll().is_none());
 }
+
+/// Only a part had been moved by then; the rest stayed where it was, to be cut off.
+#[test]
+fn what_drains_and_is_removed_at_once_has_all_its_clients_moved() {
+    let nodes = [Scripted::new(), Scripted::new()];
+    let proxy = Proxy::start(&[&nodes[0]]);
+    let mut clients: Vec<(Peer, Peer)> = (0..12).map(|_| proxy.up(&nodes[0])).collect();
+    let (mut watch, _) = proxy.discovery.watched();
+    let gone = list(3, false, &[member("s0", &nodes[0], "removed")]);
+    watch.say(&format!("{}{}", chunk(&drain(2, &nodes)), chunk(&gone)));
+    for (client, _) in &mut clients {
+        assert_eq!(client.rest().unwrap(), "MOVE\r\n");
+    }
+}
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -60,8 +60,9 @@
 
 #[derive(Clone, Debug, Default)]
 struct Server {
-    /// Takes new connections, as far as the list tells.
+    /// Takes new connections, or drains, as far as the list tells.
     ready: bool,
+    draining: bool,
     /// Its zone and cell.
     spot: Spot,
     weight: f64,
@@ -224,7 +225,7 @@
         }
         if full {
             // What a full list leaves out is gone, and starts anew if it is ever listed again.
-            self.servers.iter_mut().for_each(|s| s.ready = false);
+            self.servers.iter_mut().for_each(|s| (s.ready, s.draining) = (false, false));
         }
         self.listed(now, entries, out);
     }
@@ -287,8 +288,10 @@
             *known = Server { digest, place, turn, budget, filled: now, open, told, ..Server::default() };
         }
         known.ready = entry.state == Listed::Ready;
-        let draining = entry.state == Listed::Draining;
-        known.leave_by = draining.then(|| known.leave_by.unwrap_or(now + DRAIN_WITHIN));
+        // What drained and is gone by now has its connections moved all the same.
+        known.draining = entry.state == Listed::Draining;
+        let until = known.draining.then_some(now + DRAIN_WITHIN);
+        known.leave_by = known.leave_by.or(until).filter(|_| !known.ready);
         (known.spot, known.weight, known.started) = ((entry.zone, entry.cell), weight, entry.started);
     }
 
@@ -662,7 +665,7 @@
     /// Tells what is believed of this server, if that has changed.
     fn believe(&mut self, now: Micros, server: ServerId, out: &mut Vec<Action>) {
         let belief = match self.paused_until {
-            _ if !self.ready && self.leave_by.is_some() => Belief::Draining,
+            _ if self.draining => Belief::Draining,
             _ if !self.ready => Belief::Gone,
             Some(until) if until > now => Belief::Paused { until },
             Some(_) => Belief::Trial,
