Endings: in the stories of clients that leave, the render node ends after its client

Cause: both ends of a served connection were dropped together; under load the render node's end came first in one run of some thirty, and paused it as a reset does.

Change: the client leaves, the render node sees that, then it ends.

--- a/crates/cottonnotch/tests/endings/clients.rs
+++ b/crates/cottonnotch/tests/endings/clients.rs
@@ -35,6 +35,12 @@
     (client, far)
 }
 
+/// Both leave, the client first: a render node that ends by itself is paused.
+fn part((client, mut far): (Peer, Peer)) {
+    drop(client);
+    assert_eq!(far.rest().unwrap(), "");
+}
+
 type Leave = fn(Peer);
 
 const LEAVINGS: [(&str, Leave); 4] = [
@@ -64,7 +70,7 @@
         println!("500 held clients left by {how}: none in progress after {} ms", took.as_millis());
         largest = largest.max(took);
         assert_eq!(proxy.call("POST", "/maintenance/exit", "s0").0, 200);
-        first_to_come(&proxy, &nodes);
+        part(first_to_come(&proxy, &nodes));
         in_progress(&proxy, 0);
     }
     assert!(nodes[0].poll().is_none());
@@ -96,7 +102,7 @@
             proxy.thaw();
             assert_eq!(operator.answer().0, 200);
             in_progress(&proxy, 0);
-            first_to_come(&proxy, &nodes);
+            part(first_to_come(&proxy, &nodes));
             in_progress(&proxy, 0);
         }
     }
@@ -161,7 +167,7 @@
                 up,
                 "{answer:?}, first: {answer_first}"
             );
-            first_to_come(&proxy, &nodes);
+            part(first_to_come(&proxy, &nodes));
             in_progress(&proxy, 0);
             up += 1;
         }
@@ -204,7 +210,7 @@
         assert_eq!(id_of(&line), id, "nothing was sent for those that left");
         far.say("UP 1\r\n");
         assert_eq!(client.hear(), "UP 1\r\n");
-        drop((client, far));
+        part((client, far));
         in_progress(&proxy, 0);
     }
     assert!(nodes[0].poll().is_none());
