Endings: an operator's call in two halves begins just before the instant that it is for

Cause: on a busy machine more than 2 s could lie between its halves, which is the bound for a call.

Change: its first half comes once all clients are held.

Seen: the story passes; the bound itself is another story.

--- a/crates/cottonnotch/tests/endings/clients.rs
+++ b/crates/cottonnotch/tests/endings/clients.rs
@@ -86,8 +86,10 @@
         for call_first in [true, false] {
             assert_eq!(proxy.call("POST", "/maintenance/enter", "s0").0, 200);
             let clients: Vec<Peer> = (0..100).map(|_| asks(&proxy).0).collect();
+            in_progress(&proxy, 100);
             let mut operator = Peer::new(std::net::TcpStream::connect(proxy.mgmt()).unwrap());
             operator.say("POST /maintenance/exit HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\ns");
+            // What was said is read once a later call has been answered.
             in_progress(&proxy, 100);
             proxy.freeze();
             if call_first {
