--- a/crates/cottonnotch/tests/management.rs
+++ b/crates/cottonnotch/tests/management.rs
@@ -301,3 +301,20 @@
     assert_eq!(proxy.figure("skipped_render_nodes"), Some(0), "the pause is forgotten");
     assert_eq!(places(&proxy, &nodes, 1), [0]);
 }
+
+/// It was carried out, and its connection ended with nothing said.
+#[test]
+fn a_call_that_is_whole_in_the_instant_of_its_time_out_is_answered() {
+    let node = Scripted::new();
+    let proxy = Proxy::managed(&[&node], 1024, SETTINGS);
+    let mut operator = Peer::new(TcpStream::connect(proxy.mgmt()).unwrap());
+    operator.say("POST /maintenance/enter HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\ns");
+    // The proxy has begun to wait for the rest once it has answered a later one.
+    assert_eq!(proxy.figure("in_progress"), Some(0));
+    proxy.pause();
+    std::thread::sleep(Duration::from_millis(2100));
+    operator.say("0");
+    proxy.wake();
+    proxy.logged("taken out by hand");
+    assert_eq!(operator.answer().0, 200);
+}
