A held client that leaves gives back no set-up that an earlier attempt of its own has used

Found by reading the change once more. Clients::left told the module NotSent for whoever was held, also where an attempt had been made and had ended: the module is told the end of the latest attempt again, and gave its set-up back, so leaving clients loosened the bound on set-ups. The story takes both set-ups that there are, each answered BUSY and its client gone, and a third client must get none: without the fix 'no third set-up'.

--- a/crates/cottonnotch/src/net/driver/clients.rs
+++ b/crates/cottonnotch/src/net/driver/clients.rs
@@ -315,6 +315,8 @@
         outcome: Outcome,
     ) -> [Option<Event>; 2] {
         let Some(mut call) = self.forget(messages, key) else { return [None, None] };
+        // One that is held has had its attempts: what they used must not be given back.
+        let outcome = if call.began.is_some() { outcome } else { Outcome::Cancelled };
         end_attempt(net, &mut call, outcome);
         net.records.client_left(call.id);
         gone(call, outcome)
--- a/crates/cottonnotch/tests/endings/claims.rs
+++ b/crates/cottonnotch/tests/endings/claims.rs
@@ -39,3 +39,28 @@
     assert_eq!(held.rest().unwrap(), "ERR the client has ended its sending\r\n");
     within(PATIENCE, "nothing is owed", || (proxy.figure("in_progress")? == 0).then_some(()));
 }
+
+/// A held client's earlier attempt had ended and been paid for; its set-up was given back when the client left.
+#[test]
+fn a_set_up_that_was_used_is_not_given_back_when_its_client_leaves_later() {
+    let node = Scripted::new();
+    let tenants = r#""tenants":[{"name":"t","allowancePerS":0.001,"share":1.0}],"balancers":1"#;
+    let proxy = Proxy::managed(&[&node], 1024, &SETTINGS.replace(r#""balancers":1"#, tenants));
+    let open = |left: &str| {
+        let mut client = proxy.connect();
+        client.say(&fresh(OPEN).replace("d=2000", left));
+        client
+    };
+    // Two set-ups are there, and the next one comes in minutes.
+    for _ in 0..2 {
+        let client = open("d=20000");
+        let mut far = node.called().0;
+        far.say("BUSY\r\n");
+        assert_eq!(far.rest().unwrap(), "", "its attempt is over, and it is held");
+        drop(client);
+        within(PATIENCE, "it is gone", || (proxy.figure("in_progress")? == 0).then_some(()));
+    }
+    let answer = open("d=6000").rest().unwrap();
+    assert!(answer.starts_with("BUSY"), "{answer}");
+    assert!(node.poll().is_none(), "no third set-up");
+}
