--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -380,6 +380,9 @@
     },
     /// What is known of all nodes together.
     Tier(Tier),
+    /// The groups whose connections rotate over more than [`LEAST_HOMES`](crate::homes::LEAST_HOMES) servers, by
+    /// [`Request::group`], and over how many. All others have those few, whatever was told before.
+    Homes(Vec<(u64, u32)>),
     /// What the rules say has changed: what is held is looked at anew.
     Ruled,
     /// The node ends: what is owed or still comes is answered, and nothing is sent any more.
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -4,6 +4,7 @@
 //! is paused until the next second mark; new connections rotate over the rest; while all are paused they
 //! are held, and refused early when they cannot wait. What else is here is an exception to that.
 
+use crate::homes::{self, Homes};
 use crate::interface::*;
 use crate::job::{Group, Job, Spot};
 use crate::list_calls::ListCalls;
@@ -23,8 +24,6 @@
 const EASE: Micros = 10 * SECOND;
 /// Part of a cold server's budget that is used; the rest is for chance and for the nodes' unequal parts.
 const COLD_BUDGET_USED: f64 = 0.5;
-/// A group waits rather than go to servers further down its order than this.
-const HOMES: usize = 5;
 /// While most set-ups fail, a node keeps to its usual rate, or to its part of so many for all, if more.
 const LEAST_PACE: f64 = 2.0;
 /// All nodes together set up at most this multiple of what tenants are allowed a second, but for nodes whose
@@ -119,6 +118,8 @@
     /// Part of the latest set-ups that failed or timed out; when the next may be sent if that is most.
     failing: f64,
     next_send: Micros,
+    /// How many servers a group's turns rotate over.
+    homes: Homes,
     /// This node's part of what all have; set-ups that it may send; when one was last quick, none slow since.
     part: Part,
     setups: Bucket,
@@ -202,6 +203,7 @@
                 self.settings = *settings;
             }
             Event::Tier(tier) => self.part.told(now, tier),
+            Event::Homes(homes) => self.homes.set(homes),
             Event::Ruled => self.release_held(now, out),
             Event::Leaving => {
                 self.leaving = true;
@@ -417,14 +419,8 @@
         // Connections of a group share work: spread over the fleet they would multiply it (ie5ddb3), and in
         // overload none would be held out. A group's turns rotate over the servers that come first in an
         // order of its own, common to all nodes; while these are paused it is held.
-        let at_home = |s: &Server| {
-            group.map_or(1.0, |g| unit(s.digest ^ g.wrapping_mul(0x9e37_79b9_7f4a_7c15)).powf(1.0 / s.weight))
-        };
-        let least_home = group.map_or(0.0, |_| {
-            let mut order: Vec<f64> = self.allowed(ruling).map(at_home).collect();
-            order.sort_unstable_by(|a, b| b.total_cmp(a));
-            order.get(HOMES - 1).map_or(0.0, |least| *least)
-        });
+        let at_home = |s: &Server| group.map_or(1.0, |g| homes::score(g, s.digest, s.weight));
+        let least_home = group.map_or(0.0, |g| self.homes.least(g, self.allowed(ruling).map(at_home)));
         let (usual, rotation) = (self.usual_rates(now), self.rotation);
         let mut best: Option<((bool, bool, f64), ServerId)> = None;
         let (mut due, mut heard, mut bad) = ((true, f64::INFINITY), 0, 0);
--- /dev/null
+++ b/crates/decision/tests/homes.rs
@@ -0,0 +1,149 @@
+//! Homes by a group's size: what was told of a group decides over how many servers its connections rotate, and nothing else.
+
+mod common;
+use common::*;
+use cottonnotch_decision::homes::LEAST_HOMES;
+use cottonnotch_decision::*;
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const GROUP: u64 = 4711;
+
+fn grouped(id: u64, group: impl Into<Option<u64>>) -> Request {
+    Request { group: group.into(), ..request(id, Some(2 * S)) }
+}
+
+fn node(ordinal: u32, nodes: u32, servers: u32) -> Node {
+    Node::new(Settings { ordinal, nodes, groups: true, ..settings(Effect::Safe) }, servers)
+}
+
+/// Where so many connections of a group go.
+fn places(
+    node: &mut Node,
+    group: impl Into<Option<u64>> + Copy,
+    ids: std::ops::Range<u64>,
+) -> BTreeMap<u32, u32> {
+    let mut places = BTreeMap::new();
+    for id in ids {
+        let out = node.tell(Event::Request(grouped(id, group)));
+        let server = out.iter().find_map(|action| match action {
+            Action::Send { server, .. } => Some(*server),
+            _ => None,
+        });
+        let server = server.expect("it is placed");
+        node.begin(id, server);
+        *places.entry(server.0).or_insert(0) += 1;
+    }
+    places
+}
+
+fn homes(node: &mut Node, group: u64, from: u64) -> BTreeSet<u32> {
+    places(node, group, from..from + 400).into_keys().collect()
+}
+
+#[test]
+fn a_group_rotates_over_as_many_as_told_and_keeps_those_that_it_had() {
+    let mut one = node(0, 8, 90);
+    let five = homes(&mut one, GROUP, 0);
+    assert_eq!(five.len(), LEAST_HOMES);
+    one.tell(Event::Homes(vec![(GROUP, 17)]));
+    let more = homes(&mut one, GROUP, 1_000);
+    assert_eq!(more.len(), 17);
+    assert!(more.is_superset(&five), "more homes only add to those that were");
+    let other = homes(&mut node(5, 8, 90), GROUP, 0);
+    assert_eq!(other, five, "a node that wasn't told: the first of the same order");
+    assert_eq!(homes(&mut one, GROUP + 1, 2_000).len(), LEAST_HOMES, "another group has what it had");
+    one.tell(Event::Homes(vec![]));
+    assert_eq!(homes(&mut one, GROUP, 3_000), five, "what is told of no more has five again");
+}
+
+#[test]
+fn never_fewer_than_five_and_no_more_than_there_are() {
+    let mut one = node(0, 1, 12);
+    for (told, are) in [(0, 5), (1, 5), (5, 5), (6, 6), (12, 12), (13, 12), (u32::MAX, 12)] {
+        one.tell(Event::Homes(vec![(GROUP, told)]));
+        assert_eq!(homes(&mut one, GROUP, u64::from(told) * 1_000).len(), are, "told {told}");
+    }
+    let mut few = node(0, 1, 3);
+    few.tell(Event::Homes(vec![(GROUP, 9)]));
+    assert_eq!(homes(&mut few, GROUP, 0).len(), 3);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+    /// The plain oracle: servers sorted by a score of the group and the server, of which the first are taken.
+    #[test]
+    fn homes_are_the_first_of_the_group_s_order(group: u64, servers in 1..40_u32, told in 0..60_u32) {
+        let score = |server: &u32| {
+            let digest = entry(*server, Listed::Ready).digest;
+            let mixed = digest ^ group.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            (names::unit(mixed) * 1e18) as u64
+        };
+        let mut order: Vec<u32> = (0..servers).collect();
+        order.sort_by_key(|server| std::cmp::Reverse(score(server)));
+        order.truncate(told.max(5) as usize);
+        let mut one = node(0, 1, servers);
+        one.tell(Event::Homes(vec![(group, told)]));
+        prop_assert_eq!(homes(&mut one, group, 0), order.into_iter().collect::<BTreeSet<u32>>());
+    }
+}
+
+#[test]
+fn a_draining_home_gets_nothing_new_and_the_next_in_order_takes_its_place() {
+    let mut one = node(0, 1, 60);
+    one.tell(Event::Homes(vec![(GROUP, 20)]));
+    let before = homes(&mut one, GROUP, 0);
+    let gone = *before.first().unwrap();
+    let entries = vec![entry(gone, Listed::Draining)];
+    one.tell(Event::List { full: false, copy: false, entries });
+    let after = homes(&mut one, GROUP, 1_000);
+    assert!(!after.contains(&gone) && after.len() == 20);
+    assert_eq!(after.intersection(&before).count(), 19, "the others stay");
+}
+
+/// A server that started just now takes its budget and no more, however many homes make it one: as much as where nothing has a
+/// group.
+#[test]
+fn a_cold_home_is_not_pushed_over() {
+    let cold = 3;
+    let sent_to_cold = |group: Option<u64>| {
+        let mut one = node(0, 1, 40);
+        places(&mut one, group, 0..400);
+        let started = Some(one.now);
+        let entries = vec![Entry { started, ..entry(cold, Listed::Ready) }];
+        one.tell(Event::List { full: false, copy: false, entries });
+        one.tell(Event::Homes(vec![(GROUP, 40)]));
+        let mut sent = 0;
+        for round in 0..30_u64 {
+            one.run_to(one.now + S / 10);
+            let from = 1_000 + round * 100;
+            sent += places(&mut one, group, from..from + 40).get(&cold).copied().unwrap_or(0);
+        }
+        sent
+    };
+    let (grouped, alone) = (sent_to_cold(Some(GROUP)), sent_to_cold(None));
+    assert!(grouped > 0 && grouped <= alone, "{grouped} and {alone} of 1,200 to the cold one");
+    assert!(grouped < 1_200 / 40, "an even part");
+}
+
+/// A repeat of what may have run goes where repeats are dropped, whether that is a home or not.
+#[test]
+fn a_keyed_repeat_stays_in_its_zone_whatever_its_homes() {
+    let keyed = Effect::Keyed { scope: Scope::Zone, window: 10 * S };
+    let mut one = Node::new(Settings { groups: true, ..settings(keyed) }, 40);
+    one.tell(Event::Homes(vec![(GROUP, 11)]));
+    for id in 0..60 {
+        let first = one.tell(Event::Request(grouped(id, GROUP)));
+        let Some(Action::Send { server: at, .. }) = first.iter().find(|a| matches!(a, Action::Send { .. }))
+        else {
+            panic!("{first:?}")
+        };
+        let again = one.end(id, *at, Outcome::Reset, false);
+        for action in again {
+            if let Action::Send { server, .. } = action {
+                assert_eq!(server.0 % 2, at.0 % 2, "another zone may run it twice");
+            }
+        }
+        one.run_to(one.now + 2 * S);
+    }
+}
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -8,6 +8,15 @@
 const DATAGRAMS_WITHIN: (f64, f64) = (0.01, 1_000.0);
 /// Below, answers cross the next question; above, nothing told is worth its datagram.
 const PERIOD_WITHIN: (u32, u32) = (200, 60_000);
+/// Heaviest groups that a proxy reports, and groups that a table names: what 16 datagrams hold, with room for long figures.
+const GROUPS_WITHIN: (u32, u32) = (1, 320);
+/// Under a quarter of a node, a group shares each of its homes with others.
+const HOME_USE: f64 = 0.25;
+const HOME_USE_WITHIN: (f64, f64) = (0.05, 0.9);
+const HOMES_HOLD_S: u32 = 600;
+const HOMES_KEEP_S: u32 = 180;
+/// Under 10 s, two tables that are lost would count as silence.
+const SECONDS_WITHIN: (u32, u32) = (10, 86_400);
 /// With fewer, everybody can tell everybody.
 const MEMBERS_WITHIN: (u32, u32) = (4, 65_535);
 
@@ -23,6 +32,14 @@
     pub period_ms: u32,
     /// ... and at most, however few requests come.
     pub longest_period_ms: u32,
+    /// So many of its heaviest groups a proxy reports, and so many groups a table gives more than five homes. Off unless set.
+    pub group_homes: Option<u32>,
+    /// Part of a node's size that one group is to use at each of its homes, what a home costs included.
+    pub home_use: f64,
+    /// Seconds within which a group's homes fall by half at most.
+    pub homes_hold_s: u32,
+    /// Seconds for which the last table's homes count when none comes any more.
+    pub homes_keep_s: u32,
 }
 
 impl Default for FleetSection {
@@ -32,10 +49,27 @@
             datagrams_per_request: DATAGRAMS_PER_REQUEST,
             period_ms: PERIOD_MS,
             longest_period_ms: LONGEST_PERIOD_MS,
+            group_homes: None,
+            home_use: HOME_USE,
+            homes_hold_s: HOMES_HOLD_S,
+            homes_keep_s: HOMES_KEEP_S,
         }
     }
 }
 
+/// Homes by a group's size, checked and on. Times in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GroupHomes {
+    /// Groups of one report, or of one table, at most.
+    pub groups: usize,
+    /// Part of a node's size for one group at each of its homes.
+    pub home_use: f64,
+    /// Within this time homes fall by half at most.
+    pub hold: i64,
+    /// The last table counts for so long.
+    pub keep: i64,
+}
+
 /// A checked section that is on. Times in microseconds.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -47,6 +81,8 @@
     pub period: i64,
     /// Between two reports at most.
     pub longest_period: i64,
+    /// Homes by a group's size; `None`: five, whatever its size.
+    pub group_homes: Option<GroupHomes>,
 }
 
 /// What is wrong with the section; the message begins with the key.
@@ -88,6 +124,12 @@
         let (least, most) = (f64::from(PERIOD_WITHIN.0), f64::from(PERIOD_WITHIN.1));
         within("period_ms", f64::from(self.period_ms), least, most)?;
         within("longest_period_ms", f64::from(self.longest_period_ms), least, most)?;
+        let (least, most) = (f64::from(GROUPS_WITHIN.0), f64::from(GROUPS_WITHIN.1));
+        within("group_homes", self.group_homes.map_or(least, f64::from), least, most)?;
+        within("home_use", self.home_use, HOME_USE_WITHIN.0, HOME_USE_WITHIN.1)?;
+        let (least, most) = (f64::from(SECONDS_WITHIN.0), f64::from(SECONDS_WITHIN.1));
+        within("homes_hold_s", f64::from(self.homes_hold_s), least, most)?;
+        within("homes_keep_s", f64::from(self.homes_keep_s), least, most)?;
         if self.longest_period_ms < self.period_ms {
             return Err(BadFleet::Order { longest: self.longest_period_ms, least: self.period_ms });
         }
@@ -96,6 +138,12 @@
             datagrams_per_request: self.datagrams_per_request,
             period: i64::from(self.period_ms) * 1_000,
             longest_period: i64::from(self.longest_period_ms) * 1_000,
+            group_homes: self.group_homes.map(|groups| GroupHomes {
+                groups: groups as usize,
+                home_use: self.home_use,
+                hold: i64::from(self.homes_hold_s) * 1_000_000,
+                keep: i64::from(self.homes_keep_s) * 1_000_000,
+            }),
         }))
     }
 }
@@ -112,6 +160,9 @@
         };
         assert_eq!(check(""), Ok(None));
         assert_eq!(check("members_from = 24").unwrap().unwrap().period, 1_000_000);
+        assert_eq!(check("members_from = 24").unwrap().unwrap().group_homes, None, "five homes unless said");
+        let homes = check("members_from = 24\ngroup_homes = 64").unwrap().unwrap().group_homes.unwrap();
+        assert_eq!((homes.groups, homes.hold, homes.keep), (64, 600_000_000, 180_000_000));
         for (text, named) in [
             ("members = 3", "unknown field"),
             ("members_from = 2", "fleet.members_from is not within"),
@@ -119,6 +170,12 @@
             ("datagrams_per_request = nan", "fleet.datagrams_per_request is not within"),
             ("period_ms = 10", "fleet.period_ms is not within"),
             ("longest_period_ms = 900", "fleet.longest_period_ms is less"),
+            ("group_homes = 0", "fleet.group_homes is not within 1 to 320: '0'"),
+            ("group_homes = 321", "fleet.group_homes is not within 1 to 320: '321'"),
+            ("home_use = 0.04", "fleet.home_use is not within 0.05 to 0.9: '0.04'"),
+            ("home_use = nan", "fleet.home_use is not within"),
+            ("homes_hold_s = 9", "fleet.homes_hold_s is not within 10 to 86400: '9'"),
+            ("homes_keep_s = 86401", "fleet.homes_keep_s is not within 10 to 86400: '86401'"),
         ] {
             let error = check(text).unwrap_err();
             assert!(error.contains(named), "{text}: {error}");
--- a/crates/fleet/src/gathering.rs
+++ b/crates/fleet/src/gathering.rs
@@ -6,14 +6,14 @@
 
 /// Load that each group adds to each subchannel which holds any of it, in mean connection loads: the platform's figure,
 /// which no setting carries.
-const GROUP_COST: f64 = 3.0;
+pub(crate) const GROUP_COST: f64 = 3.0;
 /// A report counts for so many halves of the time to its sender's next one: two may be lost.
-const KEPT_HALVES: i64 = 5;
+pub(crate) const KEPT_HALVES: i64 = 5;
 /// No report counts for more than so many times what 19 of 20 report. Guards against a member that lies: what one or two
 /// of 40 claim doesn't move this mark, and clients never come as unevenly.
-const MOST_OF_USUAL: f64 = 2.0;
+pub(crate) const MOST_OF_USUAL: f64 = 2.0;
 /// ... and this much, connections or any a second, where most have none.
-const ALWAYS: f64 = 4.0;
+pub(crate) const ALWAYS: f64 = 4.0;
 const ALWAYS_PER_S: f64 = 0.5;
 /// Mean load of a connection beside the median of what members report.
 const MOST_LOAD: f64 = 4.0;
@@ -27,7 +27,7 @@
 /// A keeper that hears the first reports waits so long for the others'.
 const YOUNG: Micros = 1_200_000;
 /// No report says that the next comes sooner than this.
-const LEAST_NEXT: Micros = 200_000;
+pub(crate) const LEAST_NEXT: Micros = 200_000;
 
 /// What one member reports.
 #[derive(Clone, Debug)]
@@ -72,6 +72,7 @@
     claims: BTreeMap<u32, Claim>,
     since: Option<Micros>,
     table: Option<(Micros, Table)>,
+    beside: f64,
 }
 
 impl Gathering {
@@ -118,6 +119,24 @@
         claim.entries.extend(report.entries.into_iter().map(|entry| (generation, entry)));
     }
 
+    /// So many bytes go to and fro with each report beside it and its answer.
+    pub fn set_beside(&mut self, bytes: f64) {
+        self.beside = bytes;
+    }
+
+    /// Whether this member reports.
+    pub fn has(&self, member: u32) -> bool {
+        self.claims.contains_key(&member)
+    }
+
+    /// Connections of all that report, and of those that are chosen, none counted for more than it can have.
+    pub fn connections(&self, chosen: impl Fn(u32) -> bool) -> (f64, f64) {
+        let most = self.most(ALWAYS, |totals| f64::from(totals.connections));
+        let count = |claim: &Claim| f64::from(claim.totals.connections).min(most);
+        let all = self.claims.values().map(count).sum();
+        (all, self.claims.iter().filter(|(member, _)| chosen(**member)).map(|(_, claim)| count(claim)).sum())
+    }
+
     fn forget_old(&mut self, now: Micros) {
         self.claims.retain(|_, claim| now <= claim.until);
         if self.claims.is_empty() {
@@ -154,7 +173,7 @@
     fn period(&self, settings: &Settings, table: &Table) -> Micros {
         let reports: usize = self.claims.values().map(|claim| claim.bytes).sum();
         let tables: usize = write_table(table).iter().map(Vec::len).sum();
-        let bytes = reports as f64 / self.claims.len().max(1) as f64 + tables as f64;
+        let bytes = reports as f64 / self.claims.len().max(1) as f64 + tables as f64 + self.beside;
         pace::period(settings, f64::from(table.members), bytes, table.totals.requests)
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,17 +5,24 @@
 //! it has, once a period, to one proxy that is *keeper* for the time being, and gets the sums of all reports, the *table*,
 //! as the answer. The keeper is another one every [`EPOCH`]; who comes next is the same for everybody.
 //! `docs/design/fleet-view.md` says why, and what it costs.
+//!
+//! The keeper also sums up what all have of each large group, and tells how many homes those need that five are too few for:
+//! `docs/design/group-homes.md`.
 
 mod config;
 mod gathering;
+pub mod group_sums;
+pub mod groups;
+pub mod homes;
 mod member;
 mod order;
 mod pace;
 mod view;
 pub mod wire;
 
-pub use config::{BadFleet, FleetSection, Settings};
+pub use config::{BadFleet, FleetSection, GroupHomes, Settings};
 pub use gathering::{Claim, Gathering};
+pub use groups::GroupLoad;
 pub use member::{Counts, Input, Member, Output, Own};
 pub use order::{EPOCH, keepers};
 pub use view::{Told, View};
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -1,11 +1,14 @@
 //! One member: reports to the keeper, asks others when that is silent, and is keeper when it is asked.
 
 use crate::gathering::Gathering;
+use crate::group_sums::{GroupSums, Heard};
+use crate::groups::{GroupLoad, heaviest};
+use crate::homes::{GroupsHomes, LEAST_HOMES, Nodes, needed, room};
 use crate::order::{EPOCH, keepers};
 use crate::pace;
 use crate::view::View;
-use crate::wire::{self, Datagram, Entry, Report, Subchannel, Table, Totals};
-use crate::{Micros, Settings};
+use crate::wire::{self, Datagram, Entry, Groups, Homes, Report, Subchannel, Table, Totals};
+use crate::{GroupHomes, Micros, Settings};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, VecDeque};
@@ -24,6 +27,15 @@
 /// A view is replaced by one of fewer members than this part only once it is old: a keeper that has just begun has not heard
 /// all.
 const LEAST_OF_BEFORE: f64 = 0.6;
+/// An answer that comes later than all rounds of asking take, and half a second for the way, is none: this process was stopped
+/// meanwhile, and what it finds in its socket is as old as that.
+const LATE: Micros = (ROUNDS as Micros + 2) * ANSWER;
+/// A group that needs five homes has so many times this at each member on the mean; who has less has nothing to report of it.
+const WORTH_REPORTING: f64 = 4.0;
+/// From so many connections of its own a member that is told nothing works out a group's size: off by a fifth or so.
+const SAMPLE: u32 = 30;
+/// However little of all it had when it was told, it takes its part to be this much of an even one.
+const LEAST_OF_EVEN: f64 = 0.5;
 
 /// What this proxy has.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -48,6 +60,8 @@
     Own(Own),
     /// The listed subchannels' capacities, microseconds of work a second, for the time when this one is keeper.
     Sizes(BTreeMap<Subchannel, f64>),
+    /// What this proxy has of each group, in place of what it had before. Only where homes follow from a group's size.
+    Groups(Vec<GroupLoad>),
     /// This proxy leaves: what it had counts no more.
     Leave,
     /// [`Member::next_timeout`] has come.
@@ -68,6 +82,8 @@
     View,
     /// Another member is keeper, as far as this one knows; `None`: none answers.
     Keeper(Option<u32>),
+    /// [`Member::homes`] have changed.
+    Homes,
 }
 
 /// Sums since the start.
@@ -81,6 +97,12 @@
     pub dropped: u64,
     /// Questions without an answer.
     pub unanswered: u64,
+    /// Answers that came after their time.
+    pub late: u64,
+    /// Tables of homes that were taken.
+    pub homes_told: u64,
+    /// Times that a group found no room: in this proxy's report, in a table of its own, or among those that it acts on.
+    pub groups_cut: u64,
 }
 
 /// Where a member stands with its report.
@@ -116,6 +138,11 @@
     own: Own,
     sizes: BTreeMap<Subchannel, f64>,
     gathering: Gathering,
+    own_groups: Vec<GroupLoad>,
+    sums: GroupSums,
+    homes: GroupsHomes,
+    /// When a table of homes came last, or this member began.
+    homes_at: Micros,
     view: Option<View>,
     announced: bool,
     left: bool,
@@ -131,6 +158,7 @@
         let mut chance = ChaCha8Rng::seed_from_u64(seed);
         let next_report = now + chance.random_range(0..=settings.period / 4);
         let generation = chance.random();
+        let homes = settings.group_homes.as_ref().map_or_else(GroupsHomes::default, GroupsHomes::new);
         let mut member = Member {
             settings,
             me,
@@ -150,6 +178,10 @@
             own: Own::default(),
             sizes: BTreeMap::new(),
             gathering: Gathering::default(),
+            own_groups: Vec::new(),
+            sums: GroupSums::default(),
+            homes,
+            homes_at: now,
             view: None,
             announced: false,
             left: false,
@@ -169,6 +201,7 @@
             Input::Datagram { from, bytes } => self.datagram(from, bytes),
             Input::Own(own) => self.own = own,
             Input::Sizes(sizes) => self.sizes = sizes,
+            Input::Groups(groups) => self.has_groups(groups),
             Input::Leave => self.leave(),
             Input::Tick => {}
         }
@@ -208,9 +241,15 @@
         self.keeper
     }
 
+    /// The groups that have more than five homes, and how many.
+    pub fn homes(&self) -> impl Iterator<Item = (u64, u32)> {
+        self.homes.all()
+    }
+
     /// What went out and came in so far.
     pub fn counts(&self) -> Counts {
-        self.counts
+        let groups_cut = self.counts.groups_cut + self.sums.cut + self.homes.dropped;
+        Counts { groups_cut, ..self.counts }
     }
 
     fn epoch_at(&self, now: Micros) -> u64 {
@@ -224,6 +263,7 @@
             self.order = keepers(epoch, self.members);
             self.announced = false;
             self.first_silent = 0;
+            self.sums.forget_old(self.now);
             self.set_keeper(self.order.first().copied());
         }
         match self.stage {
@@ -313,11 +353,17 @@
         if !no_answer && !self.asked.contains(&to) {
             self.asked.push(to);
         }
+        let groups = self.settings.group_homes.filter(|_| !leaving).map(|_| {
+            let groups = self.own_groups.iter().map(|own| (own.group, own.load)).collect();
+            Groups { generation, part: (0, 1), no_answer, next, groups }
+        });
         if to == self.me {
             // What costs nothing has no bytes.
+            groups.into_iter().for_each(|groups| self.sums.take(&self.settings, self.now, to, 0, groups));
             return self.gathering.take(self.now, to, 0, report);
         }
-        let parts = wire::write_report(&report);
+        let mut parts = wire::write_report(&report);
+        parts.extend(groups.iter().flat_map(wire::write_groups));
         parts.into_iter().for_each(|bytes| self.send(to, bytes));
     }
 
@@ -334,6 +380,10 @@
                 self.reported(from, report, bytes.len())
             }
             (Some(from), Some(Datagram::Table(table))) if !self.left => self.answered(from, table),
+            (Some(from), Some(Datagram::Groups(groups))) if !self.left => {
+                self.groups_reported(from, groups, bytes.len())
+            }
+            (Some(from), Some(Datagram::Homes(homes))) if !self.left => self.homes_answered(from, homes),
             _ => self.counts.dropped += 1,
         }
     }
@@ -341,6 +391,9 @@
     fn reported(&mut self, from: u32, report: Report, bytes: usize) {
         let (generation, last) = (report.generation, report.part.0 + 1 == report.part.1);
         let wanted = last && !report.no_answer && !report.leaving;
+        if report.leaving {
+            self.sums.forget(from);
+        }
         self.gathering.take(self.now, from, bytes, report);
         if wanted {
             let table = self.table();
@@ -351,13 +404,21 @@
 
     fn table(&mut self) -> Table {
         let sizes = &self.sizes;
+        self.gathering.set_beside(self.sums.bytes());
         self.gathering.table(&self.settings, self.now, |node| sizes.get(&node).copied())
     }
 
+    /// Only from whom it was asked for, and only to the last report: an earlier keeper could guess the next number. And in time.
+    fn is_answer(&mut self, from: u32, generation: u16) -> bool {
+        let asked = generation == self.generation && self.asked.contains(&from);
+        let late = self.now - self.reported > LATE;
+        self.counts.dropped += u64::from(!asked);
+        self.counts.late += u64::from(asked && late);
+        asked && !late
+    }
+
     fn answered(&mut self, from: u32, table: Table) {
-        // Only from whom it was asked for, and only to the last report: an earlier keeper could guess the next number.
-        if table.generation != self.generation || !self.asked.contains(&from) {
-            self.counts.dropped += 1;
+        if !self.is_answer(from, table.generation) {
             return;
         }
         let place = |ordinal: u32| self.order.iter().position(|other| *other == ordinal);
@@ -381,7 +442,100 @@
         self.stage = Stage::Quiet;
         self.unheard = 0;
         let table = self.table();
+        let young = table.young;
         self.take_table(table);
+        if let Some(settings) = self.settings.group_homes
+            && !young
+        {
+            let homes = self.homes_table(&settings);
+            self.take_homes(homes, true);
+        }
+    }
+
+    // ---- homes by a group's size ----
+
+    fn nodes(&self) -> Nodes {
+        let all: f64 = self.sizes.values().sum();
+        Nodes { count: self.sizes.len() as u32, size: all / self.sizes.len().max(1) as f64 }
+    }
+
+    fn mean_load(&self) -> f64 {
+        self.view.as_ref().map_or(0.0, |view| view.mean_load)
+    }
+
+    /// This member's part of all connections, as far as it knows.
+    fn part(&self) -> f64 {
+        let even = 1.0 / f64::from(self.members.max(1));
+        let told = self.view.as_ref().filter(|view| self.now - view.at < 4 * self.settings.longest_period);
+        told.map_or(even, |view| view.part().max(LEAST_OF_EVEN * even))
+    }
+
+    fn has_groups(&mut self, groups: Vec<GroupLoad>) {
+        let Some(settings) = self.settings.group_homes else { return };
+        let (nodes, mean_load) = (self.nodes(), self.mean_load());
+        let five = f64::from(LEAST_HOMES) * room(nodes, settings.home_use, mean_load);
+        let least = five / f64::from(self.members.max(1)) / WORTH_REPORTING;
+        let (groups, cut) = heaviest(groups, settings.groups, least);
+        self.own_groups = groups;
+        self.counts.groups_cut += cut as u64;
+        // What is here needs its homes, whatever others have.
+        let untold = self.now - self.homes_at > settings.keep;
+        let part = self.part();
+        let mut changed = false;
+        for own in &self.own_groups {
+            let guess = untold && own.count >= SAMPLE;
+            let load = if guess { own.load / part } else { own.load };
+            let homes = needed(load, mean_load, nodes, settings.home_use);
+            changed |= self.homes.told(self.now, own.group, homes);
+        }
+        changed |= untold && self.homes.settle(self.now);
+        self.out.extend(changed.then_some(Output::Homes));
+    }
+
+    fn groups_reported(&mut self, from: u32, groups: Groups, bytes: usize) {
+        let Some(settings) = self.settings.group_homes else {
+            self.counts.dropped += 1;
+            return;
+        };
+        let (generation, last) = (groups.generation, groups.part.0 + 1 == groups.part.1);
+        let wanted = last && !groups.no_answer;
+        self.sums.take(&self.settings, self.now, from, bytes, groups);
+        if wanted {
+            let young = self.table().young;
+            let homes = if young { Vec::new() } else { self.homes_table(&settings) };
+            let table = Homes { generation, part: (0, 1), young, homes };
+            wire::write_homes(&table).into_iter().for_each(|bytes| self.send(from, bytes));
+        }
+    }
+
+    fn homes_table(&mut self, settings: &GroupHomes) -> Vec<(u64, u32)> {
+        let nodes = self.nodes();
+        let table = self.table();
+        // Whose report was lost has its groups counted with the others that aren't heard.
+        self.sums.keep(|member| self.gathering.has(member));
+        let (connections, with_groups) = self.gathering.connections(|member| self.sums.has(member));
+        let (members, mean_load) = (table.members, table.mean_load);
+        let heard = Heard { tier: self.members, members, connections, with_groups, mean_load, nodes };
+        self.sums.table(settings, self.now, &heard)
+    }
+
+    fn homes_answered(&mut self, from: u32, homes: Homes) {
+        if self.is_answer(from, homes.generation) && !homes.young {
+            let last = homes.part.0 + 1 == homes.part.1;
+            self.take_homes(homes.homes, last);
+        }
+    }
+
+    fn take_homes(&mut self, homes: Vec<(u64, u32)>, last: bool) {
+        self.homes_at = self.now;
+        self.counts.homes_told += 1;
+        let most = self.sizes.len() as u32;
+        let mut changed = false;
+        for (group, homes) in homes {
+            changed |= self.homes.told(self.now, group, homes.min(most));
+        }
+        changed |= last && self.homes.settle(self.now);
+        self.out.extend(changed.then_some(Output::Homes));
     }
 
     fn take_table(&mut self, table: Table) {
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -3,8 +3,8 @@
 //! | both | bytes | |
 //! | --- | --- | --- |
 //! | version | 1 | 2; gossip's datagrams begin with 1, and each drops the other's |
-//! | kind | 1 | 1 report, 2 table |
-//! | flags | 1 | report: bit 0 leaving, bit 1 no answer wanted; table: bit 0 no sums yet |
+//! | kind | 1 | 1 report, 2 table, 3 groups, 4 homes; whoever doesn't know a kind drops it |
+//! | flags | 1 | report: bit 0 leaving; report, groups: bit 1 no answer wanted; table, homes: bit 0 no sums yet |
 //! | generation | 2 | of the report; its answer has the same, so nobody can tell a table unasked |
 //! | part | 1 | which of so many datagrams, from 0; high 4 bits: how many more than one there are |
 //! | next, period | n | tenths of a second; report: until its sender's next one; table: between two reports, for everybody |
@@ -20,6 +20,14 @@
 //! | report: word, groups | 1 + n | bits 5 and 6 the word, bits 0 to 4 how many groups, then a byte of each one's digest |
 //! | table: use, word | 1 | bits 0 to 5 load over size: 0 for less than 0.4, else from there in steps of 1/32; bits 6 and 7 the word |
 //!
+//! Groups and homes have the header as far as the part; groups then the next, as reports do. Their entries:
+//!
+//! | entry | bytes | |
+//! | --- | --- | --- |
+//! | group | 8 | digest of its name, whole: a group that is taken for another would get its homes |
+//! | groups: load | n | of the sender's connections of it, in steps of 16 us of work a second |
+//! | homes: homes | n | more than five |
+//!
 //! Entries that a table leaves out are under 0.4 and nothing is said against them.
 
 use crate::Micros;
@@ -29,6 +37,9 @@
 const VERSION: u8 = 2;
 const REPORT: u8 = 1;
 const TABLE: u8 = 2;
+const GROUPS: u8 = 3;
+const HOMES: u8 = 4;
+const LOAD_STEP: f64 = 16.0;
 const LEAVING: u8 = 1;
 const NO_ANSWER: u8 = 2;
 const YOUNG: u8 = 1;
@@ -140,6 +151,34 @@
     pub nodes: Vec<(Subchannel, f64, Word)>,
 }
 
+/// One datagram of a proxy's heaviest groups.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Groups {
+    /// That of the report which goes with it.
+    pub generation: u16,
+    /// Which datagram of it, of how many.
+    pub part: (u8, u8),
+    /// It is told ahead of a keeper's time, no answer is wanted.
+    pub no_answer: bool,
+    /// The sender's next report comes after about this long; to a tenth of a second.
+    pub next: Micros,
+    /// A group's digest, and the summed load of the sender's connections of it, work in microseconds a second.
+    pub groups: Vec<(u64, f64)>,
+}
+
+/// One datagram of the answer: the groups that need more than five homes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Homes {
+    /// That of the report.
+    pub generation: u16,
+    /// Which datagram of it, of how many.
+    pub part: (u8, u8),
+    /// The keeper has not heard all yet; nothing in it counts.
+    pub young: bool,
+    /// A group's digest and its homes.
+    pub homes: Vec<(u64, u32)>,
+}
+
 /// A datagram that was read.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Datagram {
@@ -147,6 +186,10 @@
     Report(Report),
     /// From a keeper.
     Table(Table),
+    /// To a keeper that knows homes by a group's size.
+    Groups(Groups),
+    /// From such a one.
+    Homes(Homes),
 }
 
 /// A load as a byte: 0 for none, else 64 us a second times 2 to the power of sixteenths; up to 3.8 cores.
@@ -264,6 +307,30 @@
     cut(&head, told.into_iter().map(entry))
 }
 
+/// A proxy's groups as datagrams, one at least; the part's numbers of `groups` don't matter. The first ones go first.
+pub fn write_groups(groups: &Groups) -> Vec<Vec<u8>> {
+    let mut head = header(GROUPS, u8::from(groups.no_answer) * NO_ANSWER, groups.generation);
+    number(&mut head, tenths(groups.next));
+    let entry = |(group, load): &(u64, f64)| {
+        let mut bytes = group.to_le_bytes().to_vec();
+        // Casts saturate: what is not a number is 0.
+        number(&mut bytes, (load / LOAD_STEP).round() as u32);
+        bytes
+    };
+    cut(&head, groups.groups.iter().map(entry))
+}
+
+/// A table of homes as datagrams, one at least. The first ones go first.
+pub fn write_homes(homes: &Homes) -> Vec<Vec<u8>> {
+    let head = header(HOMES, u8::from(homes.young) * YOUNG, homes.generation);
+    let entry = |(group, homes): &(u64, u32)| {
+        let mut bytes = group.to_le_bytes().to_vec();
+        number(&mut bytes, *homes);
+        bytes
+    };
+    cut(&head, homes.homes.iter().map(entry))
+}
+
 struct Reading<'a>(&'a [u8]);
 
 impl Reading<'_> {
@@ -291,6 +358,17 @@
         Some(Totals { connections, requests: rate()?, well: rate()?, failed: rate()? })
     }
 
+    /// Pairs of a group and a number, to the end.
+    fn groups(&mut self) -> Option<Vec<(u64, u32)>> {
+        let mut groups = Vec::new();
+        while !self.0.is_empty() {
+            let (digest, rest) = self.0.split_first_chunk()?;
+            self.0 = rest;
+            groups.push((u64::from_le_bytes(*digest), self.number()?));
+        }
+        Some(groups)
+    }
+
     fn subchannel(&mut self) -> Option<Subchannel> {
         Some(Subchannel(u32::from_le_bytes([self.byte()?, self.byte()?, self.byte()?, 0])))
     }
@@ -342,6 +420,17 @@
             let table = Table { generation, part, young, period, members, totals, mean_load, nodes };
             Some(Datagram::Table(table))
         }
+        GROUPS => {
+            let next = of_tenths(reading.number()?);
+            let load = |(group, steps): (u64, u32)| (group, f64::from(steps) * LOAD_STEP);
+            let groups = reading.groups()?.into_iter().map(load).collect();
+            let no_answer = flags & NO_ANSWER > 0;
+            Some(Datagram::Groups(Groups { generation, part, no_answer, next, groups }))
+        }
+        HOMES => {
+            let homes = reading.groups()?;
+            Some(Datagram::Homes(Homes { generation, part, young: flags & YOUNG > 0, homes }))
+        }
         _ => None,
     }
 }
@@ -389,9 +478,44 @@
             prop_assert!(back.len() == report.entries.len() || parts.len() == MOST_PARTS);
         }
 
+        #[test]
+        fn groups_and_homes_come_back_within_the_stated_error(
+            all in prop::collection::vec((any::<u64>(), 0.0..1e9, any::<u32>()), 0..400),
+            generation: u16,
+            told: bool,
+        ) {
+            let next = 6_000_000;
+            let groups = all.iter().map(|(group, load, _)| (*group, *load)).collect();
+            let report = Groups { generation, part: (0, 1), no_answer: told, next, groups };
+            let (mut back, mut homes_back) = (Vec::new(), Vec::new());
+            let parts = write_groups(&report);
+            for (place, bytes) in parts.iter().enumerate() {
+                prop_assert!(bytes.len() <= LONGEST);
+                let Some(Datagram::Groups(read)) = read(bytes) else { panic!("unreadable") };
+                prop_assert_eq!(read.part, (place as u8, parts.len() as u8));
+                prop_assert!(read.generation == generation && read.no_answer == told && read.next == next);
+                back.extend(read.groups);
+            }
+            prop_assert!(back.len() == all.len() || parts.len() == MOST_PARTS && back.len() >= 288);
+            for ((group, load, _), (told, read)) in all.iter().zip(&back) {
+                prop_assert!(group == told && (load - read).abs() <= LOAD_STEP / 2.0);
+            }
+            let homes = all.iter().map(|(group, _, homes)| (*group, *homes)).collect();
+            let table = Homes { generation, part: (0, 1), young: told, homes };
+            let parts = write_homes(&table);
+            for bytes in &parts {
+                prop_assert!(bytes.len() <= LONGEST);
+                let Some(Datagram::Homes(read)) = read(bytes) else { panic!("unreadable") };
+                prop_assert!(read.young == told && read.generation == generation);
+                homes_back.extend(read.homes);
+            }
+            prop_assert!(homes_back[..] == table.homes[..homes_back.len()]);
+            prop_assert!(homes_back.len() == all.len() || parts.len() == MOST_PARTS);
+        }
+
         #[test]
         fn any_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
-            let mut ours = vec![VERSION, bytes.first().copied().unwrap_or(0) % 3];
+            let mut ours = vec![VERSION, bytes.first().copied().unwrap_or(0) % 5];
             ours.extend(&bytes);
             read(&bytes);
             if let Some(Datagram::Report(report)) = read(&ours) {
--- /dev/null
+++ b/crates/fleet/tests/homes.rs
@@ -0,0 +1,278 @@
+//! Homes by a group's size, in whole tiers with faults: loss, delay, stops, restarts, cuts, members that aren't heard, older
+//! programs, strangers and liars.
+
+mod played;
+use cottonnotch_fleet::wire::{self, Datagram, Groups, Homes};
+use cottonnotch_fleet::*;
+use played::*;
+
+const LARGE: u64 = 0xfeed_f00d_dead_beef;
+const SMALL: u64 = 77;
+
+/// Where a node takes some 500 connections, and 100 of one group.
+fn scale(members: u32) -> Scale {
+    Scale { members, nodes: 200, size: 2e6, load: 4_000.0, requests_per_s: f64::from(members) }
+}
+
+/// One group of so many connections a member, and a small one.
+fn tier(seed: u64, members: u32, each: u32, settings: Settings) -> Sim {
+    let mut sim = Sim::new(seed, scale(members), settings);
+    sim.clients(LARGE, members * each);
+    sim.clients(SMALL, 60);
+    sim
+}
+
+fn assert_right(sim: &Sim, what: &str) {
+    assert_within(sim, what, 1.3);
+}
+
+/// Enough homes everywhere; no more than so many times what is needed at most members.
+fn assert_within(sim: &Sim, what: &str, times: f64) {
+    let (least, middle, most) = sim.spread(LARGE);
+    let needs = sim.needs(LARGE);
+    eprintln!(
+        "seed {}, {} members, {what}: {least} to {most}, middle {middle}, needs {needs}",
+        sim.seed, sim.scale.members
+    );
+    assert!(f64::from(least) >= 0.85 * f64::from(needs), "seed {}, {what}: {least} of {needs}", sim.seed);
+    assert!(f64::from(middle) <= times * f64::from(needs), "seed {}, {what}: {middle} of {needs}", sim.seed);
+    assert!(sim.fullest(LARGE) <= 0.29, "seed {}, {what}: {} of a node", sim.seed, sim.fullest(LARGE));
+    assert_eq!(sim.spread(SMALL), (5, 5, 5), "seed {}, {what}: a small group has five", sim.seed);
+}
+
+#[test]
+fn all_spread_a_large_group_alike_at_every_size() {
+    for (seed, members, each) in [(1, 30, 200), (2, 110, 60), (3, 300, 30), (4, 440, 30)] {
+        let mut sim = tier(seed, members, each, settings(Some(64), 600, 180));
+        assert!(sim.fullest(LARGE) > 1.2, "before anything is told it would push five nodes over");
+        sim.run_for(25 * S);
+        assert_right(&sim, "25 s after the start");
+    }
+}
+
+#[test]
+fn homes_rise_with_a_group_within_seconds_and_fall_slowly() {
+    let mut sim = tier(5, 60, 20, settings(Some(64), 60, 30));
+    sim.run_for(20 * S);
+    let before = sim.needs(LARGE);
+    sim.clients(LARGE, 6_000);
+    sim.run_for(15 * S);
+    assert_right(&sim, "15 s after it grew six times");
+    let high = sim.spread(LARGE).0;
+    for groups in &mut sim.groups {
+        groups.insert(LARGE, 15);
+    }
+    sim.run_for(40 * S);
+    assert!(sim.spread(LARGE).0 >= high, "held for a minute");
+    sim.run_for(30 * S);
+    let (least, _, most) = sim.spread(LARGE);
+    assert!(least >= high / 2, "{least} to {most} of {high}: by half at most");
+    sim.run_for(70 * S);
+    let (least, _, most) = sim.spread(LARGE);
+    assert!(
+        least >= high / 4 && most < high,
+        "{least} to {most} of {high}: the second hold is over everywhere"
+    );
+    sim.run_for(300 * S);
+    assert!(sim.spread(LARGE).2 <= before + 2, "{:?}", sim.spread(LARGE));
+}
+
+#[test]
+fn a_third_lost_and_a_tenth_restarted_all_the_time() {
+    let mut sim = tier(6, 300, 30, settings(Some(64), 600, 180));
+    sim.loss = 0.33;
+    sim.run_for(40 * S);
+    for round in 0..10 {
+        for member in (0..300).filter(|member| member % 10 == round) {
+            sim.kill(member);
+        }
+        sim.run_for(2 * S);
+        (0..300).filter(|member| member % 10 == round).for_each(|member| sim.start(member));
+        sim.run_for(3 * S);
+    }
+    sim.run_for(20 * S);
+    // While clients come again, some are counted at two members: too many homes, not too few.
+    assert_within(&sim, "20 s after all were restarted, a third lost", 1.6);
+}
+
+/// Two regions lose each other: all connections go on, each side hears half of the members.
+#[test]
+fn a_region_that_is_cut_off_pushes_no_node_over_on_either_side() {
+    let mut sim = tier(7, 220, 30, settings(Some(64), 60, 30));
+    sim.run_for(25 * S);
+    let before = sim.spread(LARGE).1;
+    (0..110).for_each(|member| sim.part[member] = 1);
+    for minute in 0..10 {
+        sim.run_for(60 * S);
+        let (least, middle, most) = sim.spread(LARGE);
+        assert!(f64::from(least) >= 0.8 * f64::from(before), "minute {minute}: {least} of {before}");
+        assert!(middle <= before * 3 / 2 && most <= before * 2, "minute {minute}: {middle}, {most}");
+        assert!(sim.fullest(LARGE) <= 0.3, "minute {minute}: {}", sim.fullest(LARGE));
+    }
+    sim.part.fill(0);
+    sim.run_for(25 * S);
+    assert_right(&sim, "25 s after the regions met again");
+}
+
+/// Half has an older program, or the keys off: it drops what it doesn't know, and every second keeper tells nothing.
+#[test]
+fn half_of_the_tier_with_an_older_program() {
+    let mut sim = tier(8, 120, 60, settings(Some(64), 600, 180));
+    for member in (0..120).filter(|member| member % 2 == 1) {
+        sim.settings[member as usize] = settings(None, 600, 180);
+        sim.start(member);
+    }
+    sim.run_for(200 * S);
+    let needs = sim.needs(LARGE);
+    for member in 0..120 {
+        let homes = sim.homes(member, LARGE);
+        if member % 2 == 0 {
+            assert!((needs * 85 / 100..=needs * 14 / 10).contains(&homes), "{member}: {homes} of {needs}");
+        } else {
+            assert_eq!(homes, 5, "an older program has five");
+        }
+    }
+    let (old, new): (Vec<_>, Vec<_>) = (0..120).partition(|member| member % 2 == 1);
+    let dropped =
+        |of: &[usize]| -> u64 { of.iter().map(|m| sim.members[*m].as_ref().unwrap().counts().dropped).sum() };
+    assert!(dropped(&old) > 100, "what it doesn't know it drops and counts");
+    // Answers that cross the next question are dropped in any tier.
+    assert!(dropped(&new) * 1_000 < sim.sent, "and nobody drops what the older tell: {}", dropped(&new));
+    let views =
+        sim.members.iter().flatten().filter(|one| one.view().is_some_and(|view| sim.now - view.at < 10 * S));
+    assert!(views.count() > 110, "the fleet's view goes on");
+}
+
+/// Hears all and isn't heard: it gets no answers, keeps what it had for the stated time, and then goes by its own.
+#[test]
+fn one_that_is_not_heard_keeps_its_homes_and_then_goes_by_its_own_count() {
+    let mut sim = tier(9, 60, 100, settings(Some(64), 60, 30));
+    sim.run_for(25 * S);
+    let before = sim.homes(4, LARGE);
+    sim.mute[4] = true;
+    for _ in 0..12 {
+        sim.run_for(20 * S);
+        let (homes, needs) = (sim.homes(4, LARGE), sim.needs(LARGE));
+        assert!(homes >= before * 7 / 10 && homes <= needs * 2, "{homes}, {before} before, needs {needs}");
+    }
+    // Its clients leave: by its own count there is nothing.
+    sim.groups[4].remove(&LARGE);
+    let mut last = sim.homes(4, LARGE);
+    for _ in 0..10 {
+        sim.run_for(60 * S);
+        let homes = sim.homes(4, LARGE);
+        assert!(homes >= last / 2, "by half in a hold at most: {homes} after {last}");
+        last = homes;
+    }
+    assert_eq!(last, 5);
+}
+
+/// Stopped for 30 s, as by SIGSTOP: what waits in its socket is as old as that.
+#[test]
+fn one_that_was_stopped_acts_on_no_table_of_before() {
+    for seed in 10..16 {
+        let mut sim = tier(seed, 40, 100, settings(Some(64), 60, 30));
+        sim.loss = 0.0;
+        sim.run_for(25 * S);
+        // It stops when it has just asked, so that the answer is on its way.
+        let member = 7;
+        let at = sim.members[7].as_ref().unwrap().next_timeout();
+        sim.run_for((at - sim.now).max(0));
+        sim.stop(member);
+        let before = sim.homes(member, LARGE);
+        sim.clients(LARGE, 40_000);
+        sim.run_for(30 * S);
+        let counts = sim.members[7].as_ref().unwrap().counts();
+        sim.go_on(member);
+        let after = sim.members[7].as_ref().unwrap().counts();
+        let told = after.homes_told - counts.homes_told;
+        assert_eq!(told, 0, "seed {seed}: it took a table of 30 s ago");
+        assert!(sim.homes(member, LARGE) >= before, "seed {seed}");
+        sim.run_for(10 * S);
+        assert!(
+            sim.homes(member, LARGE) >= sim.needs(LARGE) * 8 / 10,
+            "seed {seed}: it goes on with the others"
+        );
+    }
+}
+
+/// A group that claims to have a billion listeners, 100,000 names, strangers, wrong sizes, another tier size.
+#[test]
+fn bad_input_is_dropped_or_bounded_and_counted() {
+    let mut sim = tier(20, 40, 100, settings(Some(64), 600, 180));
+    sim.run_for(25 * S);
+    let (before, bytes) = (sim.spread(LARGE), sim.bytes.iter().sum::<u64>());
+    // Two members lie, at whoever is keeper; each tells others as many names as it can.
+    for round in 0..200_u64 {
+        for liar in [38, 39] {
+            sim.groups[liar].insert(round << 32 | liar as u64, 1_000_000_000);
+            let names = (0..500).map(|name| (1 << 63 | round << 20 | name, 1));
+            let more: Vec<_> = names.collect();
+            sim.groups[liar].extend(more);
+        }
+        sim.run_for(S / 5);
+    }
+    let (least, _, most) = sim.spread(LARGE);
+    assert!(least >= before.0 && most <= before.2 + before.2 / 5, "{least} to {most}, {before:?} before");
+    for (place, one) in sim.members.iter().flatten().enumerate().take(38) {
+        assert!(one.homes().count() <= 3, "{place}: {:?}", one.homes().collect::<Vec<_>>());
+    }
+    assert!(sim.sum(|counts| counts.groups_cut) > 1_000);
+    let spent = sim.bytes.iter().sum::<u64>() - bytes;
+    let allowed = 2.0 * 1.4 * 256.0 * 3.0 * sim.scale.requests_per_s * 40.0;
+    assert!((spent as f64) < allowed, "{spent} bytes to and fro of {allowed}");
+
+    // Strangers and broken datagrams.
+    let one = sim.members[3].as_mut().unwrap();
+    let dropped = one.counts().dropped;
+    let groups = Groups { generation: 1, part: (0, 1), no_answer: false, next: S, groups: vec![(1, 1e12)] };
+    let homes = Homes { generation: 1, part: (0, 1), young: false, homes: vec![(LARGE, 1), (SMALL, 200)] };
+    let (groups, homes) = (wire::write_groups(&groups).remove(0), wire::write_homes(&homes).remove(0));
+    let mut long = homes.clone();
+    long.resize(257, 0);
+    let inputs: Vec<(Option<u32>, &[u8])> = vec![
+        (None, &groups),
+        (None, &homes),
+        (Some(40), &groups),
+        (Some(4_000_000), &homes),
+        (Some(5), &homes),
+        (Some(5), &homes[..homes.len() - 1]),
+        (Some(5), &groups[..groups.len() - 1]),
+        (Some(5), &long),
+        (Some(5), &[2, 5, 0, 0, 0, 0]),
+        (Some(5), &[]),
+    ];
+    let many = inputs.len() as u64;
+    for (from, bytes) in inputs {
+        one.handle(sim.now, Input::Datagram { from, bytes });
+    }
+    assert_eq!(one.counts().dropped, dropped + many);
+    assert_eq!(sim.homes(3, SMALL), 5);
+}
+
+/// A keeper that says what it likes: no group gets more homes than there are nodes, or fewer than five.
+#[test]
+fn a_lying_keeper_is_held_to_the_nodes_that_there_are() {
+    let mut sim = tier(21, 30, 100, settings(Some(64), 600, 180));
+    sim.loss = 0.0;
+    sim.run_for(25 * S);
+    let honest = sim.homes(9, LARGE);
+    let one = sim.members[9].as_mut().unwrap();
+    sim.now = one.next_timeout();
+    one.handle(sim.now, Input::Tick);
+    let mut asked = None;
+    while let Some(output) = one.poll() {
+        if let Output::Send { to, bytes } = output
+            && let Some(Datagram::Groups(groups)) = wire::read(&bytes)
+        {
+            asked = Some((to, groups.generation));
+        }
+    }
+    let (keeper, generation) = asked.expect("it reports its groups");
+    let homes = vec![(LARGE, 0), (SMALL, u32::MAX), (78, 3)];
+    let lie = wire::write_homes(&Homes { generation, part: (0, 1), young: false, homes }).remove(0);
+    one.handle(sim.now, Input::Datagram { from: Some(keeper), bytes: &lie });
+    assert_eq!(sim.homes(9, SMALL), 200, "all nodes, no more");
+    assert_eq!(sim.homes(9, 78), 5);
+    assert_eq!(sim.homes(9, LARGE), honest, "nobody takes homes away at once");
+}
--- /dev/null
+++ b/crates/fleet/tests/played/mod.rs
@@ -0,0 +1,268 @@
+//! A tier on virtual time from one seed, for homes by a group's size: datagrams are lost and late, members stop, die, are cut
+//! off, or run an older program. What is judged is what each member would act on, against what all have in truth.
+#![allow(dead_code)]
+
+use cottonnotch_fleet::wire::Totals;
+use cottonnotch_fleet::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::{Duration, Instant};
+
+pub const S: Micros = 1_000_000;
+/// Any date; not at the beginning of an epoch.
+const UNIX: Micros = 1_796_000_000 * S + 7 * S;
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Arrives { from: u32, to: u32, bytes: Vec<u8> },
+    Wakes(u32),
+}
+
+/// How large things are.
+#[derive(Clone, Copy)]
+pub struct Scale {
+    pub members: u32,
+    pub nodes: u32,
+    /// Capacity of a node, and load of a connection: microseconds of work a second.
+    pub size: f64,
+    pub load: f64,
+    pub requests_per_s: f64,
+}
+
+pub struct Sim {
+    pub chance: ChaCha8Rng,
+    pub seed: u64,
+    pub now: Micros,
+    pub scale: Scale,
+    pub loss: f64,
+    /// Members of different parts don't hear one another.
+    pub part: Vec<u8>,
+    /// What it sends is lost, though it hears.
+    pub mute: Vec<bool>,
+    /// Stopped: nothing runs, datagrams wait in its socket.
+    pub stopped: Vec<Option<Vec<(u32, Vec<u8>)>>>,
+    /// Each member's settings: an older program has no homes.
+    pub settings: Vec<Settings>,
+    pub members: Vec<Option<Member>>,
+    /// Each member's connections by group.
+    pub groups: Vec<BTreeMap<u64, u32>>,
+    pub bytes: Vec<u64>,
+    pub sent: u64,
+    pub busy: Vec<Duration>,
+    due: BinaryHeap<Reverse<(Micros, u64, Due)>>,
+    number: u64,
+}
+
+pub fn settings(groups: Option<u32>, hold_s: u32, keep_s: u32) -> Settings {
+    let section = FleetSection {
+        members_from: Some(4),
+        group_homes: groups,
+        homes_hold_s: hold_s,
+        homes_keep_s: keep_s,
+        ..FleetSection::default()
+    };
+    section.check().unwrap().unwrap()
+}
+
+impl Sim {
+    pub fn new(seed: u64, scale: Scale, settings: Settings) -> Self {
+        let many = scale.members as usize;
+        let mut sim = Sim {
+            chance: ChaCha8Rng::seed_from_u64(seed),
+            seed,
+            now: 0,
+            scale,
+            loss: 0.1,
+            part: vec![0; many],
+            mute: vec![false; many],
+            stopped: vec![None; many],
+            settings: vec![settings; many],
+            members: (0..many).map(|_| None).collect(),
+            groups: vec![BTreeMap::new(); many],
+            bytes: vec![0; many],
+            sent: 0,
+            busy: vec![Duration::ZERO; many],
+            due: BinaryHeap::new(),
+            number: 0,
+        };
+        (0..scale.members).for_each(|member| sim.start(member));
+        sim
+    }
+
+    /// So many connections of a group, spread by chance over the members that are there.
+    pub fn clients(&mut self, group: u64, many: u32) {
+        let live: Vec<usize> =
+            (0..self.members.len()).filter(|member| self.members[*member].is_some()).collect();
+        for _ in 0..many {
+            let member = live[self.chance.random_range(0..live.len())];
+            *self.groups[member].entry(group).or_insert(0) += 1;
+        }
+    }
+
+    /// The group's connections everywhere.
+    pub fn count(&self, group: u64) -> u32 {
+        self.groups.iter().filter_map(|groups| groups.get(&group)).sum()
+    }
+
+    /// The homes that all need together, by the same formula as a plain one.
+    pub fn needs(&self, group: u64) -> u32 {
+        let Scale { load, size, nodes, .. } = self.scale;
+        let room = 0.25 * size - (3.0 * load).min(0.125 * size);
+        let homes = (f64::from(self.count(group)) * load / room).ceil() as u32;
+        homes.clamp(5, nodes.max(5))
+    }
+
+    pub fn start(&mut self, member: u32) {
+        let (seed, unix) = (self.chance.random(), UNIX + self.now);
+        let settings = self.settings[member as usize].clone();
+        let new = Member::new(settings, member, self.scale.members, seed, self.now, unix);
+        self.members[member as usize] = Some(new);
+        let sizes = (0..self.scale.nodes).map(|node| (Subchannel(node), self.scale.size)).collect();
+        self.input(member, Input::Sizes(sizes));
+    }
+
+    /// A process dies; its clients come again at the others.
+    pub fn kill(&mut self, member: u32) {
+        self.members[member as usize] = None;
+        for (group, count) in std::mem::take(&mut self.groups[member as usize]) {
+            self.clients(group, count);
+        }
+    }
+
+    pub fn stop(&mut self, member: u32) {
+        self.stopped[member as usize] = Some(Vec::new());
+    }
+
+    /// It goes on, and finds what came meanwhile.
+    pub fn go_on(&mut self, member: u32) {
+        for (from, bytes) in self.stopped[member as usize].take().into_iter().flatten() {
+            self.input(member, Input::Datagram { from: Some(from), bytes: &bytes });
+        }
+        self.input(member, Input::Tick);
+    }
+
+    fn push(&mut self, at: Micros, due: Due) {
+        self.number += 1;
+        self.due.push(Reverse((at, self.number, due)));
+    }
+
+    pub fn own(&self, member: u32) -> (Own, Vec<GroupLoad>) {
+        let groups = &self.groups[member as usize];
+        let rate = self.scale.requests_per_s / f64::from(self.scale.members);
+        let connections = groups.values().fold(0_u32, |sum, count| sum.saturating_add(*count));
+        let totals = Totals { connections, requests: rate, well: rate, failed: 0.0 };
+        let load = self.scale.load;
+        let stands = Entry {
+            subchannel: Subchannel(0),
+            load: f64::from(connections) * load,
+            groups: vec![],
+            word: Word::Well,
+        };
+        let group = |(group, count): (&u64, &u32)| GroupLoad {
+            group: *group,
+            count: *count,
+            load: load * f64::from(*count),
+        };
+        (Own { totals, entries: vec![stands] }, groups.iter().map(group).collect())
+    }
+
+    fn input(&mut self, member: u32, input: Input<'_>) {
+        let place = member as usize;
+        if let (Some(waiting), Input::Datagram { from: Some(from), bytes }) =
+            (&mut self.stopped[place], &input)
+        {
+            // A socket holds some hundred of these.
+            if waiting.len() < 200 {
+                waiting.push((*from, bytes.to_vec()));
+            }
+            return;
+        }
+        if self.stopped[place].is_some() {
+            return;
+        }
+        let tick = matches!(input, Input::Tick | Input::Sizes(_));
+        let own = tick.then(|| self.own(member));
+        let now = self.now;
+        let Some(one) = &mut self.members[place] else { return };
+        let began = Instant::now();
+        if let Some((own, groups)) = own {
+            one.handle(now, Input::Own(own));
+            one.handle(now, Input::Groups(groups));
+        }
+        one.handle(now, input);
+        let mut sends = Vec::new();
+        while let Some(output) = one.poll() {
+            if let Output::Send { to, bytes } = output {
+                sends.push((to, bytes));
+            }
+        }
+        self.busy[place] += began.elapsed();
+        let wakes = one.next_timeout().max(now);
+        self.push(wakes, Due::Wakes(member));
+        for (to, bytes) in sends {
+            assert!(bytes.len() <= 256, "seed {}: {} bytes", self.seed, bytes.len());
+            self.bytes[place] += bytes.len() as u64;
+            self.sent += 1;
+            let cut = self.part[place] != self.part[to as usize] || self.mute[place];
+            if !cut && !self.chance.random_bool(self.loss) {
+                self.bytes[to as usize] += bytes.len() as u64;
+                let at = now + self.chance.random_range(1_000..38_000);
+                self.push(at, Due::Arrives { from: member, to, bytes });
+            }
+        }
+    }
+
+    pub fn run_for(&mut self, span: Micros) {
+        let until = self.now + span;
+        while let Some(Reverse((at, ..))) = self.due.peek()
+            && *at <= until
+        {
+            let Some(Reverse((at, _, due))) = self.due.pop() else { break };
+            self.now = at;
+            match due {
+                Due::Arrives { from, to, bytes } => {
+                    self.input(to, Input::Datagram { from: Some(from), bytes: &bytes })
+                }
+                // One timer a member counts; others are outdated.
+                Due::Wakes(member) => {
+                    let awaited = self.members[member as usize].as_ref().map(Member::next_timeout);
+                    if awaited.is_some_and(|awaited| awaited <= at) {
+                        self.input(member, Input::Tick);
+                    }
+                }
+            }
+        }
+        self.now = until;
+    }
+
+    /// The homes of a group that a member acts on.
+    pub fn homes(&self, member: u32, group: u64) -> u32 {
+        let told =
+            self.members[member as usize].as_ref().map(|one| one.homes().collect::<BTreeMap<u64, u32>>());
+        told.and_then(|told| told.get(&group).copied()).unwrap_or(5)
+    }
+
+    /// The least, the middle and the most homes of a group, over the members that are there.
+    pub fn spread(&self, group: u64) -> (u32, u32, u32) {
+        let live = (0..self.scale.members).filter(|member| self.members[*member as usize].is_some());
+        let mut all: Vec<u32> = live.map(|member| self.homes(member, group)).collect();
+        all.sort_unstable();
+        (all[0], all[all.len() / 2], all[all.len() - 1])
+    }
+
+    /// What the group's connections take of its first home, if each member spreads its own evenly over those that it acts on:
+    /// none takes more.
+    pub fn fullest(&self, group: u64) -> f64 {
+        let of = |member: u32| {
+            let own = self.groups[member as usize].get(&group).copied().unwrap_or(0);
+            f64::from(own) / f64::from(self.homes(member, group))
+        };
+        (0..self.scale.members).map(of).sum::<f64>() * self.scale.load / self.scale.size
+    }
+
+    pub fn sum(&self, figure: impl Fn(&Counts) -> u64) -> u64 {
+        self.members.iter().flatten().map(|member| figure(&member.counts())).sum()
+    }
+}
