A crate `proxy`: how a sans-io member is driven, and what the driver translated for it

The driver's files for the fleet view and for gossip and the accord's thread were three shapes of one thing, tied to mio's objects, so nothing but the daemon could run them; a scale test would have measured something else.

`crates/proxy` is sans-io. `Driven` is a member (`handle`, `poll`, `next_timeout`), `Embedder` hands it inputs and carries out its outputs in their order: the accord's thread, and the translators of fleet view and gossip, are such. `Peers` has the same shape: reports of what this proxy has standing and met go in, datagrams by address and events for the module come out. With it moved what they rest on: message delays, told loads, `LOAD` lines, names on the wire, the accord's envelope, discovery's list. The driver keeps sockets, timers, the log and the records.

One thing is as the members' interface asks for and was not so before: of several datagrams of one turn each is followed by its outputs, where the outputs of all came after the last.

--- a/crates/cottonnotch/src/config/fault.rs
+++ b/crates/cottonnotch/src/config/fault.rs
@@ -1,9 +1,9 @@
 //! Why a configuration is refused. Each message begins with the faulty key and ends with where it stands.
 
 use super::operator_file::BadOperator;
-use crate::net::BadResult;
 use crate::rules::BadRules;
 use cottonnotch_decision::settings::BadSetting;
+use cottonnotch_proxy::BadResult;
 
 /// Why the proxy cannot start, or keeps what it has.
 #[derive(Debug, thiserror::Error)]
--- a/crates/cottonnotch/src/config/mod.rs
+++ b/crates/cottonnotch/src/config/mod.rs
@@ -21,10 +21,10 @@
 pub use operator_file::near_miss;
 pub use told::Told;
 
-use crate::net::ResolverResult;
 use crate::rules::RulesSettings;
 use cottonnotch_decision::settings::Profile;
 use cottonnotch_gossip::Keys;
+use cottonnotch_proxy::ResolverResult;
 use simd_json::OwnedValue;
 use simd_json::prelude::*;
 use std::net::SocketAddr;
--- a/crates/cottonnotch/src/net/driver/messages.rs
+++ b/crates/cottonnotch/src/net/driver/messages.rs
@@ -2,12 +2,9 @@
 
 use super::calls::{Call, Calls};
 use super::net::{Net, TICK};
-use crate::net::load_lines::{LoadLines, Told};
-use crate::net::message_delay::{EVERY, FleetUse, MessageDelays, Note};
-use crate::net::peer_loads::{PeerLoads, Standing};
 use cottonnotch_decision::settings::Profile;
 use cottonnotch_decision::{Event, Micros, RequestId, ServerId};
-use std::collections::BTreeMap;
+use cottonnotch_proxy::{EVERY, LoadLines, MessageDelays, Note, Told};
 
 /// How messages fare.
 pub struct Messages {
@@ -44,29 +41,9 @@
         }
     }
 
-    /// What the other proxies say.
-    pub fn peers(&mut self) -> &mut PeerLoads {
-        &mut self.delays.peers
-    }
-
-    /// This proxy's own sums, for the others to hear.
-    pub fn standing(&self) -> BTreeMap<ServerId, (u32, Standing)> {
-        self.delays.standing()
-    }
-
-    /// The same for the fleet's keeper: load, and a byte of each group's digest.
-    pub fn standing_by_group(&self, now: Micros) -> BTreeMap<ServerId, (f64, Vec<u8>)> {
-        self.delays.standing_by_group(now)
-    }
-
-    /// The listed subchannels' capacities, microseconds of work a second.
-    pub fn sizes(&self) -> impl Iterator<Item = (ServerId, f64)> + '_ {
-        self.delays.sizes()
-    }
-
-    /// What all proxies together have, as it was told.
-    pub fn fleet(&mut self, fleet: FleetUse) {
-        self.delays.fleet = Some(fleet);
+    /// What stands where, and what the other proxies say of theirs.
+    pub fn delays(&mut self) -> &mut MessageDelays {
+        &mut self.delays
     }
 
     /// A connection is up; `setup` is how long that took.
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -11,8 +11,6 @@
 mod arrivals;
 mod calls;
 mod clients;
-mod fleet;
-mod gossip;
 mod lifecycle;
 mod maintenance;
 mod management;
@@ -27,12 +25,12 @@
 use super::happening::{Happening, Object};
 use super::management::figures::Gauges;
 use super::management::{Answer, Call};
-use super::resolver_result::ResolverResult;
 use crate::config::Config;
 use crate::rules::Rulebook;
 use arrivals::Arrivals;
 use clients::Clients;
 use cottonnotch_decision::{Action, Balancer, Event, Micros, Notice, ServerId};
+use cottonnotch_proxy::ResolverResult;
 use cottonnotch_reactor::listener::Binding;
 use cottonnotch_reactor::seldom::Seldom;
 use cottonnotch_reactor::signals::{SIGHUP, SIGTERM, Signals};
@@ -42,7 +40,7 @@
 use management::Management;
 use messages::Messages;
 use net::Net;
-use peers::Peers;
+use peers::{Around, Peers};
 use records::Records;
 use std::collections::VecDeque;
 use std::io;
@@ -193,12 +191,15 @@
             Happening::Timer(net::TICK) => self.tick(),
 
             Happening::Datagrams(heard) => {
-                let events = self.peers.datagrams(net, messages, &heard);
+                let around =
+                    Around { messages, subchannels: &self.subchannels, rpcs: self.clients.calls().len() };
+                let events = self.peers.datagrams(net, around, &heard);
                 self.tell_all(events);
             }
             Happening::Timer(net::GOSSIP) => {
-                let rpcs = self.clients.calls().len();
-                let events = self.peers.timer(net, messages, &self.subchannels, rpcs);
+                let around =
+                    Around { messages, subchannels: &self.subchannels, rpcs: self.clients.calls().len() };
+                let events = self.peers.timer(net, around);
                 self.tell_all(events);
             }
 
@@ -237,7 +238,7 @@
         let ruled = self.net.rules.as_mut().and_then(Rulebook::tick);
         self.tell(ruled);
         self.catch_up();
-        let events = self.peers.tick(&mut self.net, &mut self.messages, &self.subchannels);
+        let events = self.with_peers(|peers, net, around| peers.tick(net, around));
         self.tell_all(events);
         let events = self.messages.tick(&mut self.net, self.clients.calls());
         self.tell_all(events);
@@ -259,7 +260,8 @@
         let reloaded = self.lifecycle.reload(&mut self.net, &mut self.messages);
         let Some(Reloaded { event, moved }) = reloaded else { return };
         self.tell(Some(event));
-        self.peers.reload(&mut self.net);
+        let events = self.with_peers(|peers, net, around| peers.reload(net, around));
+        self.tell_all(events);
         if moved {
             // At once, and from the last revision taken: the old address may have told its last already.
             // That its watch ends is no failure; the module hears only of the new one's.
@@ -371,7 +373,7 @@
         }
         self.settle();
         if is_last {
-            self.peers.leave(&mut self.net, &mut self.messages);
+            self.with_peers(|peers, net, around| peers.leave(net, around));
             // In each round up to the end: clients may still come.
             self.tell(Some(Event::Leaving));
             self.clients.abandon(&mut self.net, &mut self.messages);
@@ -379,6 +381,11 @@
         }
     }
 
+    fn with_peers<T>(&mut self, use_them: impl FnOnce(&mut Peers, &mut Net, Around<'_>) -> T) -> T {
+        let (messages, rpcs) = (&mut self.messages, self.clients.calls().len());
+        use_them(&mut self.peers, &mut self.net, Around { messages, subchannels: &self.subchannels, rpcs })
+    }
+
     // ---- the module ----
 
     fn tell_all(&mut self, events: Vec<Event>) {
--- a/crates/cottonnotch/src/net/driver/peers.rs
+++ b/crates/cottonnotch/src/net/driver/peers.rs
@@ -1,53 +1,138 @@
 //! The other proxies of the tier: a small one gossips, a large one has a view of the fleet, and which of them it is, is
-//! settled at the start. What both need of a proxy is here too: the names that go over the wire, and what an event shows.
+//! settled at the start. Here is what is mio's of that: the socket, the timer, the log. The rest is `cottonnotch_proxy`'s.
 
-use super::fleet::FleetMember;
-use super::gossip::GossipMember;
 use super::messages::Messages;
-use super::net::{Net, PART};
+use super::net::{GOSSIP, Net, PART};
 use super::subchannels::Subchannels;
+use crate::config::Gossiping;
+use crate::net::datagrams::Datagrams;
 use crate::net::happening::Object;
-use cottonnotch_decision::{Event, Micros, Outcome, ServerId};
-use cottonnotch_gossip::{Met, Subchannel};
+use cottonnotch_decision::{Event, Micros};
+use cottonnotch_fleet::Settings;
+use cottonnotch_gossip::{Gossip, State};
+use cottonnotch_proxy::{Alarm, Input, Local, Output, Roster};
 use cottonnotch_reactor::Key;
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 
 /// The tier, as far as this proxy takes part in it.
 pub struct Peers {
-    way: Way,
+    member: Option<Member>,
     /// Another process of this proxy has the address; it is tried again.
     waits: bool,
 }
 
-/// How this proxy speaks with the others.
-enum Way {
-    /// Not at all.
-    Alone,
-    Gossip(Box<GossipMember>),
-    Fleet(Box<FleetMember>),
+/// This proxy as a member, with its socket.
+struct Member {
+    peers: cottonnotch_proxy::Peers,
+    socket: Key,
+    alarm: Alarm,
 }
 
-impl Way {
-    fn start(net: &mut Net) -> io::Result<Way> {
-        let way = match FleetMember::settings(net) {
-            Some(settings) => FleetMember::start(net, settings)?.map(|member| Way::Fleet(Box::new(member))),
-            None => GossipMember::start(net)?.map(|member| Way::Gossip(Box::new(member))),
+impl Member {
+    /// Opens the socket, if the platform gave it one. Fails if its address can't be had.
+    fn start(net: &mut Net) -> io::Result<Option<Self>> {
+        match fleet_settings(net) {
+            Some(settings) => Member::of_fleet(net, settings),
+            None => Member::of_gossip(net),
+        }
+    }
+
+    fn of_fleet(net: &mut Net, settings: Settings) -> io::Result<Option<Self>> {
+        let members = net.config.tier.peers.len();
+        let me = net.config.profile.settings.ordinal;
+        let Some(listen) = net.config.tier.listen else { return Ok(None) };
+        if me as usize >= members {
+            log::warn!(target: PART, members; "no fleet view: this proxy is number {me} of {members}");
+            return Ok(None);
+        }
+        let socket = bind(net, listen)?;
+        let (seed, now) = (net.config.seed, net.now());
+        // The loop's clock is Unix time.
+        let member = cottonnotch_fleet::Member::new(settings, me, members as u32, seed, now, now);
+        log::info!(target: PART, peers = members, listen:%; "a view of the fleet with {} other proxies", members - 1);
+        let peers = cottonnotch_proxy::Peers::fleet(member, roster(net));
+        Ok(Some(Member::new(net, peers, socket)))
+    }
+
+    fn of_gossip(net: &mut Net) -> io::Result<Option<Self>> {
+        let Some(Gossiping { settings, keys, life }) = net.config.gossip.clone() else {
+            return Ok(None);
+        };
+        let Some(listen) = net.config.tier.listen else { return Ok(None) };
+        let (me, members) = (net.config.profile.settings.ordinal, net.config.tier.peers.len() as u32);
+        let socket = bind(net, listen)?;
+        let (seed, now, strength) = (net.config.seed, net.now(), settings.strength);
+        let gossip = Gossip::new(settings, keys, me, members, life, seed, now);
+        log::info!(target: PART, peers = members, listen:%; "gossip with {} other proxies", members.saturating_sub(1));
+        let peers = cottonnotch_proxy::Peers::gossip(gossip, strength, roster(net));
+        Ok(Some(Member::new(net, peers, socket)))
+    }
+
+    fn new(net: &mut Net, peers: cottonnotch_proxy::Peers, socket: Key) -> Self {
+        let mut member = Member { peers, socket, alarm: Alarm::default() };
+        member.arm(net);
+        member
+    }
+
+    fn arm(&mut self, net: &mut Net) {
+        if let Some(after) = self.alarm.set(net.now(), self.peers.next_timeout()) {
+            net.timer_in(after, GOSSIP);
+        }
+    }
+
+    fn handle(&mut self, net: &Net, around: &mut Around<'_>, input: Input<'_>) {
+        let mut local = Local {
+            delays: around.messages.delays(),
+            servers: around.subchannels,
+            settings: &net.config.profile.settings,
+            rpcs: around.rpcs,
         };
-        Ok(way.unwrap_or(Way::Alone))
+        self.peers.handle(net.now(), input, &mut local);
     }
+
+    /// Carries out what came of the inputs; the module is to hear the events.
+    fn carry_out(&mut self, net: &mut Net) -> Vec<Event> {
+        let mut events = Vec::new();
+        while let Some(output) = self.peers.poll() {
+            match output {
+                Output::Send { to, bytes } => send(net, self.socket, to, &bytes),
+                Output::Event(event) => events.push(event),
+                Output::Member { ordinal, state, life } => {
+                    let name = state_name(state);
+                    log::info!(target: PART, peer = ordinal, state = name; "proxy {ordinal} is {name}");
+                    net.records.peer(ordinal, state, life);
+                }
+                Output::Keeper(Some(keeper)) => {
+                    log::debug!(target: PART, keeper; "proxy {keeper} keeps the fleet's view");
+                }
+                Output::Keeper(None) => {
+                    log::warn!(target: PART, "no proxy answers for the fleet's view, going on with the last one");
+                }
+            }
+        }
+        self.arm(net);
+        events
+    }
+}
+
+/// What this proxy has while its member is driven.
+pub struct Around<'a> {
+    pub messages: &'a mut Messages,
+    pub subchannels: &'a Subchannels,
+    /// RPCs in progress.
+    pub rpcs: usize,
 }
 
 impl Peers {
     /// Opens the socket, if this proxy is to speak with others. Fails if its address can't be had; `waits`: unless another
     /// process of this proxy may have it still.
     pub fn start(net: &mut Net, waits: bool) -> io::Result<Self> {
-        match Way::start(net) {
-            Ok(way) => Ok(Peers { way, waits: false }),
+        match Member::start(net) {
+            Ok(member) => Ok(Peers { member, waits: false }),
             Err(error) if waits && error.kind() == io::ErrorKind::AddrInUse => {
                 log::info!(target: PART, "gossip begins once the earlier process has left its address");
-                Ok(Peers { way: Way::Alone, waits })
+                Ok(Peers { member: None, waits })
             }
             Err(error) => Err(error),
         }
@@ -56,9 +141,9 @@
     /// Tries again for the address that another process had.
     pub fn retry(&mut self, net: &mut Net) {
         if self.waits
-            && let Ok(way) = Way::start(net)
+            && let Ok(member) = Member::start(net)
         {
-            (self.way, self.waits) = (way, false);
+            (self.member, self.waits) = (member, false);
         }
     }
 
@@ -66,136 +151,87 @@
     /// gone.
     pub fn hand_over(&mut self, net: &mut Net) {
         self.waits = false;
-        match std::mem::replace(&mut self.way, Way::Alone) {
-            Way::Alone => {}
-            Way::Gossip(member) => net.reactor.remove(member.socket()),
-            Way::Fleet(member) => net.reactor.remove(member.socket()),
+        if let Some(member) = self.member.take() {
+            net.reactor.remove(member.socket);
         }
     }
 
     /// A new configuration was taken: keys may have changed.
-    pub fn reload(&mut self, net: &mut Net) {
-        if let Way::Gossip(member) = &mut self.way {
-            member.reload(net);
-        }
+    pub fn reload(&mut self, net: &mut Net, mut around: Around<'_>) -> Vec<Event> {
+        let keys = net.config.gossip.as_ref().map(|gossiping| gossiping.keys.clone());
+        keys.map_or_else(Vec::new, |keys| self.hand(net, &mut around, [Input::Keys(keys)]))
     }
 
     /// What the module is about to hear, as far as it shows something.
     pub fn witness(&mut self, now: Micros, event: &Event) {
-        match &mut self.way {
-            Way::Alone => {}
-            Way::Gossip(member) => member.witness(now, event),
-            Way::Fleet(member) => member.witness(now, event),
-        }
+        self.member.iter_mut().for_each(|member| member.peers.witness(now, event));
     }
 
     /// Once a second: what this proxy has to tell.
-    pub fn tick(&mut self, net: &mut Net, messages: &mut Messages, subchannels: &Subchannels) -> Vec<Event> {
-        match &mut self.way {
-            Way::Alone => Vec::new(),
-            Way::Gossip(member) => member.tick(net, messages, subchannels),
-            Way::Fleet(member) => member.tick(net, messages, subchannels),
-        }
+    pub fn tick(&mut self, net: &mut Net, mut around: Around<'_>) -> Vec<Event> {
+        self.hand(net, &mut around, [Input::Second])
     }
 
     /// Datagrams have come.
     pub fn datagrams(
         &mut self,
         net: &mut Net,
-        messages: &mut Messages,
+        mut around: Around<'_>,
         heard: &[(SocketAddr, Vec<u8>)],
     ) -> Vec<Event> {
-        match &mut self.way {
-            Way::Alone => Vec::new(),
-            Way::Gossip(member) => member.datagrams(net, messages, heard),
-            Way::Fleet(member) => member.datagrams(net, messages, heard),
-        }
+        let inputs = heard.iter().map(|(from, bytes)| Input::Datagram { from: *from, bytes });
+        self.hand(net, &mut around, inputs)
     }
 
-    /// The timer is due; it may be outdated. So many RPCs are in progress.
-    pub fn timer(
-        &mut self,
-        net: &mut Net,
-        messages: &mut Messages,
-        subchannels: &Subchannels,
-        rpcs: usize,
-    ) -> Vec<Event> {
-        match &mut self.way {
-            Way::Alone => Vec::new(),
-            Way::Gossip(member) => member.timer(net, messages),
-            Way::Fleet(member) => member.timer(net, messages, subchannels, rpcs),
-        }
+    /// The timer is due; it may be outdated.
+    pub fn timer(&mut self, net: &mut Net, mut around: Around<'_>) -> Vec<Event> {
+        self.member.iter_mut().for_each(|member| member.alarm.rung());
+        self.hand(net, &mut around, [Input::Tick])
     }
 
     /// The proxy leaves, its clients have been moved: the others count it no more.
-    pub fn leave(&mut self, net: &mut Net, messages: &mut Messages) {
-        match &mut self.way {
-            Way::Alone => {}
-            Way::Gossip(member) => member.leave(net, messages),
-            Way::Fleet(member) => member.leave(net, messages),
-        }
+    pub fn leave(&mut self, net: &mut Net, mut around: Around<'_>) {
+        self.hand(net, &mut around, [Input::Leave]);
     }
-}
 
-/// Whose address is whose.
-pub fn ordinals(net: &Net) -> BTreeMap<SocketAddr, u32> {
-    (0..).zip(&net.config.tier.peers).map(|(ordinal, address)| (*address, ordinal)).collect()
-}
-
-/// Sends a datagram from that socket; what can't be sent is lost.
-pub fn send(net: &mut Net, socket: Key, to: Option<SocketAddr>, bytes: &[u8]) {
-    if let Some(to) = to {
-        let send = |object: &mut dyn Object| object.datagrams().is_some_and(|socket| socket.send(to, bytes));
-        net.reactor.with(socket, |object, _| send(object));
+    fn hand<'a>(
+        &mut self,
+        net: &mut Net,
+        around: &mut Around<'_>,
+        inputs: impl IntoIterator<Item = Input<'a>>,
+    ) -> Vec<Event> {
+        let Some(member) = &mut self.member else { return Vec::new() };
+        inputs.into_iter().for_each(|input| member.handle(net, around, input));
+        member.carry_out(net)
     }
 }
 
-/// What an event shows of a subchannel, if anything.
-pub fn shown(event: &Event) -> Option<(ServerId, Met)> {
-    let (server, outcome) = match event {
-        Event::Established { server, .. } => (*server, Outcome::Served),
-        Event::Ended { server, outcome, last, .. } if !last || *outcome == Outcome::Reset => {
-            (*server, *outcome)
-        }
-        _ => return None,
-    };
-    let met = match outcome {
-        Outcome::Full => Met::Full,
-        Outcome::ConnectFailed => Met::Failed,
-        Outcome::TimedOut | Outcome::Error => Met::TimedOut,
-        Outcome::Reset => Met::Silent,
-        Outcome::Served => Met::Served,
-        Outcome::Cancelled | Outcome::NotSent => return None,
-    };
-    Some((server, met))
+/// The fleet's settings, if the operator wants a view for a tier of this size.
+fn fleet_settings(net: &Net) -> Option<Settings> {
+    // The section was checked when it was read.
+    let settings = net.config.operator.fleet.check().ok().flatten()?;
+    (net.config.tier.peers.len() as u64 >= u64::from(settings.members_from)).then_some(settings)
 }
 
-/// Subchannels by the digests of their names, as they go over the wire. Two names of one digest are both left out.
-#[derive(Debug, Default)]
-pub struct WireNames {
-    numbers: BTreeMap<Subchannel, Option<ServerId>>,
-    digests: Vec<Subchannel>,
+fn roster(net: &Net) -> Roster {
+    Roster::new(&net.config.tier.peers, net.config.tier.all)
 }
 
-impl WireNames {
-    /// Numbers are never given anew, so only names that are new since the last time are looked at.
-    pub fn learn(&mut self, subchannels: &Subchannels) {
-        for number in self.digests.len()..subchannels.count() {
-            let server = ServerId(number as u32);
-            let digest = Subchannel::of(subchannels.name(server));
-            self.numbers.entry(digest).and_modify(|known| *known = None).or_insert(Some(server));
-            self.digests.push(digest);
-        }
-    }
+fn bind(net: &mut Net, listen: SocketAddr) -> io::Result<Key> {
+    net.reactor.insert(|key, io| Ok(Box::new(Datagrams::bind(listen, key, io)?)))
+}
 
-    /// The subchannel that is meant, if there is exactly one.
-    pub fn number(&self, digest: Subchannel) -> Option<ServerId> {
-        *self.numbers.get(&digest)?
-    }
+/// Sends a datagram from that socket; what can't be sent is lost.
+fn send(net: &mut Net, socket: Key, to: SocketAddr, bytes: &[u8]) {
+    let send = |object: &mut dyn Object| object.datagrams().is_some_and(|socket| socket.send(to, bytes));
+    net.reactor.with(socket, |object, _| send(object));
+}
 
-    /// What a subchannel is called on the wire, if no other is called so.
-    pub fn digest(&self, server: ServerId) -> Option<Subchannel> {
-        let digest = *self.digests.get(server.0 as usize)?;
-        self.number(digest).map(|_| digest)
+fn state_name(state: State) -> &'static str {
+    match state {
+        State::Alive => "alive",
+        State::Suspect => "suspect",
+        State::Dead => "dead",
+        State::Left => "left",
     }
 }
--- a/crates/cottonnotch/src/net/driver/subchannels.rs
+++ b/crates/cottonnotch/src/net/driver/subchannels.rs
@@ -4,10 +4,10 @@
 use super::net::{Net, PART};
 use crate::maintenance::Maintenance;
 use crate::net::resolver::Watch;
-use crate::net::resolver_result::ResolverResult;
 use crate::rules::Kind;
 use cottonnotch_decision::names::{Names, digest};
 use cottonnotch_decision::{Belief, Entry, Event, Listed, Micros, ServerId, ZoneId};
+use cottonnotch_proxy::{ResolverResult, Servers};
 use cottonnotch_reactor::Key;
 use cottonnotch_reactor::seldom::Seldom;
 use cottonnotch_records::Name;
@@ -238,11 +238,6 @@
         self.revision
     }
 
-    /// How many have been named so far; their numbers are below this.
-    pub fn count(&self) -> usize {
-        self.names.len()
-    }
-
     pub fn name(&self, server: ServerId) -> &str {
         self.names.name(server.0)
     }
@@ -287,11 +282,6 @@
         subchannel.is_some_and(|s| s.entry(server, &self.by_hand).state == Listed::Draining)
     }
 
-    /// When its process last started, as discovery tells; `None`: long ago.
-    pub fn started(&self, server: ServerId) -> Option<Micros> {
-        self.known.get(server.0 as usize).and_then(|subchannel| subchannel.started)
-    }
-
     pub fn find(&self, name: &str) -> Option<ServerId> {
         self.names.find(name).map(ServerId)
     }
@@ -300,3 +290,17 @@
         self.known.get(server.0 as usize).and_then(|s| s.address)
     }
 }
+
+impl Servers for Subchannels {
+    fn count(&self) -> usize {
+        self.names.len()
+    }
+
+    fn name(&self, server: ServerId) -> &str {
+        self.name(server)
+    }
+
+    fn started(&self, server: ServerId) -> Option<Micros> {
+        self.known.get(server.0 as usize).and_then(|subchannel| subchannel.started)
+    }
+}
--- a/crates/cottonnotch/src/net/resolver.rs
+++ b/crates/cottonnotch/src/net/resolver.rs
@@ -2,9 +2,9 @@
 //! decision. Another source of lists would be another connection object that reports the same happenings.
 
 use super::happening::{Happening, Io, Object};
-use super::resolver_result::ResolverResult;
 use cottonnotch_decision::Micros;
 use cottonnotch_decision::list_calls::SILENT_AFTER;
+use cottonnotch_proxy::ResolverResult;
 use cottonnotch_reactor::http::StreamedResponse;
 use cottonnotch_reactor::json_texts::JsonTexts;
 use cottonnotch_reactor::line::{Fill, LineStream};
--- a/crates/cottonnotch/src/rules/member.rs
+++ b/crates/cottonnotch/src/rules/member.rs
@@ -3,11 +3,12 @@
 use super::agent::{Agent, Parts, WAKE};
 use super::clock::Clock;
 use super::content::hex;
-use super::envelope::MOST_BYTES;
 use super::lent::{Lease, LeaseFile};
 use super::recall::{HELD, MEMORY};
 use super::worker::Job;
 use cottonnotch_accord::{Hash, Input, Member, Message, Micros, Output, Right, Topic};
+use cottonnotch_proxy::Embedder;
+use cottonnotch_proxy::envelope::MOST_BYTES;
 use std::io;
 use std::net::UdpSocket;
 use std::sync::mpsc::Receiver;
@@ -28,28 +29,55 @@
     pub told: Option<(Option<Hash>, bool)>,
 }
 
+impl Embedder for Thread<'_> {
+    type Member = Member;
+    type Error = io::Error;
+
+    fn member(&mut self) -> &mut Member {
+        &mut self.member
+    }
+
+    fn carry_out(&mut self, _: Micros, output: Output) -> io::Result<()> {
+        match output {
+            Output::Send { to, message } => self.send(to, message),
+            Output::Save(memory) => {
+                if let Some(disk) = &*self.agent.disk() {
+                    let bytes = postcard::to_allocvec(&memory).map_err(io::Error::other)?;
+                    // Nothing that rests on it may be sent unless this went well: the thread ends.
+                    disk.save(MEMORY, &bytes)?;
+                }
+            }
+            Output::Check { hash, against, .. } => self.ask(Job::Check { hash, against }),
+            Output::Fetch { hash, size, from, .. } => self.ask(Job::Fetch { hash, size, from }),
+            Output::Right(right) => self.publish(right)?,
+            Output::ProposalOver { hash, why, .. } => self.ask(Job::Over { hash, why }),
+            Output::ListBehind { revision } => {
+                self.parts.board.seen().list_behind = Some((revision, Clock.now()));
+            }
+        }
+        Ok(())
+    }
+}
+
 impl Thread<'_> {
     /// Runs until it is told to stop, or until something fails on which the accord rests.
     pub fn run(&mut self, commands: &Receiver<Input>) -> io::Result<()> {
         let mut buffer = [0; MOST_BYTES + 1];
         loop {
             while let Ok(input) = commands.try_recv() {
-                self.hand(input)?;
+                self.hand(Clock.now(), input)?;
             }
             if self.agent.is_stopped() {
                 return Ok(());
             }
-            let now = Clock.now();
-            if self.member.next_timeout() <= now {
-                self.hand(Input::Tick)?;
-            }
+            self.hand_time(Clock.now())?;
             self.look();
             let wait = (self.member.next_timeout() - Clock.now()).clamp(1_000, 1_000_000);
             self.socket.set_read_timeout(Some(Duration::from_micros(wait as u64)))?;
             match self.socket.recv_from(&mut buffer) {
                 Ok((length, _)) if buffer[..length] == *WAKE => {}
                 Ok((length, _)) => match self.parts.seal.open(&buffer[..length]) {
-                    Ok((from, message)) => self.hand(Input::Message { from, message })?,
+                    Ok((from, message)) => self.hand(Clock.now(), Input::Message { from, message })?,
                     Err(error) => {
                         self.parts.board.seen().strays += 1;
                         log::debug!("datagram dropped: {error}");
@@ -63,35 +91,6 @@
         }
     }
 
-    fn hand(&mut self, input: Input) -> io::Result<()> {
-        self.member.handle(Clock.now(), input);
-        while let Some(output) = self.member.poll() {
-            self.carry_out(output)?;
-        }
-        Ok(())
-    }
-
-    fn carry_out(&mut self, output: Output) -> io::Result<()> {
-        match output {
-            Output::Send { to, message } => self.send(to, message),
-            Output::Save(memory) => {
-                if let Some(disk) = &*self.agent.disk() {
-                    let bytes = postcard::to_allocvec(&memory).map_err(io::Error::other)?;
-                    // Nothing that rests on it may be sent unless this went well: the thread ends.
-                    disk.save(MEMORY, &bytes)?;
-                }
-            }
-            Output::Check { hash, against, .. } => self.ask(Job::Check { hash, against }),
-            Output::Fetch { hash, size, from, .. } => self.ask(Job::Fetch { hash, size, from }),
-            Output::Right(right) => self.publish(right)?,
-            Output::ProposalOver { hash, why, .. } => self.ask(Job::Over { hash, why }),
-            Output::ListBehind { revision } => {
-                self.parts.board.seen().list_behind = Some((revision, Clock.now()));
-            }
-        }
-        Ok(())
-    }
-
     fn ask(&self, job: Job) {
         // The worker ends with the process only.
         let _ = self.parts.jobs.send(job);
--- a/crates/cottonnotch/src/rules/mod.rs
+++ b/crates/cottonnotch/src/rules/mod.rs
@@ -12,7 +12,6 @@
 mod config;
 mod content;
 mod disk;
-mod envelope;
 mod fleet;
 mod folder;
 mod lent;
--- a/crates/cottonnotch/src/rules/settings.rs
+++ b/crates/cottonnotch/src/rules/settings.rs
@@ -1,11 +1,11 @@
 //! What the sections come to, with the files that they name read.
 
 use super::config::{self, AccordSettings};
-use super::envelope::Seal;
 use super::folder::{BadFolder, faulty, read_folder};
 use crate::config::Operator;
 use cottonnotch_decision::settings::Profile;
 use cottonnotch_lowering::Profiles;
+use cottonnotch_proxy::envelope::Seal;
 use cottonnotch_rulebook::{BadFile, File, World};
 use std::collections::BTreeSet;
 
--- /dev/null
+++ b/crates/proxy/src/driven.rs
@@ -0,0 +1,121 @@
+//! How a sans-io member is driven.
+
+use cottonnotch_decision::Micros;
+
+/// A sans-io member: inputs with their time go in, then outputs come out until there is none.
+pub trait Driven {
+    /// What happened.
+    type Input<'a>;
+    /// What is to be done, or to be known.
+    type Output;
+
+    /// The input that says that [`Driven::next_timeout`] has come.
+    fn time() -> Self::Input<'static>;
+
+    /// Takes an input.
+    fn handle(&mut self, now: Micros, input: Self::Input<'_>);
+
+    /// The next thing to do, if any.
+    fn poll(&mut self) -> Option<Self::Output>;
+
+    /// When [`Driven::time`] is due, unless another input comes first.
+    fn next_timeout(&self) -> Micros;
+}
+
+macro_rules! driven {
+    ($member:ty, $input:ty, $time:expr, $output:ty) => {
+        impl Driven for $member {
+            type Input<'a> = $input;
+            type Output = $output;
+
+            fn time() -> Self::Input<'static> {
+                $time
+            }
+
+            fn handle(&mut self, now: Micros, input: Self::Input<'_>) {
+                <$member>::handle(self, now, input);
+            }
+
+            fn poll(&mut self) -> Option<Self::Output> {
+                <$member>::poll(self)
+            }
+
+            fn next_timeout(&self) -> Micros {
+                <$member>::next_timeout(self)
+            }
+        }
+    };
+}
+
+driven!(
+    cottonnotch_accord::Member,
+    cottonnotch_accord::Input,
+    cottonnotch_accord::Input::Tick,
+    cottonnotch_accord::Output
+);
+driven!(
+    cottonnotch_fleet::Member,
+    cottonnotch_fleet::Input<'a>,
+    cottonnotch_fleet::Input::Tick,
+    cottonnotch_fleet::Output
+);
+driven!(
+    cottonnotch_gossip::Gossip,
+    cottonnotch_gossip::Input<'a>,
+    cottonnotch_gossip::Input::Tick,
+    cottonnotch_gossip::Output
+);
+
+/// Who has a member, and carries out what it asks for.
+pub trait Embedder {
+    /// The member.
+    type Member: Driven;
+    /// Why an output can't be carried out; what is left of them is not.
+    type Error;
+
+    /// Its member.
+    fn member(&mut self) -> &mut Self::Member;
+
+    /// Carries out one output; they come in their order.
+    fn carry_out(&mut self, now: Micros, output: <Self::Member as Driven>::Output)
+    -> Result<(), Self::Error>;
+
+    /// Hands the member an input, and carries out all that comes of it.
+    fn hand(&mut self, now: Micros, input: <Self::Member as Driven>::Input<'_>) -> Result<(), Self::Error> {
+        self.member().handle(now, input);
+        while let Some(output) = self.member().poll() {
+            self.carry_out(now, output)?;
+        }
+        Ok(())
+    }
+
+    /// Tells the member that its time has come, if it has.
+    fn hand_time(&mut self, now: Micros) -> Result<(), Self::Error> {
+        if self.member().next_timeout() <= now {
+            self.hand(now, Self::Member::time())?;
+        }
+        Ok(())
+    }
+}
+
+/// One timer of an embedder that can't take timers back: it may ring early, and never late.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Alarm {
+    armed: Option<Micros>,
+}
+
+impl Alarm {
+    /// It rings.
+    pub fn rung(&mut self) {
+        self.armed = None;
+    }
+
+    /// After how long a timer is to ring, if another one is needed for what is due then.
+    pub fn set(&mut self, now: Micros, due: Micros) -> Option<Micros> {
+        if due == Micros::MAX || self.armed.is_some_and(|armed| armed <= due) {
+            return None;
+        }
+        self.armed = Some(due);
+        Some((due - now).max(0))
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/fleet.rs
@@ -0,0 +1,184 @@
+//! The fleet view: what this proxy reports of its subchannels, and what is made of the sums it is told. Who is keeper and
+//! how often is asked is the fleet crate's matter; what follows, the module's.
+
+use crate::driven::Embedder;
+use crate::gossip::word;
+use crate::message_delay::FleetUse;
+use crate::names::{WireNames, shown};
+use crate::peers::{Around, Carrying, Input, Local, Output, Translator};
+use cottonnotch_decision::{Event, Micros, ServerId, Tier, Word};
+use cottonnotch_fleet::{Entry, Member, Own, View, wire};
+use cottonnotch_gossip::{Ledger, Met, Subchannel, To};
+use std::collections::{BTreeMap, BTreeSet};
+use std::convert::Infallible;
+
+/// Rates are averaged over about this long.
+const RATE_MEMORY: f64 = 4_000_000.0;
+/// What the keeper's sums say in other proxies' name has as many voices as the module asks for.
+const VOICES: [u32; 2] = [u32::MAX, u32::MAX - 1];
+
+/// A rate that forgets.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    sum: f64,
+    at: Micros,
+}
+
+impl Rate {
+    fn note(&mut self, now: Micros, count: f64) {
+        self.sum = self.sum * (-((now - self.at).max(0) as f64) / RATE_MEMORY).exp() + count;
+        self.at = now;
+    }
+
+    fn per_s(mut self, now: Micros) -> f64 {
+        self.note(now, 0.0);
+        self.sum * 1e6 / RATE_MEMORY
+    }
+}
+
+/// This proxy as a member of the tier.
+pub(crate) struct FleetMember {
+    pub member: Member,
+    names: WireNames,
+    met: Ledger<ServerId>,
+    requests: Rate,
+    well: Rate,
+    failed: Rate,
+}
+
+impl FleetMember {
+    /// One that has met nothing yet.
+    pub fn new(member: Member) -> Self {
+        let (names, met) = (WireNames::default(), Ledger::default());
+        let (requests, well, failed) = (Rate::default(), Rate::default(), Rate::default());
+        FleetMember { member, names, met, requests, well, failed }
+    }
+
+    /// What the module is about to hear.
+    pub fn witness(&mut self, now: Micros, event: &Event) {
+        if let Event::Request(_) = event {
+            self.requests.note(now, 1.0);
+        }
+        let Some((server, met)) = shown(event) else { return };
+        match met {
+            Met::Served => self.well.note(now, 1.0),
+            Met::TimedOut => self.failed.note(now, 1.0),
+            _ => {}
+        }
+        self.met.met(now, server, met);
+    }
+
+    /// Takes an input, and carries out what comes of it.
+    pub fn handle(&mut self, now: Micros, input: Input<'_>, around: &mut Around<'_, '_>) {
+        let Ok(()) = match input {
+            Input::Second => {
+                let sizes = self.sizes(now, around.local);
+                self.hand(now, cottonnotch_fleet::Input::Sizes(sizes), around)
+            }
+            Input::Datagram { from, bytes } => {
+                let from = around.roster.ordinal(from);
+                self.hand(now, cottonnotch_fleet::Input::Datagram { from, bytes }, around)
+            }
+            Input::Leave => self.hand(now, cottonnotch_fleet::Input::Leave, around),
+            Input::Tick if self.member.next_timeout() <= now => {
+                let own = self.own(now, around.local);
+                // A report that is due goes out with this, or with the tick.
+                let Ok(()) = self.hand(now, cottonnotch_fleet::Input::Own(own), around);
+                Carrying { member: self, around }.hand_time(now)
+            }
+            Input::Tick | Input::Keys(_) => Ok(()),
+        };
+    }
+
+    fn hand(
+        &mut self,
+        now: Micros,
+        input: cottonnotch_fleet::Input<'_>,
+        around: &mut Around<'_, '_>,
+    ) -> Result<(), Infallible> {
+        Carrying { member: self, around }.hand(now, input)
+    }
+
+    fn sizes(&mut self, now: Micros, local: &Local<'_>) -> BTreeMap<wire::Subchannel, f64> {
+        self.names.learn(local.servers);
+        let size = |(server, size): (ServerId, f64)| {
+            // One that has just started can do less than its size says, and looks empty.
+            let started = local.servers.started(server);
+            let warmth = started.map_or(1.0, |at| local.settings.share_at(now.saturating_sub(at)));
+            Some((self.name(server)?, size * warmth))
+        };
+        local.delays.sizes().filter_map(size).collect()
+    }
+
+    fn own(&mut self, now: Micros, local: &Local<'_>) -> Own {
+        self.names.learn(local.servers);
+        self.met.forget_old(now);
+        let mut standing = local.delays.standing_by_group(now);
+        let servers: BTreeSet<ServerId> = standing.keys().copied().chain(self.met.subchannels()).collect();
+        let entry = |server: ServerId| {
+            let stands = standing.remove(&server);
+            let something = stands.is_some();
+            let (load, groups) = stands.unwrap_or_default();
+            let word = match word(&self.met.evidence(now, server)) {
+                Word::Well => wire::Word::Well,
+                Word::Unwell => wire::Word::Unwell,
+                Word::Unclear => wire::Word::Unclear,
+            };
+            // What is over and showed nothing is not worth its bytes.
+            let subchannel = self.name(server)?;
+            (something || word != wire::Word::Unclear).then_some(Entry { subchannel, load, groups, word })
+        };
+        let entries = servers.into_iter().filter_map(entry).collect();
+        let totals = wire::Totals {
+            connections: local.rpcs as u32,
+            requests: self.requests.per_s(now),
+            well: self.well.per_s(now),
+            failed: self.failed.per_s(now),
+        };
+        Own { totals, entries }
+    }
+
+    fn name(&self, server: ServerId) -> Option<wire::Subchannel> {
+        self.names.digest(server).map(|digest| wire::Subchannel(digest.bits()))
+    }
+
+    fn number(&self, node: wire::Subchannel) -> Option<ServerId> {
+        self.names.number(Subchannel::from_bits(node.0))
+    }
+
+    fn events<'a>(&'a self, view: &'a View) -> impl Iterator<Item = Event> + 'a {
+        let tier = Tier { nodes: f64::from(view.members.max(1)), part: view.part(), failing: view.failing() };
+        let words = view.named().filter_map(|(node, told)| {
+            let word = match told.word {
+                wire::Word::Well => Word::Well,
+                wire::Word::Unwell => Word::Unwell,
+                wire::Word::Unclear => return None,
+            };
+            let server = self.number(node)?;
+            Some(VOICES.map(|from| Event::Peer { from, server, word }))
+        });
+        std::iter::once(Event::Tier(tier)).chain(words.flatten())
+    }
+}
+
+impl Translator for FleetMember {
+    type Member = Member;
+
+    fn driven(&mut self) -> &mut Member {
+        &mut self.member
+    }
+
+    fn translate(&mut self, _: Micros, output: cottonnotch_fleet::Output, around: &mut Around<'_, '_>) {
+        match output {
+            cottonnotch_fleet::Output::Send { to, bytes } => around.send(To::One(to), bytes),
+            cottonnotch_fleet::Output::Keeper(keeper) => around.out.push_back(Output::Keeper(keeper)),
+            cottonnotch_fleet::Output::View => {
+                let Some(view) = self.member.view() else { return };
+                self.events(view).for_each(|event| around.tell(event));
+                let used = view.named().filter_map(|(node, told)| Some((self.number(node)?, told.used)));
+                let fleet = FleetUse::new(view.at, self.member.period(), view.mean_load, used.collect());
+                around.local.delays.fleet = Some(fleet);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/gossip.rs
@@ -0,0 +1,139 @@
+//! Gossip: what the other proxies are told of this one's subchannels, and what is made of what they tell. Who is there and
+//! what counts is the gossip crate's matter; what follows from a word, the module's.
+
+use crate::driven::Embedder;
+use crate::names::{WireNames, shown};
+use crate::peer_loads::Standing;
+use crate::peers::{Around, Carrying, Input, Local, Output, Translator};
+use cottonnotch_decision::{Event, Micros, ServerId, Word};
+use cottonnotch_gossip::{Entry, Evidence, Gossip, Ledger, Load, Strength};
+use std::collections::BTreeSet;
+use std::convert::Infallible;
+
+/// Peers' words are as old as they say; older ones are no evidence.
+const MOST_AGE_TENTHS: u8 = 30;
+
+/// This proxy as a member of a tier that gossips.
+pub(crate) struct GossipMember {
+    pub gossip: Gossip,
+    strength: Strength,
+    names: WireNames,
+    met: Ledger<ServerId>,
+}
+
+impl GossipMember {
+    /// One that has met nothing yet.
+    pub fn new(gossip: Gossip, strength: Strength) -> Self {
+        GossipMember { gossip, strength, names: WireNames::default(), met: Ledger::default() }
+    }
+
+    /// What the module is about to hear.
+    pub fn witness(&mut self, now: Micros, event: &Event) {
+        if let Some((server, met)) = shown(event) {
+            self.met.met(now, server, met);
+        }
+    }
+
+    /// Takes an input, and carries out what comes of it.
+    pub fn handle(&mut self, now: Micros, input: Input<'_>, around: &mut Around<'_, '_>) {
+        let Ok(()) = match input {
+            Input::Second => {
+                self.names.learn(around.local.servers);
+                let entries = self.entries(now, around.local);
+                self.hand(now, cottonnotch_gossip::Input::Own(entries), around)
+            }
+            Input::Datagram { from, bytes } => {
+                let from = around.roster.ordinal(from);
+                self.hand(now, cottonnotch_gossip::Input::Datagram { from, bytes }, around)
+            }
+            // Another strength takes a restart; the log has said so.
+            Input::Keys(keys) if keys.strength() == self.strength => {
+                self.hand(now, cottonnotch_gossip::Input::Keys(keys), around)
+            }
+            Input::Keys(_) => Ok(()),
+            Input::Leave => self.hand(now, cottonnotch_gossip::Input::Leave, around),
+            Input::Tick => Carrying { member: self, around }.hand_time(now),
+        };
+    }
+
+    fn hand(
+        &mut self,
+        now: Micros,
+        input: cottonnotch_gossip::Input<'_>,
+        around: &mut Around<'_, '_>,
+    ) -> Result<(), Infallible> {
+        Carrying { member: self, around }.hand(now, input)
+    }
+
+    fn entries(&mut self, now: Micros, local: &Local<'_>) -> Vec<Entry> {
+        let standing = local.delays.standing();
+        self.met.forget_old(now);
+        let servers: BTreeSet<ServerId> = standing.keys().copied().chain(self.met.subchannels()).collect();
+        let entry = |server: ServerId| {
+            let subchannel = self.names.digest(server)?;
+            let (count, Standing { load, groups }) = standing.get(&server).copied().unwrap_or_default();
+            let evidence = self.met.evidence(now, server);
+            let load = Load::from_micros_per_s(load.max(0.0) as u64);
+            Some(Entry { subchannel, standing: count, load, groups, evidence })
+        };
+        servers.into_iter().filter_map(entry).collect()
+    }
+}
+
+impl Translator for GossipMember {
+    type Member = Gossip;
+
+    fn driven(&mut self) -> &mut Gossip {
+        &mut self.gossip
+    }
+
+    fn translate(&mut self, now: Micros, output: cottonnotch_gossip::Output, around: &mut Around<'_, '_>) {
+        match output {
+            cottonnotch_gossip::Output::Send { to, bytes } => around.send(to, bytes),
+            cottonnotch_gossip::Output::Member { ordinal, state, incarnation } => {
+                around.out.push_back(Output::Member { ordinal, state, life: incarnation.life });
+                let there = self.gossip.members().filter(|(_, state, _)| state.takes_part());
+                around.local.delays.peers.alive(there.map(|(ordinal, ..)| ordinal).collect());
+            }
+            cottonnotch_gossip::Output::Heard { from, entries } => {
+                for entry in entries {
+                    let Some(server) = self.names.number(entry.subchannel) else {
+                        continue;
+                    };
+                    let load = entry.load.micros_per_s() as f64;
+                    let standing = Standing { load, groups: entry.groups };
+                    let standing = (entry.standing > 0).then_some(standing);
+                    around.local.delays.peers.told(now, from, server, standing);
+                    around.tell(Event::Peer { from, server, word: word(&entry.evidence) });
+                }
+            }
+        }
+    }
+}
+
+/// What a peer's evidence says. That a render node is full shows nothing of its health, and who was refused tells the
+/// others nothing that they would not be told at once.
+pub(crate) fn word(evidence: &Evidence) -> Word {
+    let unwell = u32::from(evidence.failed) + u32::from(evidence.timed_out) + u32::from(evidence.silent);
+    match (evidence.age_tenths <= MOST_AGE_TENTHS, unwell, evidence.served) {
+        (true, 1.., 0) => Word::Unwell,
+        (true, 0, 1..) => Word::Well,
+        _ => Word::Unclear,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn words_need_one_kind_of_evidence_and_a_fresh_one() {
+        let sick = Evidence { failed: 2, age_tenths: 5, ..Evidence::default() };
+        assert_eq!(word(&sick), Word::Unwell);
+        assert_eq!(word(&Evidence { served: 1, ..sick }), Word::Unclear);
+        assert_eq!(word(&Evidence { age_tenths: 31, ..sick }), Word::Unclear);
+        assert_eq!(word(&Evidence { full: 9, ..Evidence::default() }), Word::Unclear, "full is not sick");
+        assert_eq!(word(&Evidence { served: 3, ..Evidence::default() }), Word::Well);
+        assert_eq!(word(&Evidence::default()), Word::Unclear);
+    }
+}
--- a/crates/cottonnotch/src/net/message_delay.rs
+++ b/crates/proxy/src/message_delay.rs
@@ -1,13 +1,13 @@
 //! Delay notes, which the module needs: the time that a message takes at each subchannel, once a second while that is over a
 //! third of the shortest aim, and once more when it is back under.
 //!
-//! Where render nodes tell it ([`super::load_lines`]), that is passed on at once, and one that tells nothing to a connection of
+//! Where render nodes tell it ([`crate::LoadLines`]), that is passed on at once, and one that tells nothing to a connection of
 //! ours has no such delay. A subchannel without a connection of ours tells us nothing, and there are platforms where none does:
 //! then the time is estimated from what a proxy does see, which is the loads of its own connections, the groups they belong to,
 //! how long set-ups take, and what the fleet's keeper says. A client's line is timed to its reply as well, though render nodes
 //! return one within 2 ms however much work has piled up (docs/design.md has the figures). The larger of the two is noted.
 
-use super::peer_loads::{PeerLoads, Standing, groups_in, sketch};
+use crate::peer_loads::{PeerLoads, Standing, groups_in, sketch};
 use cottonnotch_decision::{Micros, RequestId, ServerId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -88,7 +88,9 @@
 /// A note that is due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Note {
+    /// Where.
     pub server: ServerId,
+    /// Time that a message takes.
     pub delay: Micros,
 }
 
@@ -151,6 +153,8 @@
 }
 
 impl MessageDelays {
+    /// Nothing seen yet; by the settings there are so many proxies, `aim` is the shortest time wanted of a message, and sizes are
+    /// listed or not.
     pub fn new(nodes: u32, aim: Option<Micros>, sized: bool) -> Self {
         MessageDelays {
             nodes: f64::from(nodes.max(1)),
@@ -197,6 +201,7 @@
         }
     }
 
+    /// A connection's load has changed, work in microseconds a second.
     pub fn load(&mut self, request: RequestId, load: f64) {
         if let Some(open) = self.open.get_mut(&request) {
             open.load = Some(load.max(0.0));
@@ -225,6 +230,7 @@
         old.map(|open| open.server.0).collect()
     }
 
+    /// A connection is over, if it was up.
     pub fn ended(&mut self, request: RequestId) {
         self.open.remove(&request);
     }
--- a/crates/cottonnotch/src/net/resolver_result.rs
+++ b/crates/proxy/src/resolver_result.rs
@@ -9,36 +9,48 @@
 /// One entry of a result.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
+    /// Its name.
     pub id: String,
     /// Where it can be reached; a withdrawn one may have none.
     pub address: Option<SocketAddr>,
+    /// As discovery names it.
     pub zone: String,
     /// Its hardware class; empty if discovery doesn't tell.
     pub flavor: String,
+    /// A small group of nodes that share which keys they have seen.
     pub cell: u32,
+    /// Whether it takes what is new.
     pub state: Listed,
+    /// Its size beside others'.
     pub weight: f64,
+    /// When its process last started; `None`: long ago.
     pub started: Option<Micros>,
 }
 
 /// A list, or changes of it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ResolverResult {
+    /// Counts up.
     pub revision: u64,
     /// All members are named; those that are not are gone.
     pub complete: bool,
+    /// The entries.
     pub members: Vec<Member>,
 }
 
 /// What is wrong with a result. A result is taken whole or not at all: half a list would drop members.
 #[derive(Debug, thiserror::Error)]
 pub enum BadResult {
+    /// No JSON.
     #[error("it is not JSON: {0}")]
     NotJson(#[from] simd_json::Error),
+    /// A field of the result.
     #[error("'{0}' is missing or of the wrong kind")]
     Field(&'static str),
+    /// A member's field.
     #[error("member {0}: '{1}' is missing or of the wrong kind")]
     Member(usize, &'static str),
+    /// A whole list that names one twice.
     #[error("member {0} is named twice, with different contents")]
     Contradicts(usize),
 }
