--- a/crates/proxy/src/peer_loads.rs
+++ b/crates/proxy/src/peer_loads.rs
@@ -19,7 +19,7 @@
 pub struct Standing {
     /// Summed load, work in microseconds a second.
     pub load: f64,
-    /// Which groups: [`sketch`]es of them, joined.
+    /// Which groups: one bit of 32 for each, joined.
     pub groups: u32,
 }
 
