--- a/crates/accord/tests/common/world.rs
+++ b/crates/accord/tests/common/world.rs
@@ -78,6 +78,11 @@
     pub behind: Vec<(u16, u64)>,
     pub mutant: Mutant,
     pub traffic: Traffic,
+    /// What each member sent and what it was sent, lost or not.
+    pub sent: Vec<Traffic>,
+    pub taken: Vec<Traffic>,
+    /// Contents that each member handed out: whom the accord names first is asked first, as the daemon does.
+    pub handed_out: Vec<u64>,
     /// Times a process's timer came due.
     pub ticks: u64,
     /// Whether sizes are counted; costs an encoding a message.
@@ -123,6 +128,9 @@
             behind: Vec::new(),
             mutant,
             traffic: Traffic::default(),
+            sent: vec![Traffic::default(); members.into()],
+            taken: vec![Traffic::default(); members.into()],
+            handed_out: vec![0; members.into()],
             ticks: 0,
             weigh: false,
             ppm,
@@ -297,19 +305,22 @@
                 self.push(at, What::Input { process, input: Input::Checked { topic, hash, verdict } });
             }
             Output::Fetch { hash, from, .. } => {
-                let has = self.contents[usize::from(ordinal)].contains(&hash)
-                    || from.iter().any(|&source| {
-                        let reached =
-                            !self.cut.contains(&(source, ordinal)) && !self.cut.contains(&(ordinal, source));
-                        reached
-                            && self.at[usize::from(source)].is_some_and(|source| {
-                                let ordinal = usize::from(self.processes[source].ordinal);
-                                !self.processes[source].stopped && self.contents[ordinal].contains(&hash)
-                            })
-                    });
-                if !has || self.fetch_fails.contains(&ordinal) {
+                let own = self.contents[usize::from(ordinal)].contains(&hash);
+                let source = from.iter().copied().find(|&source| {
+                    let reached =
+                        !self.cut.contains(&(source, ordinal)) && !self.cut.contains(&(ordinal, source));
+                    reached
+                        && self.at[usize::from(source)].is_some_and(|source| {
+                            let ordinal = usize::from(self.processes[source].ordinal);
+                            !self.processes[source].stopped && self.contents[ordinal].contains(&hash)
+                        })
+                });
+                if !own && source.is_none() || self.fetch_fails.contains(&ordinal) {
                     return;
                 }
+                if let Some(source) = source.filter(|_| !own) {
+                    self.handed_out[usize::from(source)] += 1;
+                }
                 let at = self.now + self.chance.random_range(MS..=self.fetching);
                 let input =
                     if runs_at(&hash, ordinal) { Input::Have { hash } } else { Input::CannotRun { hash } };
@@ -330,8 +341,12 @@
             assert_eq!(postcard::from_bytes::<Message>(&bytes).unwrap(), message);
             self.traffic.bytes += bytes.len() as u64;
             self.traffic.largest = self.traffic.largest.max(bytes.len());
+            self.sent[usize::from(from)].bytes += bytes.len() as u64;
+            self.taken[usize::from(to)].bytes += bytes.len() as u64;
         }
         self.traffic.messages += 1;
+        self.sent[usize::from(from)].messages += 1;
+        self.taken[usize::from(to)].messages += 1;
         let copies = if self.chance.random_range(0..1_000) < self.net.doubled { 2 } else { 1 };
         for _ in 0..copies {
             if self.cut.contains(&(from, to)) || self.chance.random_range(0..1_000) < self.net.loss {
--- /dev/null
+++ b/crates/accord/tests/growth.rs
@@ -0,0 +1,132 @@
+//! How the accord's cost grows with the members, by who pays it: a member, a voter that follows, the leader. Without faults, on
+//! virtual time; bytes are of messages in postcard, without envelope, UDP and IP. `docs/CAPACITY.md` quotes the lines printed.
+//!
+//! By default to 110 members; `ACCORD_GROWTH=full` plays 30 to 440.
+
+mod common;
+
+use common::content;
+use common::scenes::acting;
+use common::world::{MS, Traffic, World};
+use cottonnotch_accord::{Mutant, Topic};
+
+/// What the page says of a member that neither leads nor votes, whatever the size.
+const MEMBER_MESSAGES_PER_S: f64 = 6.0;
+const MEMBER_BYTES_PER_S: f64 = 200.0;
+/// ... and of the leader: its rounds to the voters, and so much for each member.
+const LEADER_OWN: [f64; 2] = [40.0, 600.0];
+const LEADER_MESSAGES_PER_S: f64 = 5.8;
+const LEADER_BYTES_PER_S: f64 = 200.0;
+
+fn sizes() -> &'static [u16] {
+    match std::env::var("ACCORD_GROWTH").as_deref() {
+        Ok("full") => &[30, 60, 110, 220, 440],
+        _ => &[30, 60, 110],
+    }
+}
+
+/// Messages and bytes both ways of the leader, of the mean voter that follows, and of the mean member that only holds leases.
+fn by_role(world: &World, leader: u16, before: &[Traffic], seconds: f64) -> [[f64; 2]; 3] {
+    let mut roles = [[0.0; 3]; 3];
+    for member in 0..world.members {
+        let at = usize::from(member);
+        let (sent, taken) = (world.sent[at], world.taken[at]);
+        let role = match member {
+            _ if member == leader => 0,
+            _ if world.voters.contains(&member) => 1,
+            _ => 2,
+        };
+        let messages = sent.messages + taken.messages - before[at].messages;
+        let bytes = sent.bytes + taken.bytes - before[at].bytes;
+        for (sum, add) in roles[role].iter_mut().zip([messages as f64, bytes as f64, 1.0]) {
+            *sum += add;
+        }
+    }
+    roles.map(|[messages, bytes, many]| [messages / many / seconds, bytes / many / seconds])
+}
+
+fn both_ways(world: &World) -> Vec<Traffic> {
+    let both = |(sent, taken): (&Traffic, &Traffic)| Traffic {
+        messages: sent.messages + taken.messages,
+        bytes: sent.bytes + taken.bytes,
+        largest: 0,
+    };
+    world.sent.iter().zip(&world.taken).map(both).collect()
+}
+
+/// A version that agrees with every other, so that only its number is new.
+fn version(number: u16) -> [u8; 32] {
+    content(100 + number, [0, 0, 0])
+}
+
+#[test]
+fn a_member_costs_the_same_at_any_size_and_the_leader_as_many_times_that() {
+    for &members in sizes() {
+        let (mut world, leader) = acting(1, members, 3, Mutant::Faithful);
+        world.weigh = true;
+        let before = both_ways(&world);
+        world.run(6_000 * MS);
+        assert_eq!(world.leader(), Some(leader), "no election in a quiet time");
+        let [led, follows, holds] = by_role(&world, leader, &before, 6.0);
+        println!(
+            r#"{{"what":"accord idle","members":{members},"leader_messages_per_s":{:.1},"leader_bytes_per_s":{:.0},"voter_messages_per_s":{:.2},"voter_bytes_per_s":{:.0},"member_messages_per_s":{:.2},"member_bytes_per_s":{:.0}}}"#,
+            led[0], led[1], follows[0], follows[1], holds[0], holds[1]
+        );
+        assert!(
+            holds[0] < MEMBER_MESSAGES_PER_S && holds[1] < MEMBER_BYTES_PER_S,
+            "{members} members: one has {} messages and {} bytes a second",
+            holds[0],
+            holds[1]
+        );
+        let each = f64::from(members);
+        assert!(
+            (led[0] - LEADER_OWN[0]) / each < LEADER_MESSAGES_PER_S
+                && (led[1] - LEADER_OWN[1]) / each < LEADER_BYTES_PER_S,
+            "{members} members: the leader has {} messages and {} bytes a second",
+            led[0],
+            led[1]
+        );
+        world.sound();
+    }
+}
+
+#[test]
+fn twenty_changes_within_a_minute_are_each_in_force_everywhere_soon() {
+    for &members in sizes() {
+        let (mut world, leader) = acting(2, members, 3, Mutant::Faithful);
+        world.weigh = true;
+        let everywhere = usize::from(members);
+        let handed = world.handed_out.clone();
+        let (before, mut times) = (both_ways(&world), Vec::new());
+        let began = world.now;
+        for number in 0..20 {
+            let proposer = members - 1 - number % 7;
+            world.propose(proposer, Topic::Rules, version(number));
+            let took = world
+                .run_until(3_000 * MS, |world| world.acting_on(Topic::Rules, version(number)) == everywhere);
+            let Some(took) = took else { panic!("{members} members: change {number} is not in force") };
+            times.push(took);
+            world.run(3_000 * MS - took);
+        }
+        let seconds = (world.now - began) as f64 / 1e6;
+        let [led, _, holds] = by_role(&world, leader, &before, seconds);
+        times.sort_unstable();
+        let out: Vec<u64> = world.handed_out.iter().zip(&handed).map(|(now, before)| now - before).collect();
+        let (all, most) = (out.iter().sum::<u64>(), out.iter().max().copied().unwrap_or(0));
+        println!(
+            r#"{{"what":"accord, 20 changes in a minute","members":{members},"in_force_median_ms":{:.0},"in_force_most_ms":{:.0},"contents_handed_out_a_change":{:.1},"of_these_by_one":{:.1},"leader_bytes_per_s":{:.0},"member_bytes_per_s":{:.0}}}"#,
+            times[10] as f64 / 1e3,
+            times[19] as f64 / 1e3,
+            all as f64 / 20.0,
+            most as f64 / 20.0,
+            led[1],
+            holds[1]
+        );
+        assert!(times[19] < 1_000 * MS, "{members} members: {} us", times[19]);
+        assert!(
+            all <= 20 * u64::from(members),
+            "{members} members: {all} contents handed out for 20 changes"
+        );
+        world.sound();
+    }
+}
--- /dev/null
+++ b/crates/decision/tests/memory.rs
@@ -0,0 +1,86 @@
+//! What the decisions of one node hold, in bytes of heap, by standing connections and by render nodes: it grows with each of
+//! the two alone, never with their product. `docs/CAPACITY.md` quotes the slopes; a test fails when one grows past that.
+
+mod common;
+
+use common::{S, entry, request, sent, settings};
+use cottonnotch_decision::*;
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+use std::alloc::System;
+
+#[global_allocator]
+static HEAP: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// Bytes for each standing connection: its job, its place in the tree and in its server's list.
+const A_CONNECTION: f64 = 500.0;
+/// Bytes for each render node.
+const A_NODE: f64 = 400.0;
+
+/// How connections come to stand: placed one after another, or all told as open, which is quicker with thousands of nodes
+/// and leaves out the list of servers that were tried.
+#[derive(Clone, Copy, PartialEq)]
+enum Come {
+    Placed,
+    Open,
+}
+
+/// Bytes that are held with so many render nodes and connections that stand.
+fn held(nodes: u32, connections: u64, come: Come) -> f64 {
+    let region = Region::new(HEAP);
+    let mut balancer = Balancer::new(settings(Effect::Safe), 7, 100 * S);
+    let mut out = Vec::new();
+    let entries = (0..nodes).map(|server| entry(server, Listed::Ready)).collect();
+    balancer.handle(100 * S, Event::List { full: true, copy: true, entries }, &mut out);
+    for id in 0..connections {
+        let server = ServerId((id % u64::from(nodes)) as u32);
+        let request = Request { group: Some(id % 13_000), ..request(id, None) };
+        out.clear();
+        if come == Come::Open {
+            balancer.handle(100 * S, Event::Open { request, server }, &mut out);
+            continue;
+        }
+        let request_id = request.id;
+        balancer.handle(100 * S, Event::Request(request), &mut out);
+        let server = sent(&out).expect("all may be used").0;
+        let established = Event::Established { request: request_id, attempt: 0, server, elapsed: 1_000 };
+        balancer.handle(100 * S, established, &mut out);
+    }
+    drop(out);
+    let change = region.change();
+    drop(balancer);
+    change.bytes_allocated as f64 - change.bytes_deallocated as f64
+}
+
+/// One test, since what other tests of the process hold would count.
+#[test]
+fn grows_with_connections_and_with_nodes_but_not_with_their_product() {
+    let all: [u64; 4] = [1_000, 10_000, 45_455, 90_909];
+    let ways =
+        [(16, Come::Placed), (16, Come::Open), (90, Come::Open), (1_024, Come::Open), (4_096, Come::Open)];
+    for (nodes, come) in ways {
+        let empty = held(nodes, 0, come);
+        for connections in all {
+            let bytes = held(nodes, connections, come);
+            let each = (bytes - empty) / connections as f64;
+            let placed = come == Come::Placed;
+            println!(
+                r#"{{"what":"decision heap","nodes":{nodes},"placed":{placed},"connections":{connections},"bytes":{bytes:.0},"bytes_a_connection":{each:.1}}}"#
+            );
+            assert!(each < A_CONNECTION, "{nodes} nodes, {connections}: {each} bytes a connection");
+        }
+    }
+    for nodes in [90_u32, 1_024, 4_096] {
+        let bytes = held(nodes, 0, Come::Open);
+        let each = bytes / f64::from(nodes);
+        println!(
+            r#"{{"what":"decision heap","nodes":{nodes},"connections":0,"bytes":{bytes:.0},"bytes_a_node":{each:.1}}}"#
+        );
+        assert!(each < A_NODE, "{nodes} nodes: {each} bytes a node");
+    }
+    // Both at once cost what each costs alone, but for the lists of connections, which double as they grow.
+    let (nodes, connections) = (held(4_096, 0, Come::Open), held(16, 90_909, Come::Open));
+    let both = held(4_096, 90_909, Come::Open);
+    let ratio = both / (nodes + connections);
+    println!(r#"{{"what":"decision heap, both over the sum of each","ratio":{ratio:.3}}}"#);
+    assert!(ratio < 1.25, "{both} bytes of both, {nodes} and {connections} of each alone");
+}
--- a/crates/kit/src/cli/load.rs
+++ b/crates/kit/src/cli/load.rs
@@ -2,6 +2,7 @@
 
 use super::{DaemonArgs, Ended, interrupt, write_json};
 use clap::Args;
+use cottonnotch_kit::load::steady::{self, Steady};
 use cottonnotch_kit::load::{self, BothWays, LoadError, LoadSetup, versus};
 use std::path::PathBuf;
 use std::time::Duration;
@@ -22,6 +23,19 @@
     /// Threads that make the load, and as many that answer it.
     #[arg(long, default_value_t = 3)]
     threads: usize,
+    /// Instead of seeking what is borne: so many lines a second for one step of --step-s, over connections that all stand
+    /// before; prints latency, CPU and memory.
+    #[arg(long, value_name = "RATE", conflicts_with = "versus")]
+    lines_per_s: Option<f64>,
+    /// With --lines-per-s: clients that come and go again meanwhile, a second.
+    #[arg(long, value_name = "RATE", default_value_t = 0.0, requires = "lines_per_s")]
+    setups_per_s: f64,
+    /// With --lines-per-s: render nodes in the list; they share the --threads addresses that answer.
+    #[arg(long, default_value_t = 0, requires = "lines_per_s")]
+    listed: usize,
+    /// With --lines-per-s: milliseconds from one whole list to the next; 0: it stays as it is.
+    #[arg(long, value_name = "MS", default_value_t = 0, requires = "lines_per_s")]
+    list_every_ms: u64,
     /// Measures a second proxy in turn with the first, under the same overload, and prints the ratio: a program, with
     /// its arguments behind it if quoted.
     #[arg(long, value_name = "PROXY")]
@@ -56,6 +70,20 @@
                 eprintln!("{line}");
             }
         };
+        if let Some(lines_per_s) = self.lines_per_s {
+            let list_every = Duration::from_millis(self.list_every_ms);
+            let (setups_per_s, listed) = (self.setups_per_s, self.listed);
+            let seen =
+                match steady::play(&setup, &Steady { lines_per_s, setups_per_s, listed, list_every }, say) {
+                    Err(LoadError::Interrupted) => return Ok(Ended::Interrupted),
+                    result => result.map_err(|error| error.to_string())?,
+                };
+            print_steady(&seen);
+            return match &self.json {
+                Some(path) => write_json(path, &seen).map(|()| Ended::Well),
+                None => Ok(Ended::Well),
+            };
+        }
         if let Some(other) = &self.versus {
             let other = super::compare::arm(other)?.daemon;
             let versus = match versus::measure(&setup, &other, self.rounds.max(1), say) {
@@ -95,6 +123,24 @@
     }
 }
 
+fn print_steady(seen: &steady::Seen) {
+    let [before, standing, after] = seen.resident_kib;
+    println!(
+        "{} connections, {} render nodes listed, {:.1} s, {} lists: CPU {:.1}% of a core; memory {before}, {standing}, {after} KiB; {} descriptors",
+        seen.connections,
+        seen.listed,
+        seen.seconds,
+        seen.lists,
+        100.0 * seen.cpu,
+        seen.descriptors
+    );
+    for (what, [due, done], [p50, p99, p999, longest]) in
+        [("lines", seen.lines, seen.line_us), ("set-ups", seen.setups, seen.setup_us)]
+    {
+        println!("{what}: {done} of {due} done; p50 {p50} us, p99 {p99}, p99.9 {p999}, longest {longest}");
+    }
+}
+
 fn print_both(what: &str, both: &BothWays) {
     for (name, way) in [("through the proxy", &both.through), ("directly", &both.direct)] {
         let [p50, p99, p999, longest] = way.latency_us;
--- a/crates/kit/src/load/generator.rs
+++ b/crates/kit/src/load/generator.rs
@@ -8,6 +8,7 @@
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -97,12 +98,54 @@
     }
 }
 
+/// Where the threads of a step wait, their connections standing, until all are told to go on.
+#[derive(Debug)]
+pub struct Gate {
+    /// Threads that have not come yet; whether it is open.
+    state: Mutex<(usize, bool)>,
+    changed: Condvar,
+}
+
+impl Gate {
+    /// For so many threads.
+    pub fn new(threads: usize) -> Arc<Gate> {
+        Arc::new(Gate { state: Mutex::new((threads, false)), changed: Condvar::new() })
+    }
+
+    /// Waits until all have come. Returns whether they have.
+    pub fn wait(&self, most: Duration) -> bool {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let all = self.changed.wait_timeout_while(state, most, |(left, _)| *left > 0);
+        all.unwrap_or_else(PoisonError::into_inner).0.0 == 0
+    }
+
+    /// Lets all go on.
+    pub fn open(&self) {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner).1 = true;
+        self.changed.notify_all();
+    }
+
+    fn pass(&self) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.0 = state.0.saturating_sub(1);
+        self.changed.notify_all();
+        drop(self.changed.wait_while(state, |(_, open)| !*open));
+    }
+}
+
 /// Plays one step against these addresses, in turn.
 pub fn play(aim: &Aim, to: &[SocketAddr]) -> Result<Done, LoadError> {
+    let gate = Gate::new(aim.shards);
+    gate.open();
+    play_at(aim, to, &gate)
+}
+
+/// The same, begun when the gate opens: what is to stand does so before.
+pub fn play_at(aim: &Aim, to: &[SocketAddr], gate: &Arc<Gate>) -> Result<Done, LoadError> {
     let shards: Vec<_> = (0..aim.shards)
         .map(|shard| {
-            let (aim, to) = (*aim, to.to_vec());
-            thread::spawn(move || Shard::play(&aim, &to, shard))
+            let (aim, to, gate) = (*aim, to.to_vec(), Arc::clone(gate));
+            thread::spawn(move || Shard::play(&aim, &to, shard, &gate))
         })
         .collect();
     let mut all = Done::none();
@@ -279,7 +322,7 @@
 }
 
 impl Shard {
-    fn play(aim: &Aim, to: &[SocketAddr], shard: usize) -> io::Result<Done> {
+    fn play(aim: &Aim, to: &[SocketAddr], shard: usize, gate: &Gate) -> io::Result<Done> {
         let mut reactor = Reactor::new(Clock::unix())?;
         reactor.io.buffer_bound = BUFFER;
         let mut this = Shard {
@@ -295,6 +338,7 @@
         if let Work::Lines { connections, in_flight } = aim.work {
             this.stand(connections / aim.shards, in_flight)?;
         }
+        gate.pass();
         this.step(aim, shard)?;
         Ok(this.done)
     }
--- a/crates/kit/src/load/mod.rs
+++ b/crates/kit/src/load/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod echo;
 pub mod generator;
+pub mod steady;
 pub mod versus;
 
 use crate::addresses::{Addresses, NoPlace};
--- /dev/null
+++ b/crates/kit/src/load/steady.rs
@@ -0,0 +1,214 @@
+//! One proxy under a fixed load for a while: lines at a fixed rate over connections that stand, while the list changes and
+//! clients go and come again. Latency counts from when a line was due, and every line that was due counts, done or not.
+
+use super::generator::{self, Aim, Work};
+use super::{LoadError, LoadSetup, OTHER_DESCRIPTORS, await_proxy, echo, start, system};
+use crate::addresses::Addresses;
+use crate::plan::{NodeId, ProxyId};
+use crate::processes::{need_descriptors, usage};
+use serde::Serialize;
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// What is to be played beside the connections of [`LoadSetup`].
+#[derive(Clone, Copy, Debug)]
+pub struct Steady {
+    /// Lines there and back a second.
+    pub lines_per_s: f64,
+    /// Connections set up and ended a second meanwhile.
+    pub setups_per_s: f64,
+    /// Render nodes that are listed; all share the few addresses that answer.
+    pub listed: usize,
+    /// Between two changes of the list; none if 0.
+    pub list_every: Duration,
+}
+
+/// What came of it.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Seen {
+    /// Connections that stood.
+    pub connections: usize,
+    /// Render nodes listed.
+    pub listed: usize,
+    /// Seconds.
+    pub seconds: f64,
+    /// Lines due, and done within a third of a second after the end at most.
+    pub lines: [u64; 2],
+    /// From when a line was due until it was back, in microseconds: median, 99th, 99.9th percentile, longest.
+    pub line_us: [u64; 4],
+    /// Set-ups due and done.
+    pub setups: [u64; 2],
+    /// From when one was due until it was up: as for lines.
+    pub setup_us: [u64; 4],
+    /// Changes of the list that were written to the proxy.
+    pub lists: u64,
+    /// CPU time of the proxy, as a part of one core.
+    pub cpu: f64,
+    /// Resident memory of the proxy before, with all connections standing, and at the end, in KiB.
+    pub resident_kib: [u64; 3],
+    /// Descriptors of the proxy with all connections standing.
+    pub descriptors: u64,
+}
+
+/// Plays it. `say` is told what is being done.
+pub fn play(setup: &LoadSetup, steady: &Steady, mut say: impl FnMut(&str)) -> Result<Seen, LoadError> {
+    setup.daemon.check()?;
+    let at_once = if steady.setups_per_s > 0.0 { generator::MOST_AT_ONCE } else { 0 };
+    let sockets = 2 * (setup.connections + at_once) as u64 + OTHER_DESCRIPTORS;
+    need_descriptors(sockets)?;
+    let addresses = Addresses::take(std::process::id() as u8)?;
+    let nodes: Vec<SocketAddr> =
+        (0..setup.threads.max(1)).map(|n| addresses.node(NodeId(n as u16), ProxyId(0))).collect();
+    let echo = echo::Echo::start(&nodes).map_err(system("a render node cannot listen"))?;
+    let lists = Lists::start(nodes.clone(), steady).map_err(system("discovery cannot listen"))?;
+    let folder = tempfile::tempdir().map_err(system("no folder for the run's files"))?;
+    let listen = addresses.proxy(ProxyId(0));
+    let text = configuration(listen, lists.at, &members(&nodes, steady.listed, 1), sockets);
+    let proxy = start(&setup.daemon, folder.path(), &text, sockets)?;
+    await_proxy(listen)?;
+    let pid = proxy.pid();
+    let used = || usage(pid).unwrap_or_default();
+    let mut seen = Seen { connections: setup.connections, listed: steady.listed, ..Seen::default() };
+    seen.resident_kib[0] = used().resident_kib;
+
+    say("connections come to stand");
+    let threads = setup.threads.max(1);
+    let lines = Work::Lines { connections: setup.connections, in_flight: setup.in_flight };
+    let length = setup.step;
+    let aim = |work, rate, shards| Aim { work, rate, length, shards };
+    // All stand before the first line is due, so that the two kinds of work begin together.
+    let standing = generator::Gate::new(threads);
+    let (gate, to) = (Arc::clone(&standing), vec![listen]);
+    let lines_aim = aim(lines, steady.lines_per_s.max(1.0), threads);
+    let playing = thread::spawn(move || generator::play_at(&lines_aim, &to, &gate));
+    if !standing.wait(Duration::from_secs(120)) {
+        return Err(LoadError::Silent(listen));
+    }
+    let before = used();
+    (seen.resident_kib[1], seen.descriptors) = (before.resident_kib, before.descriptors);
+    say(&format!("{} stand; {:.0} lines a second", setup.connections, steady.lines_per_s));
+    lists.change.store(true, Ordering::Release);
+    standing.open();
+    let began = Instant::now();
+    let setups = if steady.setups_per_s > 0.0 {
+        Some(generator::play(&aim(Work::Setups, steady.setups_per_s, 1), &[listen])?)
+    } else {
+        None
+    };
+    let lines = playing.join().map_err(|_| LoadError::Panicked)??;
+    let after = used();
+    seen.seconds = began.elapsed().as_secs_f64();
+    seen.cpu = after.cpu_us.saturating_sub(before.cpu_us) as f64 / 1e6 / seen.seconds;
+    seen.resident_kib[2] = after.resident_kib;
+    seen.lists = lists.written.load(Ordering::Relaxed);
+    let quantiles = |done: &generator::Done| {
+        let at = |q| done.latency.value_at_quantile(q);
+        [at(0.5), at(0.99), at(0.999), done.latency.max()]
+    };
+    (seen.lines, seen.line_us) = ([lines.due, lines.done], quantiles(&lines));
+    if let Some(setups) = setups {
+        (seen.setups, seen.setup_us) = ([setups.due, setups.done], quantiles(&setups));
+    }
+    lists.stop();
+    echo.stop().map_err(system("a render node"))?;
+    Ok(seen)
+}
+
+/// The list: all are up, and share the few addresses that answer; cells change with the revision.
+fn members(nodes: &[SocketAddr], listed: usize, revision: u64) -> String {
+    let one = |number: usize| {
+        let at = nodes[number % nodes.len()];
+        let cell = number as u64 / 8 + revision % 2;
+        format!(
+            r#"{{"id":"render-{number}","host_port":"{at}","locality":"a","cell":{cell},"phase":"up","size":1.0,"up_since_ms":0}}"#
+        )
+    };
+    let all: Vec<String> = (0..listed.max(nodes.len())).map(one).collect();
+    format!(r#"{{"revision":{revision},"complete":true,"members":[{}]}}"#, all.join(","))
+}
+
+fn configuration(listen: SocketAddr, discovery: SocketAddr, known: &str, sockets: u64) -> String {
+    format!(
+        r#"{{"name":"load","listen":"{listen}","discovery":"{discovery}","seed":"1","limits":{{"sockets":{sockets},"memory_mb":2048}},
+        "known":{known},
+        "settings":{{"balancers":1,"ordinal":0,"zones":["a"],"zone":"a","registryMode":"on_request",
+        "policyLimits":{{"mostTries":3,"connectTimeout":2000000,"retryAfter":true,"maxRetryAfter":1000000}},
+        "requestClasses":[{{"name":"load","effect":"safe","target":5000000,"deadline":10000000,"gain":1.0}}]}}}}"#
+    )
+}
+
+/// Discovery: one watch at a time, a whole list at once and another one after each span, a beat every 2 s.
+struct Lists {
+    at: SocketAddr,
+    stop: Arc<AtomicBool>,
+    change: Arc<AtomicBool>,
+    written: Arc<AtomicU64>,
+    thread: JoinHandle<()>,
+}
+
+const LOOK: Duration = Duration::from_millis(20);
+
+impl Lists {
+    fn start(nodes: Vec<SocketAddr>, steady: &Steady) -> io::Result<Lists> {
+        let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0))?;
+        listener.set_nonblocking(true)?;
+        let (at, steady) = (listener.local_addr()?, *steady);
+        let (stop, change) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        let written = Arc::new(AtomicU64::new(0));
+        let shared = (Arc::clone(&stop), Arc::clone(&change), Arc::clone(&written));
+        let thread = thread::spawn(move || {
+            let (stop, change, written) = shared;
+            let mut revision = 1;
+            while !stop.load(Ordering::Acquire) {
+                match listener.accept() {
+                    // A watch that breaks is opened anew by its proxy.
+                    Ok((mut watch, _)) => {
+                        let mut tell = |watch: &mut TcpStream| -> io::Result<()> {
+                            watch.set_nonblocking(false)?;
+                            head(watch)?;
+                            chunk(watch, &members(&nodes, steady.listed, revision))?;
+                            let (mut last, mut beat) = (Instant::now(), Instant::now());
+                            while !stop.load(Ordering::Acquire) {
+                                thread::sleep(LOOK);
+                                let changes = change.load(Ordering::Acquire) && !steady.list_every.is_zero();
+                                if changes && last.elapsed() >= steady.list_every {
+                                    (last, revision) = (Instant::now(), revision + 1);
+                                    chunk(watch, &members(&nodes, steady.listed, revision))?;
+                                    written.fetch_add(1, Ordering::Relaxed);
+                                } else if beat.elapsed() >= Duration::from_secs(2) {
+                                    beat = Instant::now();
+                                    chunk(watch, "\n")?;
+                                }
+                            }
+                            Ok(())
+                        };
+                        let _ = tell(&mut watch);
+                    }
+                    Err(_) => thread::sleep(LOOK),
+                }
+            }
+        });
+        Ok(Lists { at, stop, change, written, thread })
+    }
+
+    fn stop(self) {
+        self.stop.store(true, Ordering::Release);
+        // A thread that failed has nothing more to end.
+        let _ = self.thread.join();
+    }
+}
+
+fn head(watch: &mut TcpStream) -> io::Result<()> {
+    let mut lines = BufReader::new(watch.try_clone()?).lines();
+    while lines.next().transpose()?.is_some_and(|line| !line.is_empty()) {}
+    watch
+        .write_all(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
+}
+
+fn chunk(watch: &mut TcpStream, text: &str) -> io::Result<()> {
+    watch.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+}
--- a/crates/lowering/benches/look.rs
+++ b/crates/lowering/benches/look.rs
@@ -187,6 +187,18 @@
         black_box((one_look(&plan_small, &few[0]), one_look(&plan_large, &many[0])));
         return;
     }
+    // `docs/CAPACITY.md` quotes these.
+    for rules in [1_000, 3_000, 10_000, 30_000] {
+        let book = book(rules, 100);
+        let plan = lower(&book, &profiles()).plan;
+        println!(
+            r#"{{"what":"lower","rules":{rules},"least_ms":{:.2},"plan_bytes":{},"index_bytes":{},"look_ns":{:.0}}}"#,
+            seconds(|| lower(&book, &profiles())) * 1e3,
+            plan.to_bytes().len(),
+            plan.index_bytes(),
+            look_ns(&plan, &asked(rules))
+        );
+    }
     let (ns_small, ns_large) = (look_ns(&plan_small, &few), look_ns(&plan_large, &many));
     println!(
         "look at 10 rules {ns_small:.0} ns, at {count} {ns_large:.0} ns, ratio {:.2}",
--- a/crates/rulebook/benches/merge.rs
+++ b/crates/rulebook/benches/merge.rs
@@ -9,6 +9,10 @@
 use criterion::{Criterion, criterion_group, criterion_main};
 
 const HOUSES: usize = 60;
+/// Sizes at which the growth is shown.
+const SWEEP: [usize; 4] = [6, 20, 60, 180];
+/// Connections for each house: no promise is broken for want of them.
+const ENOUGH: u64 = 1_700;
 const TEAMS: usize = 4;
 const RULES: usize = 33;
 const TENANTS: usize = 8;
@@ -19,11 +23,11 @@
     format!("tenant-{house}-{at}")
 }
 
-fn world() -> World {
+fn world(houses: usize, connections: u64) -> World {
     let tenants: Vec<String> =
-        (0..HOUSES).flat_map(|house| (0..TENANTS).map(move |at| tenant(house, at))).collect();
+        (0..houses).flat_map(|house| (0..TENANTS).map(move |at| tenant(house, at))).collect();
     let tenants: Vec<&str> = tenants.iter().map(String::as_str).collect();
-    World::of("consortium", &tenants, &["live", "batch", "proof", "print"], &HALLS, &HARDWARE, 100_000)
+    World::of("consortium", &tenants, &["live", "batch", "proof", "print"], &HALLS, &HARDWARE, connections)
 }
 
 fn rules(text: &mut String, seed: usize, revision: usize, tenants: &[String]) {
@@ -61,11 +65,11 @@
     File::new(format!("{path}.toml"), text)
 }
 
-/// The consortium and 300 namespaces below it: houses, each with four teams.
-fn files() -> Vec<File> {
+/// The consortium and the namespaces below it, 300 with 60 houses: houses, each with four teams.
+fn files(houses: usize) -> Vec<File> {
     let mut root = head("consortium", 1);
     let mut files = Vec::new();
-    for house in 0..HOUSES {
+    for house in 0..houses {
         let all: Vec<String> = (0..TENANTS).map(|at| tenant(house, at)).collect();
         writeln!(
             root,
@@ -89,7 +93,7 @@
     }
     writeln!(root, "[[rule]]\nname = \"no-cellar\"\nplace.avoid = {{ halls = [\"cellar\"] }}\n")
         .expect("a string takes all");
-    rules(&mut root, 0, 1, &(0..HOUSES).map(|house| tenant(house, 0)).collect::<Vec<_>>());
+    rules(&mut root, 0, 1, &(0..houses).map(|house| tenant(house, 0)).collect::<Vec<_>>());
     files.push(File::new("consortium.toml", root));
     files
 }
@@ -101,8 +105,34 @@
     [all[0], all[all.len() / 2], all.iter().sum::<Duration>() / times]
 }
 
+/// A merge and what comes of it on the wire, at this many houses; `docs/CAPACITY.md` quotes the lines. The content that
+/// proxies send one another is the ledger, the book, and what is small beside them.
+fn growth(houses: usize, connections: u64, times: u32) {
+    let (files, world) = (files(houses), world(houses, connections));
+    let merged = merge(&Ledger::default(), &files, &world);
+    let [least, median, _] = timed(times, || {
+        let start = Instant::now();
+        black_box(merge(&Ledger::default(), &files, &world));
+        start.elapsed()
+    });
+    let text: usize = files.iter().map(|file| file.text.len()).sum();
+    let ledger = postcard::to_allocvec(&merged.ledger).expect("a ledger has a form").len();
+    let book = postcard::to_allocvec(&merged.book).expect("a book has a form").len();
+    println!(
+        r#"{{"what":"merge","namespaces":{},"rules":{},"conflicts":{},"text_bytes":{text},"ledger_bytes":{ledger},"book_bytes":{book},"least_ms":{:.2},"median_ms":{:.2}}}"#,
+        merged.book.namespaces.len(),
+        merged.book.rules.len(),
+        merged.conflicts.len(),
+        least.as_secs_f64() * 1e3,
+        median.as_secs_f64() * 1e3
+    );
+}
+
 fn bench(criterion: &mut Criterion) {
-    let (files, world) = (files(), world());
+    SWEEP.into_iter().for_each(|houses| growth(houses, ENOUGH * houses as u64, 5));
+    // The consortium promises more than there is: all but one house are held back one after another.
+    growth(180, 100_000, 1);
+    let (files, world) = (files(HOUSES), world(HOUSES, ENOUGH * HOUSES as u64));
     let first = merge(&Ledger::default(), &files, &world);
     assert!(first.conflicts.is_empty(), "{:?}", first.conflicts.first());
     let (namespaces, rules) = (first.book.namespaces.len(), first.book.rules.len());
