--- a/crates/accord/tests/growth.rs
+++ b/crates/accord/tests/growth.rs
@@ -6,7 +6,7 @@
 mod common;
 
 use common::content;
-use common::scenes::acting;
+use common::scenes::{acting, new};
 use common::world::{MS, Traffic, World};
 use cottonnotch_accord::{Mutant, Topic};
 
@@ -130,3 +130,86 @@
         world.sound();
     }
 }
+
+/// How long a change that contradicts what is in force takes until all that can act on it do, in microseconds.
+fn to_force(members: u16, seed: u64, harm: impl Fn(&mut World, u16) -> u16) -> i64 {
+    let (mut world, leader) = acting(seed, members, 3, Mutant::Faithful);
+    let left = usize::from(harm(&mut world, leader));
+    let proposer = members - 1;
+    world.propose(proposer, Topic::Rules, new());
+    let took = world.run_until(10_000 * MS, |world| world.acting_on(Topic::Rules, new()) == left);
+    world.sound();
+    took.unwrap_or_else(|| panic!("{members} members, seed {seed}: not in force"))
+}
+
+/// What a change waits for: nothing, the lease of a member that stopped, the next leader.
+#[test]
+fn a_contradicting_change_is_in_force_everywhere_within_the_stated_time() {
+    for &members in sizes() {
+        let mut worst = [0; 3];
+        for seed in 0..5 {
+            let none = to_force(members, seed, |world, _| world.members);
+            let stopped = to_force(members, seed, |world, _| {
+                world.stop(world.members - 2);
+                world.members - 1
+            });
+            let led = to_force(members, seed, |world, leader| {
+                world.crash(leader, false);
+                world.members - 1
+            });
+            worst = [worst[0].max(none), worst[1].max(stopped), worst[2].max(led)];
+        }
+        let [none, stopped, led] = worst.map(|took| took as f64 / 1e3);
+        println!(
+            r#"{{"what":"accord, a contradicting change","members":{members},"n":5,"most_ms":{none:.0},"a_member_stopped_most_ms":{stopped:.0},"leader_dead_most_ms":{led:.0}}}"#
+        );
+        assert!(none < 400.0 && stopped < 1_600.0 && led < 3_500.0, "{members} members: {worst:?} us");
+    }
+}
+
+/// Half of the members hear nobody of the other half, where all voters are, for a minute.
+#[test]
+fn the_side_without_voters_is_in_doubt_until_the_cut_is_over_and_then_acts_alike_soon() {
+    for &members in sizes() {
+        let (mut world, leader) = acting(3, members, 3, Mutant::Faithful);
+        world.weigh = true;
+        let half = members / 2;
+        for one in 0..half {
+            (half..members).for_each(|other| world.cut_both(one, other));
+        }
+        let (greater, lesser) = (usize::from(half), usize::from(members - half));
+        let doubt =
+            world.run_until(5_000 * MS, |world| world.oracle.acting(Topic::Rules, world.now) == greater);
+        let doubt = doubt.expect("the lesser side's leases end");
+        world.propose(0, Topic::Rules, new());
+        let force = world.run_until(5_000 * MS, |world| world.acting_on(Topic::Rules, new()) == greater);
+        let force = force.expect("the greater side goes on alone");
+        let before = both_ways(&world);
+        world.run(60_000 * MS);
+        assert_eq!(
+            world.oracle.acting(Topic::Rules, world.now),
+            greater,
+            "{members} members: no right is left over there"
+        );
+        let after = both_ways(&world);
+        let of = |side: std::ops::Range<u16>| {
+            let bytes = |at: usize| (after[at].bytes - before[at].bytes) as f64;
+            let all =
+                side.clone().filter(|member| *member != leader).map(|member| bytes(usize::from(member)));
+            all.sum::<f64>() / side.len() as f64 / 60.0
+        };
+        let (cut, whole) = (of(half..members), of(3..half));
+        world.cut.clear();
+        let back =
+            world.run_until(30_000 * MS, |world| world.acting_on(Topic::Rules, new()) == greater + lesser);
+        let back = back.expect("all act alike after the cut");
+        println!(
+            r#"{{"what":"accord, halves cut for a minute","members":{members},"lesser_in_doubt_after_ms":{:.0},"change_in_force_on_the_other_side_ms":{:.0},"lesser_bytes_per_s":{cut:.0},"greater_bytes_per_s":{whole:.0},"all_alike_after_healing_ms":{:.0}}}"#,
+            doubt as f64 / 1e3,
+            force as f64 / 1e3,
+            back as f64 / 1e3
+        );
+        assert!(doubt < 1_300 * MS && back < 8_000 * MS, "{members} members: {doubt} us, {back} us");
+        world.sound();
+    }
+}
--- /dev/null
+++ b/crates/proxy/benches/growth.rs
@@ -0,0 +1,92 @@
+//! What a list costs by its length, and what a proxy's once-a-second work costs by its connections and by render nodes. A line
+//! of JSON a point; `docs/CAPACITY.md` quotes them.
+#![allow(missing_docs)]
+
+use cottonnotch_decision::{Micros, RequestId, ServerId};
+use cottonnotch_proxy::{MessageDelays, ResolverResult};
+use std::hint::black_box;
+use std::time::Instant;
+
+const S: Micros = 1_000_000;
+/// Rounds of each point.
+const ROUNDS: usize = 9;
+/// Groups: 62,000 pairs, with five render nodes each.
+const GROUPS: u64 = 12_400;
+
+fn list(members: usize) -> String {
+    let one = |number: usize| {
+        let (high, low) = (number >> 8, number & 0xff);
+        let (hall, cell) = ((b'a' + (number % 6) as u8) as char, number / 8);
+        format!(
+            r#"{{"id":"render-{number}","host_port":"10.20.{high}.{low}:7400","locality":"hall-{hall}","flavor":"std-2c","cell":{cell},"phase":"up","size":2.0,"up_since_ms":1796000000000}}"#
+        )
+    };
+    let all: Vec<String> = (0..members).map(one).collect();
+    format!(r#"{{"revision":1234567,"complete":true,"members":[{}]}}"#, all.join(","))
+}
+
+/// Least and median, in microseconds.
+fn timed(mut work: impl FnMut()) -> [f64; 2] {
+    let round = |_| {
+        let start = Instant::now();
+        work();
+        start.elapsed().as_secs_f64() * 1e6
+    };
+    let mut all: Vec<f64> = (0..ROUNDS).map(round).collect();
+    all.sort_unstable_by(f64::total_cmp);
+    [all[0], all[ROUNDS / 2]]
+}
+
+fn lists() {
+    for members in [16, 90, 256, 1_024, 2_048, 4_096, 20_000] {
+        let text = list(members);
+        let [least, median] = timed(|| {
+            let mut bytes = text.clone().into_bytes();
+            black_box(ResolverResult::parse(&mut bytes).expect("a sound list"));
+        });
+        let bytes = text.len();
+        println!(
+            r#"{{"what":"list","members":{members},"bytes":{bytes},"bytes_a_member":{:.1},"parse_least_us":{least:.0},"parse_median_us":{median:.0},"to_440_callers_mb":{:.1}}}"#,
+            bytes as f64 / members as f64,
+            bytes as f64 * 440.0 / 1e6
+        );
+    }
+}
+
+/// A proxy's connections, spread evenly, each of a group at one of its five render nodes.
+fn delays(nodes: u32, connections: u64) -> MessageDelays {
+    let mut delays = MessageDelays::new(440, Some(60_000), true);
+    (0..nodes).for_each(|node| delays.listed(ServerId(node), 2.0, true));
+    for id in 0..connections {
+        let group = id.wrapping_mul(0x9e37_79b9_7f4a_7c15) % GROUPS;
+        let home = (group * 5 + id % 5).wrapping_mul(0xd134_2543_de82_ef95) >> 20;
+        let server = ServerId((home % u64::from(nodes)) as u32);
+        delays.opened(S, RequestId(id), server, Some(group), Some(2_000));
+        delays.load(RequestId(id), 100.0);
+    }
+    delays
+}
+
+fn each_second() {
+    for nodes in [90, 1_024, 4_096] {
+        for connections in [1_000, 10_000, 45_455, 90_909] {
+            let mut delays = delays(nodes, connections);
+            let mut now = 100 * S;
+            let [_, notes] = timed(|| {
+                now += S;
+                black_box(delays.notes(now));
+            });
+            let [_, report] = timed(|| {
+                black_box(delays.standing_by_group(now));
+            });
+            println!(
+                r#"{{"what":"each second","nodes":{nodes},"connections":{connections},"n":{ROUNDS},"notes_median_us":{notes:.0},"report_median_us":{report:.0}}}"#
+            );
+        }
+    }
+}
+
+fn main() {
+    lists();
+    each_second();
+}
