Homes by a group's size, wired into the daemon, off by default; its figures in the status

The crate proxy reports groups where [fleet] group_homes is set, and hands the homes on to the module as an event. Figures: homes.groups, .most, .told, .cut, .dropped.

--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -283,7 +283,8 @@
             Call::Metrics => {
                 let (known, skipped) = self.subchannels.gauges(self.net.now());
                 let rules = self.net.rules.as_ref().map(Rulebook::seen);
-                let gauges = Gauges { in_progress: self.clients.calls().len(), known, skipped, rules };
+                let (in_progress, homes) = (self.clients.calls().len(), self.peers.homes());
+                let gauges = Gauges { in_progress, known, skipped, rules, homes };
                 Answer::yes(self.net.records.figures().text(gauges))
             }
             Call::Enter(id) => self.by_hand(id, true),
--- a/crates/cottonnotch/src/net/driver/peers.rs
+++ b/crates/cottonnotch/src/net/driver/peers.rs
@@ -7,6 +7,7 @@
 use crate::config::Gossiping;
 use crate::net::datagrams::Datagrams;
 use crate::net::happening::Object;
+use crate::net::management::figures::Homes;
 use cottonnotch_decision::{Event, Micros};
 use cottonnotch_fleet::Settings;
 use cottonnotch_gossip::{Gossip, State};
@@ -97,7 +98,13 @@
         while let Some(output) = self.peers.poll() {
             match output {
                 Output::Send { to, bytes } => send(net, self.socket, to, &bytes),
-                Output::Event(event) => events.push(event),
+                Output::Event(event) => {
+                    if let Event::Homes(homes) = &event {
+                        let most = homes.iter().map(|(_, homes)| *homes).max().unwrap_or(0);
+                        log::debug!(target: PART, groups = homes.len(), most; "{} groups have more than five homes", homes.len());
+                    }
+                    events.push(event);
+                }
                 Output::Member { ordinal, state, life } => {
                     let name = state_name(state);
                     log::info!(target: PART, peer = ordinal, state = name; "proxy {ordinal} is {name}");
@@ -162,6 +169,15 @@
         keys.map_or_else(Vec::new, |keys| self.hand(net, &mut around, [Input::Keys(keys)]))
     }
 
+    /// How it stands with homes by a group's size, where they are on.
+    pub fn homes(&self) -> Option<Homes> {
+        let member = self.member.as_ref()?.peers.fleet_member().filter(|member| member.wants_groups())?;
+        let (counts, most) = (member.counts(), member.homes().map(|(_, homes)| homes).max().unwrap_or(0));
+        let dropped = counts.dropped + counts.late;
+        let (told, cut) = (counts.homes_told, counts.groups_cut);
+        Some(Homes { groups: member.homes().count() as u64, most: u64::from(most), told, cut, dropped })
+    }
+
     /// What the module is about to hear, as far as it shows something.
     pub fn witness(&mut self, now: Micros, event: &Event) {
         self.member.iter_mut().for_each(|member| member.peers.witness(now, event));
--- a/crates/cottonnotch/src/net/management/figures.rs
+++ b/crates/cottonnotch/src/net/management/figures.rs
@@ -27,6 +27,23 @@
     pub skipped: usize,
     /// How it stands with the rules, if there are any.
     pub rules: Option<Seen>,
+    /// How it stands with homes by a group's size, where they are on.
+    pub homes: Option<Homes>,
+}
+
+/// Homes by a group's size: values of the moment, and counts since the process began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Homes {
+    /// Groups that have more than five homes.
+    pub groups: u64,
+    /// Homes of the group that has most.
+    pub most: u64,
+    /// Tables of homes that were taken.
+    pub told: u64,
+    /// Groups that found no room in a report or a table.
+    pub cut: u64,
+    /// Datagrams of the tier that were nothing of ours, from no member, or answers to no question or too late.
+    pub dropped: u64,
 }
 
 /// The counts.
@@ -126,6 +143,13 @@
         line("in_progress", gauges.in_progress as u64, 'g');
         line("known_render_nodes", gauges.known as u64, 'g');
         line("skipped_render_nodes", gauges.skipped as u64, 'g');
+        if let Some(homes) = &gauges.homes {
+            line("homes.groups", homes.groups, 'g');
+            line("homes.most", homes.most, 'g');
+            line("homes.told", homes.told, 'c');
+            line("homes.cut", homes.cut, 'c');
+            line("homes.dropped", homes.dropped, 'c');
+        }
         if let Some(seen) = &gauges.rules {
             let version = seen.version.unwrap_or(0);
             line("rules.version", version, 'g');
@@ -171,7 +195,7 @@
     fn every_class_is_there_from_the_first_moment_and_stays() {
         let mut figures = Figures::default();
         figures.classes(["look", "edit"].into_iter());
-        let gauges = Gauges { in_progress: 3, known: 2, skipped: 1, rules: None };
+        let gauges = Gauges { in_progress: 3, known: 2, skipped: 1, ..Gauges::default() };
         let text = figures.text(gauges.clone());
         assert!(text.starts_with("svc.handled.look.passed:0|c\nsvc.handled.look.dropped:0|c\n"), "{text}");
         assert!(
@@ -191,6 +215,15 @@
         }
     }
 
+    #[test]
+    fn homes_are_told_where_they_are_on() {
+        let homes = Some(Homes { groups: 2, most: 205, told: 31, cut: 4, dropped: 5 });
+        let text = Figures::default().text(Gauges { homes, ..Gauges::default() });
+        let told = "svc.homes.groups:2|g\nsvc.homes.most:205|g\nsvc.homes.told:31|c\nsvc.homes.cut:4|c\nsvc.homes.dropped:5|c\n";
+        assert!(text.ends_with(told), "{text}");
+        assert!(!Figures::default().text(Gauges::default()).contains("homes"));
+    }
+
     #[test]
     fn no_name_breaks_the_format() {
         let mut figures = Figures::default();
--- a/crates/fleet/src/homes.rs
+++ b/crates/fleet/src/homes.rs
@@ -4,7 +4,7 @@
 //! isn't heard may be dead or only cut off, its connections still there. So homes rise at once and fall slowly.
 //!
 //! Invariants, asserted in debug and counted or clamped in release: no group has fewer than [`LEAST_HOMES`]; homes fall by half
-//! at most within a hold; no more than [`Homes::most`] groups are held, whatever is told.
+//! at most within a hold; no more groups are held than twice those of a table.
 
 use crate::gathering::GROUP_COST;
 use crate::{GroupHomes, Micros};
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -201,7 +201,8 @@
             Input::Datagram { from, bytes } => self.datagram(from, bytes),
             Input::Own(own) => self.own = own,
             Input::Sizes(sizes) => self.sizes = sizes,
-            Input::Groups(groups) => self.has_groups(groups),
+            // A report that is due waits for what this proxy has beside groups.
+            Input::Groups(groups) => return self.has_groups(groups),
             Input::Leave => self.leave(),
             Input::Tick => {}
         }
@@ -241,6 +242,11 @@
         self.keeper
     }
 
+    /// Whether homes follow from groups' sizes, and [`Input::Groups`] is of use.
+    pub fn wants_groups(&self) -> bool {
+        self.settings.group_homes.is_some() && !self.left
+    }
+
     /// The groups that have more than five homes, and how many.
     pub fn homes(&self) -> impl Iterator<Item = (u64, u32)> {
         self.homes.all()
--- a/crates/fleet/tests/played/mod.rs
+++ b/crates/fleet/tests/played/mod.rs
@@ -20,6 +20,9 @@
     Wakes(u32),
 }
 
+/// Datagrams in the socket of a stopped process, with their senders.
+pub type Waiting = Vec<(u32, Vec<u8>)>;
+
 /// How large things are.
 #[derive(Clone, Copy)]
 pub struct Scale {
@@ -42,7 +45,7 @@
     /// What it sends is lost, though it hears.
     pub mute: Vec<bool>,
     /// Stopped: nothing runs, datagrams wait in its socket.
-    pub stopped: Vec<Option<Vec<(u32, Vec<u8>)>>>,
+    pub stopped: Vec<Option<Waiting>>,
     /// Each member's settings: an older program has no homes.
     pub settings: Vec<Settings>,
     pub members: Vec<Option<Member>>,
@@ -188,8 +191,8 @@
         let Some(one) = &mut self.members[place] else { return };
         let began = Instant::now();
         if let Some((own, groups)) = own {
-            one.handle(now, Input::Own(own));
             one.handle(now, Input::Groups(groups));
+            one.handle(now, Input::Own(own));
         }
         one.handle(now, input);
         let mut sends = Vec::new();
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -81,6 +81,11 @@
             }
             Input::Leave => self.hand(now, cottonnotch_fleet::Input::Leave, around),
             Input::Tick if self.member.next_timeout() <= now => {
+                if self.member.wants_groups() {
+                    // Nothing goes out with these alone.
+                    let groups = around.local.delays.by_group(now);
+                    let Ok(()) = self.hand(now, cottonnotch_fleet::Input::Groups(groups), around);
+                }
                 let own = self.own(now, around.local);
                 // A report that is due goes out with this, or with the tick.
                 let Ok(()) = self.hand(now, cottonnotch_fleet::Input::Own(own), around);
@@ -172,6 +177,9 @@
         match output {
             cottonnotch_fleet::Output::Send { to, bytes } => around.send(To::One(to), bytes),
             cottonnotch_fleet::Output::Keeper(keeper) => around.out.push_back(Output::Keeper(keeper)),
+            cottonnotch_fleet::Output::Homes => {
+                around.tell(Event::Homes(self.member.homes().collect()));
+            }
             cottonnotch_fleet::Output::View => {
                 let Some(view) = self.member.view() else { return };
                 self.events(view).for_each(|event| around.tell(event));
--- a/crates/proxy/src/message_delay.rs
+++ b/crates/proxy/src/message_delay.rs
@@ -9,7 +9,8 @@
 
 use crate::peer_loads::{PeerLoads, Standing, groups_in, sketch};
 use cottonnotch_decision::{Micros, RequestId, ServerId};
-use std::collections::{BTreeMap, BTreeSet};
+use cottonnotch_fleet::GroupLoad;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Between two rounds of notes.
 pub const EVERY: Micros = 1_000_000;
@@ -273,8 +274,7 @@
     /// The same with a byte of each group's digest in place of a sketch. A connection that has not told its load counts with
     /// the fleet's mean, if that is known: where a proxy has three, its own say nothing, and new ones would weigh nothing.
     pub fn standing_by_group(&self, now: Micros) -> BTreeMap<ServerId, (f64, Vec<u8>)> {
-        let told = self.fleet.as_ref().filter(|fleet| fleet.until > now && fleet.mean_load > 0.0);
-        let mean = told.map_or_else(|| self.mean(), |fleet| fleet.mean_load);
+        let mean = self.usual_load(now);
         let mut all: BTreeMap<ServerId, (f64, Vec<u8>)> = BTreeMap::new();
         for open in self.open.values() {
             let (load, groups) = all.entry(open.server).or_default();
@@ -285,12 +285,32 @@
         all
     }
 
+    /// What this proxy has of each group; a connection that has not told its load counts with the mean. Takes as long as there
+    /// are connections.
+    pub fn by_group(&self, now: Micros) -> Vec<GroupLoad> {
+        let mean = self.usual_load(now);
+        let mut all: HashMap<u64, GroupLoad> = HashMap::new();
+        for open in self.open.values() {
+            let Some(group) = open.group else { continue };
+            let of = all.entry(group).or_insert(GroupLoad { group, count: 0, load: 0.0 });
+            of.count += 1;
+            of.load += open.load.unwrap_or(mean);
+        }
+        all.into_values().collect()
+    }
+
     /// The listed subchannels' capacities, microseconds of work a second; none where sizes are not listed.
     pub fn sizes(&self) -> impl Iterator<Item = (ServerId, f64)> + '_ {
         let sized = self.known.iter().filter(|_| self.sized);
         sized.map(|(number, known)| (ServerId(*number), known.weight * WORK_OF_A_CORE))
     }
 
+    /// The fleet's mean load of a connection, or this proxy's where none is told.
+    fn usual_load(&self, now: Micros) -> f64 {
+        let told = self.fleet.as_ref().filter(|fleet| fleet.until > now && fleet.mean_load > 0.0);
+        told.map_or_else(|| self.mean(), |fleet| fleet.mean_load)
+    }
+
     /// Mean load of a connection, of those that told theirs.
     fn mean(&self) -> f64 {
         let loads = self.open.values().filter_map(|open| open.load);
