A crate `scale`: hollow proxies on sockets and on virtual time, faults judged from records, slopes bounded

`docs/design/scale.md` says what they skip. Tests: slopes of messages, bytes and heap by members, nodes and pairs stay under the table in `bounds.rs`, and a figure that grows with all members is found; a zone's end and 20 changes within a minute; the judge finds what it is there for.

--- /dev/null
+++ b/crates/scale/src/hollow.rs
@@ -0,0 +1,707 @@
+//! One hollow proxy, sans-io: fully deterministic, no sockets, no clocks, no chance but that from one seed.
+//!
+//! Its module, its member of the fleet view or of gossip and its member of the accord are the program's own, driven by
+//! `cottonnotch-proxy`. Its connections are synthetic: drawn from the seed, set up after a fixed time, none ever fails. What it
+//! holds grows with its connections, the nodes, the groups and the members, never with a product of two.
+
+use crate::figures::Counts;
+use crate::nodes::Nodes;
+use crate::records::What;
+use crate::shape::{HOMES, Shape, mixed};
+use cottonnotch_accord::{Hash, Input as Told, Member, Memory, Output as Wanted, Timing, Topic, Verdict};
+use cottonnotch_decision::{
+    Action, Balancer, ClassId, Event, Micros, Outcome, Request, RequestId, ServerId, Settings,
+};
+use cottonnotch_fleet::FleetSection;
+use cottonnotch_gossip::{Gossip, GossipSection, Keys, State, Strength};
+use cottonnotch_proxy::envelope::Seal;
+use cottonnotch_proxy::{
+    EVERY, Embedder, Input, Local, MessageDelays, Note, Output, Peers, ResolverResult, Roster,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+
+const MS: Micros = 1_000;
+/// A set-up at a node takes so long.
+const SETUP: Micros = 5 * MS;
+/// Between two of the first connections, where they are asked for.
+const COMES: Micros = 50 * MS;
+/// The worker's answer to a check, and a content's way here with its compiling. Not measured: the daemon does both on another
+/// thread, and brings contents over TCP.
+const CHECK: Micros = MS;
+const FETCH: Micros = 20 * MS;
+/// Bytes of a content, as proposals tell; nothing of that size goes over the wire here.
+const CONTENT: u32 = 64 * 1024;
+/// The accord's key, the same at all members.
+const KEY: &[u8] = b"00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+/// The cluster's name.
+const CLUSTER: &str = "hollow";
+
+/// What happened to it.
+#[derive(Clone, Debug)]
+pub enum Happening<'a> {
+    /// A datagram of the fleet view or of gossip has come.
+    Datagram {
+        /// From there.
+        from: SocketAddr,
+        /// Its bytes.
+        bytes: &'a [u8],
+    },
+    /// A datagram of the accord has come.
+    Accord {
+        /// Its bytes.
+        bytes: &'a [u8],
+    },
+    /// Discovery has told a list, in a text of so many bytes.
+    Listed {
+        /// The list.
+        result: &'a ResolverResult,
+        /// Bytes of the text.
+        bytes: usize,
+    },
+    /// The watch on discovery is lost.
+    ListLost {
+        /// It said nothing where a beat was due.
+        silent: bool,
+    },
+    /// The operator wants this content in force.
+    Propose {
+        /// Which.
+        content: u32,
+        /// Contents of different kinds contradict each other.
+        kind: u8,
+    },
+    /// [`Hollow::next_timeout`] has come; one thing that is due is done.
+    Time,
+}
+
+/// What it wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Wish {
+    /// Send a datagram of the fleet view or of gossip.
+    Datagram {
+        /// There.
+        to: SocketAddr,
+        /// These bytes.
+        bytes: Vec<u8>,
+    },
+    /// Send a datagram of the accord.
+    Accord {
+        /// To this member.
+        to: u16,
+        /// These bytes.
+        bytes: Vec<u8>,
+    },
+    /// Begin a watch on discovery from this revision, in place of the last one.
+    Watch {
+        /// The last one taken.
+        from: u64,
+    },
+    /// For the records.
+    Record(What),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Second,
+    First,
+    Arrival,
+    Module(u32),
+    Up { request: u64, attempt: u32, server: u32 },
+    Checked { hash: Hash, agrees_from: Option<u64> },
+    Have { hash: Hash },
+}
+
+/// What a proxy's time goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// The fleet view or gossip.
+    Peers,
+    /// The accord.
+    Accord,
+    /// What comes once a second.
+    Second,
+    /// The module: set-ups and their ends.
+    Setups,
+}
+
+impl Part {
+    /// Its account.
+    pub fn of(self, counts: &mut Counts) -> &mut u64 {
+        match self {
+            Part::Peers => &mut counts.peers_ns,
+            Part::Accord => &mut counts.accord_ns,
+            Part::Second => &mut counts.second_ns,
+            Part::Setups => &mut counts.setups_ns,
+        }
+    }
+}
+
+/// A connection that is up.
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    request: RequestId,
+    server: ServerId,
+    group: u32,
+}
+
+/// A request that is owed an answer.
+#[derive(Clone, Copy, Debug)]
+struct Owed {
+    group: u32,
+    attempts: u32,
+}
+
+/// What it is in a tier: its number, all addresses, and what is the same for all.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// The sizes.
+    pub shape: Shape,
+    /// Its number.
+    pub me: u32,
+    /// All members' addresses, by number.
+    pub roster: Roster,
+    /// Life of its process: Unix time in milliseconds at its start.
+    pub life: u64,
+    /// It begins with the whole tier, and not in a tier that runs.
+    pub is_first: bool,
+    /// What a voter had on disk; `None`: nothing.
+    pub memory: Option<Memory>,
+}
+
+/// Load and groups of connections by node, by the shape's numbers.
+pub type Standing = BTreeMap<u32, (f64, BTreeSet<u32>)>;
+
+/// What a member was told of all: members in its view, the time between two reports, and use by node.
+pub type View = (u32, Micros, BTreeMap<u32, f64>);
+
+/// A hollow proxy.
+pub struct Hollow {
+    shape: Shape,
+    me: u32,
+    settings: Settings,
+    chance: ChaCha8Rng,
+    balancer: Balancer,
+    delays: MessageDelays,
+    nodes: Nodes,
+    peers: Option<Peers>,
+    accord: Option<Accord>,
+    open: Vec<Open>,
+    owed: BTreeMap<RequestId, Owed>,
+    next_request: u64,
+    due: BinaryHeap<Reverse<(Micros, u64, Due)>>,
+    number: u64,
+    pending: VecDeque<Event>,
+    out: VecDeque<Wish>,
+    counts: Counts,
+}
+
+/// Its member of the accord.
+struct Accord {
+    member: Member,
+    seal: Seal,
+    memory: Option<Memory>,
+    /// What has come of the member's outputs, to be taken up by the proxy.
+    later: Vec<(Micros, Due)>,
+    out: VecDeque<Wish>,
+}
+
+/// A content's hash: its number, and its kind.
+fn hash_of(content: u32, kind: u8) -> Hash {
+    let mut hash = Hash::default();
+    hash[..4].copy_from_slice(&content.to_le_bytes());
+    hash[4] = kind;
+    // All zeros would be no content.
+    hash[31] = 1;
+    hash
+}
+
+fn content_of(hash: &Hash) -> (u32, u8) {
+    (u32::from_le_bytes([hash[0], hash[1], hash[2], hash[3]]), hash[4])
+}
+
+impl Embedder for Accord {
+    type Member = Member;
+    type Error = Infallible;
+
+    fn member(&mut self) -> &mut Member {
+        &mut self.member
+    }
+
+    fn carry_out(&mut self, now: Micros, output: Wanted) -> Result<(), Infallible> {
+        match output {
+            Wanted::Send { to, message } => {
+                if let Ok(bytes) = self.seal.close(to, message) {
+                    self.out.push_back(Wish::Accord { to, bytes });
+                }
+            }
+            Wanted::Save(memory) => self.memory = Some(memory),
+            Wanted::Check { hash, against, .. } => {
+                let kind = content_of(&hash).1;
+                let alike = against.iter().rev().take_while(|(_, other)| content_of(other).1 == kind);
+                let agrees_from = alike.last().map(|(number, _)| *number);
+                self.later.push((now + CHECK, Due::Checked { hash, agrees_from }));
+            }
+            Wanted::Fetch { hash, .. } => self.later.push((now + FETCH, Due::Have { hash })),
+            Wanted::Right(right) if right.topic == Topic::Rules => {
+                let version = right.version.map(|(number, hash)| (number, content_of(&hash).0));
+                let kind = right.version.map_or(0, |(_, hash)| content_of(&hash).1);
+                self.record(What::May { version, kind, until: right.until });
+            }
+            Wanted::ProposalOver { hash, why, .. } => {
+                let in_force = why == cottonnotch_accord::Why::InForce;
+                self.record(What::Over { content: content_of(&hash).0, in_force });
+            }
+            Wanted::Right(_) | Wanted::ListBehind { .. } => {}
+        }
+        Ok(())
+    }
+}
+
+impl Accord {
+    fn record(&mut self, what: What) {
+        self.out.push_back(Wish::Record(what));
+    }
+}
+
+impl Hollow {
+    /// A process that starts now, with the list that its configuration remembers.
+    pub fn start(place: Place, known: &ResolverResult, now: Micros) -> Self {
+        let Place { shape, me, roster, life, is_first, memory } = place;
+        let seed = mixed(shape.seed, u64::from(me)) ^ life;
+        let settings = shape.settings(me);
+        let accord = accord(&shape, me, memory, is_first, now, seed);
+        let peers = peers(&shape, me, roster, life, now, seed);
+        let mut hollow = Hollow {
+            balancer: Balancer::new(settings.clone(), seed, now),
+            delays: MessageDelays::new(settings.nodes, settings.shortest_aim(), settings.weighted),
+            chance: ChaCha8Rng::seed_from_u64(seed),
+            nodes: Nodes::default(),
+            open: Vec::new(),
+            owed: BTreeMap::new(),
+            next_request: u64::from(me) << 40 | (life & 0xff_ffff) << 16,
+            due: BinaryHeap::new(),
+            number: 0,
+            pending: VecDeque::new(),
+            out: VecDeque::new(),
+            counts: Counts::default(),
+            shape,
+            me,
+            settings,
+            peers,
+            accord,
+        };
+        // Not all members of a joint start tick in one instant.
+        let first = hollow.chance.random_range(0..EVERY);
+        hollow.later(now + first, Due::Second);
+        hollow.next_arrival(now);
+        let event = hollow.nodes.take(&mut hollow.delays, known, true);
+        hollow.tell(now, event);
+        hollow
+    }
+
+    /// Its connections are up from here on, as if set up before.
+    pub fn open_all(&mut self, now: Micros) {
+        for _ in 0..self.shape.connections {
+            let group = self.any_group();
+            let home = self.shape.home(group, self.chance.random_range(0..HOMES));
+            let Some(server) = self.nodes.number(home) else { continue };
+            let request = self.request(group, false);
+            let id = request.id;
+            self.tell(now, Event::Open { request, server });
+            self.up(now, id, server, group, None);
+        }
+        self.open.shrink_to_fit();
+    }
+
+    /// Its connections are asked for through the module, one after another.
+    pub fn come_all(&mut self, now: Micros) {
+        for nth in 0..self.shape.connections {
+            self.later(now + Micros::from(nth) * COMES, Due::First);
+        }
+    }
+
+    fn any_group(&mut self) -> u32 {
+        self.chance.random_range(0..self.shape.groups())
+    }
+
+    fn request(&mut self, group: u32, again: bool) -> Request {
+        self.next_request += 1;
+        Request {
+            id: RequestId(self.next_request),
+            class: ClassId(0),
+            tenant: None,
+            left: self.settings.classes.first().map(|class| class.deadline),
+            load_hint: None,
+            group: Some(digest(group)),
+            again,
+        }
+    }
+
+    fn up(&mut self, now: Micros, request: RequestId, server: ServerId, group: u32, setup: Option<Micros>) {
+        self.delays.opened(now, request, server, Some(digest(group)), setup);
+        self.delays.load(request, self.shape.load(self.me, request.0));
+        self.open.push(Open { request, server, group });
+    }
+
+    fn next_arrival(&mut self, now: Micros) {
+        if self.shape.setups > 0.0 {
+            // Open load: exponential times between two, whatever became of the last one.
+            let unit: f64 = self.chance.random_range(1e-9..1.0);
+            let after = -unit.ln() / self.shape.setups * 1e6;
+            self.later(now + after as Micros, Due::Arrival);
+        }
+    }
+
+    fn later(&mut self, at: Micros, due: Due) {
+        self.number += 1;
+        self.due.push(Reverse((at, self.number, due)));
+    }
+
+    /// When [`Happening::Time`] is due, unless something else happens first.
+    pub fn next_timeout(&self) -> Micros {
+        let own = self.due.peek().map_or(Micros::MAX, |Reverse((at, ..))| *at);
+        let peers = self.peers.as_ref().map_or(Micros::MAX, Peers::next_timeout);
+        let accord = self.accord.as_ref().map_or(Micros::MAX, |accord| accord.member.next_timeout());
+        own.min(peers).min(accord)
+    }
+
+    /// The next thing that it wants done, if any.
+    pub fn poll(&mut self) -> Option<Wish> {
+        self.out.pop_front()
+    }
+
+    /// What it counted so far. Who drives it adds what only he knows: processor time.
+    pub fn counts(&mut self) -> &mut Counts {
+        &mut self.counts
+    }
+
+    /// What a voter has on disk.
+    pub fn memory(&self) -> Option<Memory> {
+        self.accord.as_ref().and_then(|accord| accord.memory.clone())
+    }
+
+    /// It leads the accord.
+    pub fn leads(&self) -> bool {
+        let is_leader = |accord: &Accord| accord.member.status().role == cottonnotch_accord::Role::Leader;
+        self.accord.as_ref().is_some_and(is_leader)
+    }
+
+    /// The last list taken.
+    pub fn revision(&self) -> u64 {
+        self.nodes.revision()
+    }
+
+    /// Load and groups of its connections by node, by the shape's numbers.
+    pub fn standing(&self) -> Standing {
+        let mut all = Standing::new();
+        for Open { request, server, group } in &self.open {
+            let Some(node) = self.nodes.place(*server) else { continue };
+            let (load, groups) = all.entry(node).or_default();
+            *load += self.shape.load(self.me, request.0);
+            groups.insert(*group);
+        }
+        all
+    }
+
+    /// What it was told of all: members in its view, the time between two reports, and use by node.
+    pub fn view(&self) -> Option<View> {
+        let member = self.peers.as_ref()?.fleet_member()?;
+        let view = member.view()?;
+        let named: BTreeMap<u32, f64> = view.named().map(|(node, told)| (node.0, told.used)).collect();
+        let by_place = (0..self.shape.nodes).filter_map(|place| {
+            let digest = cottonnotch_gossip::Subchannel::of(&format!("n{place}"));
+            named.get(&digest.bits()).map(|used| (place, *used))
+        });
+        Some((view.members, member.period(), by_place.collect()))
+    }
+
+    /// Takes what happened; then [`Hollow::poll`] until it gives nothing.
+    pub fn handle(&mut self, now: Micros, happening: Happening<'_>) {
+        match happening {
+            Happening::Datagram { from, bytes } => {
+                self.counts.peers_in.add(bytes.len());
+                self.hand_peers(now, Input::Datagram { from, bytes });
+            }
+            Happening::Accord { bytes } => {
+                self.counts.accord_in.add(bytes.len());
+                let Some(accord) = &mut self.accord else { return };
+                if let Ok((from, message)) = accord.seal.open(bytes) {
+                    let Ok(()) = accord.hand(now, Told::Message { from, message });
+                    self.take_accord();
+                }
+            }
+            Happening::Listed { result, bytes } => {
+                self.counts.list_bytes += bytes as u64;
+                // A beat is a list of changes that names none.
+                let nodes = result.members.len() as u32;
+                if result.complete {
+                    self.out.push_back(Wish::Record(What::Listed { revision: result.revision, nodes }));
+                }
+                let event = self.nodes.take(&mut self.delays, result, false);
+                self.tell(now, event);
+                self.hand_accord(now, Told::ListSeen { revision: result.revision });
+            }
+            Happening::ListLost { silent: true } => self.tell(now, Event::ListSilent),
+            Happening::ListLost { silent: false } => self.tell(now, Event::ListFailed),
+            Happening::Propose { content, kind } => {
+                self.out.push_back(Wish::Record(What::Proposed { content }));
+                let hash = hash_of(content, kind);
+                self.hand_accord(now, Told::Propose { topic: Topic::Rules, hash, size: CONTENT });
+            }
+            Happening::Time => self.time(now),
+        }
+    }
+
+    /// What is due first is part of this.
+    pub fn next_part(&self) -> Part {
+        let peers = self.peers.as_ref().map_or(Micros::MAX, Peers::next_timeout);
+        let accord = self.accord.as_ref().map_or(Micros::MAX, |accord| accord.member.next_timeout());
+        let own = self.due.peek().map(|Reverse((at, _, due))| (*at, due));
+        match own {
+            Some((at, due)) if at <= peers.min(accord) => match due {
+                Due::Second => Part::Second,
+                Due::First | Due::Arrival | Due::Module(_) | Due::Up { .. } => Part::Setups,
+                Due::Checked { .. } | Due::Have { .. } => Part::Accord,
+            },
+            _ if peers <= accord => Part::Peers,
+            _ => Part::Accord,
+        }
+    }
+
+    /// One thing that is due; whoever drives it comes again while there is another.
+    fn time(&mut self, now: Micros) {
+        if self.next_timeout() > now {
+            return;
+        }
+        match self.next_part() {
+            Part::Second | Part::Setups => self.next_due(now),
+            Part::Peers => self.hand_peers(now, Input::Tick),
+            Part::Accord => {
+                self.next_due(now);
+                if let Some(accord) = &mut self.accord {
+                    let Ok(()) = accord.hand_time(now);
+                    self.take_accord();
+                }
+            }
+        }
+    }
+
+    fn next_due(&mut self, now: Micros) {
+        if self.due.peek().is_some_and(|Reverse((at, ..))| *at <= now)
+            && let Some(Reverse((_, _, due))) = self.due.pop()
+        {
+            self.due(now, due);
+        }
+    }
+
+    fn due(&mut self, now: Micros, due: Due) {
+        match due {
+            Due::Second => {
+                self.later(now + EVERY, Due::Second);
+                self.hand_peers(now, Input::Second);
+                for Note { server, delay } in self.delays.notes(now) {
+                    self.tell(now, Event::DelayNote { server, delay });
+                }
+            }
+            Due::First => {
+                let group = self.any_group();
+                self.ask(now, group, false);
+            }
+            Due::Arrival => {
+                self.next_arrival(now);
+                // As many go as come, once there are as many as there should be.
+                if self.open.len() as u32 >= self.shape.connections && !self.open.is_empty() {
+                    let gone = self.chance.random_range(0..self.open.len());
+                    let Open { request, server, .. } = self.open.swap_remove(gone);
+                    self.ended(now, request, server);
+                }
+                let group = self.any_group();
+                self.ask(now, group, false);
+            }
+            Due::Module(token) => self.tell(now, Event::Timer(token)),
+            Due::Up { request, attempt, server } => {
+                let (request, server) = (RequestId(request), ServerId(server));
+                if let Some(Owed { group, .. }) = self.owed.remove(&request) {
+                    self.counts.setups += 1;
+                    self.up(now, request, server, group, Some(SETUP));
+                    self.tell(now, Event::Established { request, attempt, server, elapsed: SETUP });
+                }
+            }
+            Due::Checked { hash, agrees_from } => {
+                let verdict = agrees_from.map_or(Verdict::Contradicts, |from| Verdict::Agrees { from });
+                self.hand_accord(now, Told::Checked { topic: Topic::Rules, hash, verdict });
+            }
+            Due::Have { hash } => self.hand_accord(now, Told::Have { hash }),
+        }
+    }
+
+    fn ask(&mut self, now: Micros, group: u32, again: bool) {
+        let request = self.request(group, again);
+        self.owed.insert(request.id, Owed { group, attempts: 0 });
+        self.tell(now, Event::Request(request));
+    }
+
+    fn ended(&mut self, now: Micros, request: RequestId, server: ServerId) {
+        self.delays.ended(request);
+        self.tell(now, Event::Ended { request, attempt: 0, server, outcome: Outcome::Served, last: true });
+    }
+
+    fn hand_peers(&mut self, now: Micros, input: Input<'_>) {
+        let Some(peers) = &mut self.peers else { return };
+        let mut local = Local {
+            delays: &mut self.delays,
+            servers: &self.nodes,
+            settings: &self.settings,
+            rpcs: self.open.len() + self.owed.len(),
+        };
+        peers.handle(now, input, &mut local);
+        while let Some(output) = peers.poll() {
+            match output {
+                Output::Send { to, bytes } => {
+                    self.counts.peers_out.add(bytes.len());
+                    self.out.push_back(Wish::Datagram { to, bytes });
+                }
+                Output::Event(event) => {
+                    if let Event::Tier(tier) = &event {
+                        let members = tier.nodes as u32;
+                        self.out.push_back(Wish::Record(What::View { members }));
+                    }
+                    self.pending.push_back(event);
+                }
+                Output::Member { ordinal, state, .. } => {
+                    let is = matches!(state, State::Dead);
+                    self.out.push_back(Wish::Record(What::Dead { of: ordinal, is }));
+                }
+                Output::Keeper(keeper) => self.out.push_back(Wish::Record(What::Keeper(keeper))),
+            }
+        }
+        self.settle(now);
+    }
+
+    fn hand_accord(&mut self, now: Micros, input: Told) {
+        let Some(accord) = &mut self.accord else { return };
+        let Ok(()) = accord.hand(now, input);
+        self.take_accord();
+    }
+
+    fn take_accord(&mut self) {
+        let Some(accord) = &mut self.accord else { return };
+        let sent = accord.out.iter().filter_map(|wish| match wish {
+            Wish::Accord { bytes, .. } => Some(bytes.len()),
+            _ => None,
+        });
+        sent.for_each(|bytes| self.counts.accord_out.add(bytes));
+        self.out.append(&mut accord.out);
+        for (at, due) in std::mem::take(&mut accord.later) {
+            self.later(at, due);
+        }
+    }
+
+    fn tell(&mut self, now: Micros, event: Event) {
+        self.pending.push_back(event);
+        self.settle(now);
+    }
+
+    /// Hands the module what is pending, and what comes of its own actions; as the driver does.
+    fn settle(&mut self, now: Micros) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.pending.pop_front() {
+            if let Some(peers) = &mut self.peers {
+                peers.witness(now, &event);
+            }
+            self.balancer.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action);
+            }
+        }
+    }
+
+    fn act(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { request, server, .. } => {
+                let Some(owed) = self.owed.get_mut(&request) else { return };
+                let attempt = owed.attempts;
+                owed.attempts += 1;
+                let (request, server) = (request.0, server.0);
+                self.later(now + SETUP, Due::Up { request, attempt, server });
+            }
+            Action::Refuse { request, .. } | Action::Fail(request) => {
+                self.owed.remove(&request);
+                self.counts.refused += 1;
+            }
+            Action::Move(request) => {
+                let Some(at) = self.open.iter().position(|open| open.request == request) else { return };
+                let Open { request, server, group } = self.open.swap_remove(at);
+                self.counts.moves += 1;
+                self.delays.ended(request);
+                let (outcome, last) = (Outcome::Served, true);
+                self.pending.push_back(Event::Ended { request, attempt: 0, server, outcome, last });
+                let again = self.request(group, true);
+                self.owed.insert(again.id, Owed { group, attempts: 0 });
+                self.pending.push_back(Event::Request(again));
+            }
+            Action::Watch => {
+                self.counts.list_calls += 1;
+                self.out.push_back(Wish::Watch { from: self.nodes.revision() });
+            }
+            Action::Probe(server) => self.pending.push_back(Event::Probed { server, report: None }),
+            Action::Timer { after, token } => self.later(now + after, Due::Module(token)),
+            Action::Log { .. } | Action::Believe { .. } => {}
+        }
+    }
+}
+
+/// A group as the wire names it.
+pub fn digest(group: u32) -> u64 {
+    mixed(u64::from(group), 0x67)
+}
+
+fn accord(
+    shape: &Shape,
+    me: u32,
+    memory: Option<Memory>,
+    is_first: bool,
+    now: Micros,
+    seed: u64,
+) -> Option<Accord> {
+    if shape.voters == 0 {
+        return None;
+    }
+    let voters = shape.voters();
+    let me_there = u16::try_from(me).ok()?;
+    let memory = memory.or_else(|| (is_first && voters.contains(&me_there)).then(Memory::first));
+    let config = cottonnotch_accord::Config {
+        me: me_there,
+        members: u16::try_from(shape.members).ok()?,
+        voters,
+        timing: Timing::default(),
+        incarnation: now.max(1) as u64,
+    };
+    config.check().ok()?;
+    Some(Accord {
+        member: Member::new(config, now, memory.clone(), seed),
+        seal: Seal::new(KEY, CLUSTER, me_there)?,
+        memory,
+        later: Vec::new(),
+        out: VecDeque::new(),
+    })
+}
+
+fn peers(shape: &Shape, me: u32, roster: Roster, life: u64, now: Micros, seed: u64) -> Option<Peers> {
+    if shape.members >= shape.members_from {
+        let section = FleetSection { members_from: Some(shape.members_from), ..FleetSection::default() };
+        let settings = section.check().ok()??;
+        let member = cottonnotch_fleet::Member::new(settings, me, shape.members, seed, now, now);
+        return Some(Peers::fleet(member, roster));
+    }
+    let section = GossipSection { strength: Some(Strength::Address), ..GossipSection::default() };
+    let settings = section.check().ok()??;
+    let strength = settings.strength;
+    let gossip = Gossip::new(settings, Keys::Address, me, shape.members, life, seed, now);
+    Some(Peers::gossip(gossip, strength, roster))
+}
--- /dev/null
+++ b/crates/scale/src/lib.rs
@@ -0,0 +1,26 @@
+//! Hollow proxies: the program's own sans-io members (decision, fleet view or gossip, accord, list calls), wired by
+//! `cottonnotch-proxy` as the daemon wires them, with synthetic connections in place of clients and render nodes.
+//!
+//! [`Hollow`] itself is sans-io; [`sockets`] runs many in one process on real loopback sockets and real time, [`virtual_time`]
+//! on links in memory and virtual time, where an hour's cut or hundreds of members in a test take seconds. [`judge`] reads
+//! [`records`] only and shares nothing with what made them. `docs/design/scale.md` says what hollow members skip.
+
+pub mod bounds;
+pub mod calibrate;
+pub mod discovery;
+pub mod faults;
+pub mod figures;
+pub mod fit;
+pub mod hollow;
+pub mod judge;
+pub mod nodes;
+pub mod real;
+pub mod records;
+pub mod relay;
+pub mod shape;
+pub mod sockets;
+pub mod virtual_time;
+pub mod watch;
+
+pub use hollow::{Happening, Hollow, Wish};
+pub use shape::Shape;
--- /dev/null
+++ b/crates/scale/src/nodes.rs
@@ -0,0 +1,70 @@
+//! The render nodes as a hollow proxy knows them: names and numbers, as the daemon gives them.
+
+use cottonnotch_decision::names::{Names, digest};
+use cottonnotch_decision::{Entry, Event, Micros, ServerId, ZoneId};
+use cottonnotch_proxy::{MessageDelays, ResolverResult, Servers};
+
+/// All that were ever listed. Grows with the number of nodes.
+#[derive(Debug, Default)]
+pub struct Nodes {
+    names: Names,
+    zones: Names,
+    started: Vec<Option<Micros>>,
+    revision: u64,
+}
+
+impl Nodes {
+    /// Takes a list; what the module is to hear.
+    pub fn take(&mut self, delays: &mut MessageDelays, result: &ResolverResult, copy: bool) -> Event {
+        self.revision = result.revision;
+        let mut entries = Vec::with_capacity(result.members.len());
+        for member in &result.members {
+            let number = self.names.intern(&member.id);
+            let is_new = self.started.len() <= number as usize;
+            if is_new {
+                self.started.push(member.started);
+            }
+            let before = std::mem::replace(&mut self.started[number as usize], member.started);
+            delays.listed(ServerId(number), member.weight, !is_new && before != member.started);
+            entries.push(Entry {
+                server: ServerId(number),
+                digest: digest(&member.id),
+                state: member.state,
+                zone: ZoneId(self.zones.intern(&member.zone) as u16),
+                cell: member.cell,
+                started: member.started,
+                weight: member.weight,
+            });
+        }
+        Event::List { full: result.complete, copy, entries }
+    }
+
+    /// The last revision taken.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The number of a node by its place in the shape.
+    pub fn number(&self, node: u32) -> Option<ServerId> {
+        self.names.find(&format!("n{node}")).map(ServerId)
+    }
+
+    /// A node's place in the shape.
+    pub fn place(&self, server: ServerId) -> Option<u32> {
+        self.names.name(server.0).strip_prefix('n')?.parse().ok()
+    }
+}
+
+impl Servers for Nodes {
+    fn count(&self) -> usize {
+        self.names.len()
+    }
+
+    fn name(&self, server: ServerId) -> &str {
+        self.names.name(server.0)
+    }
+
+    fn started(&self, server: ServerId) -> Option<Micros> {
+        self.started.get(server.0 as usize).copied().flatten()
+    }
+}
--- /dev/null
+++ b/crates/scale/src/relay.rs
@@ -0,0 +1,122 @@
+//! What goes between members, counted on its way: each member knows the others by the relay's sockets, so that real and hollow ones
+//! are counted by the same eyes.
+
+use crate::figures::Traffic;
+use crate::sockets::{ACCORD_PORT, PEERS_PORT, RELAYED, address};
+use cottonnotch_reactor::{Clock, Connection, Key, Leg, Reactor};
+use mio::net::UdpSocket;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+
+/// Of one member: sent and received, of the fleet view or gossip, then of the accord.
+pub type Through = [[Traffic; 2]; 2];
+
+/// The relay; ends when dropped.
+pub struct Relay {
+    counts: Arc<Mutex<Vec<Through>>>,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<io::Result<()>>>,
+}
+
+enum Report {
+    Timer,
+    Heard { at: usize, bytes: Vec<u8>, from: SocketAddr },
+}
+
+impl cottonnotch_reactor::Report for Report {
+    fn timer(_: u32) -> Self {
+        Report::Timer
+    }
+}
+
+struct End {
+    socket: UdpSocket,
+    at: usize,
+}
+
+impl Connection for End {
+    type Report = Report;
+
+    fn readable(&mut self, io: &mut cottonnotch_reactor::Io<Report>, _: Leg) {
+        let mut bytes = [0; 1_500];
+        while let Ok((length, from)) = self.socket.recv_from(&mut bytes) {
+            io.tell(Report::Heard { at: self.at, bytes: bytes[..length].to_vec(), from });
+        }
+    }
+
+    fn writable(&mut self, _: &mut cottonnotch_reactor::Io<Report>, _: Leg) {}
+
+    fn timer(&mut self, _: &mut cottonnotch_reactor::Io<Report>, _: u32) {}
+
+    fn done(&self) -> bool {
+        false
+    }
+}
+
+impl Relay {
+    /// Between so many members.
+    pub fn start(members: u32) -> io::Result<Self> {
+        let counts = Arc::new(Mutex::new(vec![Through::default(); members as usize]));
+        let stop = Arc::new(AtomicBool::new(false));
+        let mut reactor = Reactor::<End>::new(Clock::unix())?;
+        let mut ends: Vec<Key> = Vec::new();
+        let mut ways = BTreeMap::new();
+        for (kind, port) in [PEERS_PORT, ACCORD_PORT].into_iter().enumerate() {
+            for member in 0..members {
+                let at = ends.len();
+                ends.push(reactor.insert(|key, io| {
+                    let mut socket = UdpSocket::bind(address(member, port + RELAYED))?;
+                    io.register_reader(&mut socket, key)?;
+                    Ok(Box::new(End { socket, at }))
+                })?);
+                ways.insert(address(member, port), (kind, member as usize));
+            }
+        }
+        let (shared, stops) = (Arc::clone(&counts), Arc::clone(&stop));
+        let thread = std::thread::Builder::new().name("relay".into()).spawn(move || {
+            let members = members as usize;
+            while !stops.load(Ordering::Acquire) {
+                let now = reactor.io.now();
+                reactor.io.owner_timer(now + 50_000, 0);
+                reactor.turn()?;
+                while let Some(report) = reactor.io.reports.pop_front() {
+                    let Report::Heard { at, bytes, from } = report else { continue };
+                    let Some((kind, sender)) = ways.get(&from).copied() else { continue };
+                    let to = at % members;
+                    {
+                        let mut counts = shared.lock().unwrap_or_else(PoisonError::into_inner);
+                        counts[sender][kind][0].add(bytes.len());
+                        counts[to][kind][1].add(bytes.len());
+                    }
+                    let port = if kind == 0 { PEERS_PORT } else { ACCORD_PORT };
+                    let there = address(to as u32, port);
+                    // It comes from the sender's own end here: by that it is known.
+                    reactor.with(ends[kind * members + sender], |end, _| {
+                        let _ = end.socket.send_to(&bytes, there);
+                    });
+                }
+            }
+            Ok(())
+        })?;
+        Ok(Relay { counts, stop, thread: Some(thread) })
+    }
+
+    /// What has gone through.
+    pub fn counts(&self) -> Vec<Through> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Release);
+        if let Some(thread) = self.thread.take() {
+            // What failed there shows in what was counted.
+            let _ = thread.join();
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/watch.rs
@@ -0,0 +1,127 @@
+//! A watch on discovery, as the daemon's: one HTTP answer without end, JSON texts in it, silence when a beat is late.
+
+use crate::sockets::{Io, Object, Report};
+use cottonnotch_decision::Micros;
+use cottonnotch_decision::list_calls::SILENT_AFTER;
+use cottonnotch_proxy::ResolverResult;
+use cottonnotch_reactor::http::StreamedResponse;
+use cottonnotch_reactor::json_texts::JsonTexts;
+use cottonnotch_reactor::line::{Fill, LineStream};
+use cottonnotch_reactor::{Connection, Key, Leg};
+use std::io;
+use std::net::SocketAddr;
+
+/// As the daemon's.
+const UNANSWERED: Micros = 4_000_000;
+
+/// One watch of one member.
+pub struct Watch {
+    seat: usize,
+    key: Key,
+    stream: LineStream,
+    connected: bool,
+    response: StreamedResponse,
+    texts: JsonTexts,
+    heard: Micros,
+    answered: bool,
+    lost: bool,
+}
+
+impl Watch {
+    /// Asks for the changes after a revision.
+    pub fn start(seat: usize, discovery: SocketAddr, from: u64, key: Key, io: &mut Io) -> io::Result<Self> {
+        let mut stream = LineStream::connect(discovery, io, key, Leg::Near)?;
+        let request = format!(
+            "GET /registry/instances?watch=1&from={from} HTTP/1.1\r\nHost: {discovery}\r\n\
+             Accept: application/json\r\n\r\n"
+        );
+        stream.push(request.as_bytes());
+        let heard = io.now();
+        io.timer(heard + UNANSWERED, key, 0);
+        let (response, texts) = (StreamedResponse::new(), JsonTexts::new());
+        Ok(Watch {
+            seat,
+            key,
+            stream,
+            connected: false,
+            response,
+            texts,
+            heard,
+            answered: false,
+            lost: false,
+        })
+    }
+
+    fn lose(&mut self, io: &mut Io, silent: bool) {
+        if !std::mem::replace(&mut self.lost, true) {
+            io.tell(Report::ListLost { seat: self.seat, watch: self.key, silent });
+        }
+    }
+
+    fn take(&mut self, io: &mut Io, bytes: &[u8]) {
+        let (mut body, mut texts) = (Vec::new(), Vec::new());
+        let goes_on = self.response.feed(bytes, &mut body).is_ok();
+        let whole = self.texts.feed(&body, &mut texts).is_ok();
+        for text in texts {
+            io.tell(Report::Listed { seat: self.seat, watch: self.key, text });
+        }
+        if !goes_on || !whole {
+            self.lose(io, false);
+        }
+    }
+}
+
+/// A list's text as the daemon reads it; `None`: it can't be read, and counts as a failed call.
+pub fn read(mut text: Vec<u8>) -> Option<ResolverResult> {
+    ResolverResult::parse(&mut text).ok()
+}
+
+impl Connection for Watch {
+    type Report = Report;
+
+    fn readable(&mut self, io: &mut Io, _: Leg) {
+        let fill = self.stream.fill();
+        let bytes = self.stream.take_rest();
+        if !bytes.is_empty() {
+            self.heard = io.now();
+            if !std::mem::replace(&mut self.answered, true) {
+                io.timer(self.heard + SILENT_AFTER, self.key, 0);
+            }
+            self.take(io, &bytes);
+        }
+        match fill {
+            Fill::Blocked => {}
+            Fill::More => io.call_again(self.key, Leg::Near),
+            Fill::Ended => self.lose(io, false),
+            Fill::Broken(_) if self.connected => self.lose(io, false),
+            Fill::Broken(_) => {}
+        }
+    }
+
+    fn writable(&mut self, io: &mut Io, _: Leg) {
+        if !self.connected {
+            match self.stream.connected() {
+                Ok(connected) => self.connected = connected,
+                Err(_) => return self.lose(io, false),
+            }
+        }
+        if self.connected && self.stream.flush().is_err() {
+            self.lose(io, false);
+        }
+    }
+
+    fn timer(&mut self, io: &mut Io, _: u32) {
+        let due = self.heard + if self.answered { SILENT_AFTER } else { UNANSWERED };
+        if due > io.now() {
+            io.timer(due, self.key, 0);
+        } else {
+            self.lose(io, true);
+        }
+    }
+
+    fn done(&self) -> bool {
+        self.lost
+    }
+}
+
+impl Object for Watch {}
--- /dev/null
+++ b/crates/scale/tests/slopes.rs
@@ -0,0 +1,49 @@
+//! What a member sends, hears and holds grows no faster than stated, in members, nodes and pairs. On virtual time, from one seed:
+//! judged by counts, not by time.
+
+use cap::Cap;
+use cottonnotch_scale::Shape;
+use cottonnotch_scale::bounds::{Axis, BOUNDS, broken};
+use cottonnotch_scale::figures::{Line, Spread};
+use cottonnotch_scale::fit::figure;
+use cottonnotch_scale::virtual_time::{S, measure};
+use std::alloc::System;
+
+#[global_allocator]
+static HEAP: Cap<System> = Cap::new(System, usize::MAX);
+
+fn shapes(axis: Axis) -> Vec<Shape> {
+    let base =
+        Shape { members: 30, nodes: 90, pairs: 500, connections: 100, setups: 1.0, ..Shape::default() };
+    match axis {
+        Axis::Members => [30, 60, 120].map(|members| Shape { members, ..base.clone() }).to_vec(),
+        Axis::Nodes => [90, 180, 360].map(|nodes| Shape { nodes, ..base.clone() }).to_vec(),
+        Axis::Pairs => [500, 2_000, 8_000].map(|pairs| Shape { pairs, ..base.clone() }).to_vec(),
+        Axis::Connections => unreachable!("bounded by the memory of a connection, on sockets"),
+    }
+}
+
+/// One test plays: the heap is the whole process's.
+#[test]
+fn no_slope_is_over_its_bound() {
+    for axis in [Axis::Members, Axis::Nodes, Axis::Pairs] {
+        let play = |shape: &Shape| measure(shape, 12 * S, 20 * S, || HEAP.allocated());
+        let lines: Vec<Line> = shapes(axis).iter().map(play).collect();
+        for bound in BOUNDS.iter().filter(|bound| bound.axis == axis) {
+            let measured: Vec<f64> = lines.iter().filter_map(|line| figure(line, bound.figure)).collect();
+            println!("{} along {axis:?}: {measured:?}", bound.figure);
+        }
+        assert_eq!(broken(&lines, axis), Some(Vec::new()), "seed {}", lines[0].shape.seed);
+    }
+}
+
+/// Each member tells each other one: what no member may send.
+#[test]
+fn a_figure_that_grows_with_all_members_breaks_its_bound() {
+    let line = |members: u32| {
+        let messages = Spread { mean: f64::from(members), max: f64::from(members) };
+        Line { shape: Shape { members, ..Shape::default() }, messages_out: messages, ..Line::default() }
+    };
+    let found = broken(&[30, 60, 120].map(line), Axis::Members).expect("lines that can be fitted");
+    assert!(matches!(&found[..], [one] if one.starts_with("messages_out.mean along Members")), "{found:?}");
+}
