A client's connection is looked at before any attempt begins or is written for it

The loop takes up 1,024 events at a time, so an attempt that failed was followed by a further one, a held client was released, and a line was written on a connection that had come up late, while the client's end waited its turn behind other events or the process had stood still. Now rpc.rs reads the client's socket in awaits_answer (asked by clients.rs before each attempt, first, further or reopened) and in advance, before an unwritten line is written. When an attempt fails the module is told of the client's end first: a set-up was taken for an attempt that nobody made.

Stories in endings/gone_clients.rs (700 clients at once by four failures; a thousand other events before the end; refused, timed out, up late, reopened; 500 held and released) and one in claims.rs. Seen to fail without their guards: the look in advance (up late); the look in awaits_answer (700 at once, a thousand events, timed out, reopened, held); Event::Gone in attempt_ended (the second set-up); the look in reopen (reopened); the look in send (held). The refused one is held by either look alone.

--- a/crates/cottonnotch/src/net/driver/clients.rs
+++ b/crates/cottonnotch/src/net/driver/clients.rs
@@ -108,7 +108,7 @@
             again: wish.again,
         };
         net.records.request(&request, wish.id);
-        if net.with_front(key, |front, _| front.awaits_answer()) != Some(true) {
+        if net.with_front(key, |front, io| front.awaits_answer(io)) != Some(true) {
             // It left, or sent too much, right behind its line: what the report of that finds is nobody. Guards the turns
             // and set-ups of others: the module would try for it again and again, each time for nothing.
             net.records.client_left(request.id);
@@ -164,7 +164,7 @@
         };
         let attempt = call.attempts;
         call.at = Some((server, attempt));
-        if net.with_front(key, |front, _| front.awaits_answer()) != Some(true) {
+        if net.with_front(key, |front, io| front.awaits_answer(io)) != Some(true) {
             // It has left, which is reported and ends this attempt too.
             call.attempts += 1;
             return None;
@@ -177,6 +177,10 @@
 
     /// Takes a connection that was open before the start back to its subchannel.
     fn reopen(&mut self, net: &mut Net, subchannels: &Subchannels, key: Key) {
+        if net.with_front(key, |front, io| front.awaits_answer(io)) != Some(true) {
+            // It has left, which is reported.
+            return;
+        }
         let Some(call) = self.calls.get_mut(key) else { return };
         let Some((server, _)) = call.at else { return };
         if !begin_attempt(net, subchannels, key, call, server, 0, None) {
@@ -196,16 +200,21 @@
         }
     }
 
-    /// An attempt has ended without having been up.
-    pub fn attempt_ended(&mut self, net: &mut Net, key: Key, outcome: Outcome) -> Option<Event> {
-        let call = self.calls.get_mut(key)?;
+    /// An attempt has ended without having been up: that, and before it that its client is gone, if it is.
+    pub fn attempt_ended(&mut self, net: &mut Net, key: Key, outcome: Outcome) -> [Option<Event>; 2] {
+        let Some(call) = self.calls.get_mut(key) else { return [None, None] };
         end_attempt(net, call, outcome);
         if let Stage::Reopening(_) = call.stage {
             self.reopen_later(net, key);
-            return None;
+            return [None, None];
         }
-        let (server, attempt) = call.at?;
-        Some(Event::Ended { request: call.id, attempt, server, outcome, last: false })
+        let Some((server, attempt)) = call.at else { return [None, None] };
+        let request = call.id;
+        let ended = Event::Ended { request, attempt, server, outcome, last: false };
+        // One that left is reported, and forgotten then. The module hears of it first: no turn, set-up or budget of others'
+        // is taken for an attempt that is not made.
+        let is_there = net.with_front(key, |front, io| front.awaits_answer(io)) == Some(true);
+        [(!is_there).then_some(Event::Gone(request)), Some(ended)]
     }
 
     /// An attempt's subchannel took it.
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -165,8 +165,9 @@
                 self.tell(event);
             }
             Happening::AttemptEnded { rpc, outcome } => {
-                let event = self.clients.attempt_ended(net, rpc, outcome);
-                self.tell(event);
+                for event in self.clients.attempt_ended(net, rpc, outcome) {
+                    self.tell(event);
+                }
             }
             Happening::Ended { rpc, outcome } => {
                 let event = self.clients.ended(net, messages, rpc, outcome);
--- a/crates/cottonnotch/src/net/happening.rs
+++ b/crates/cottonnotch/src/net/happening.rs
@@ -128,8 +128,9 @@
     /// Makes a call attempt. How it ends is reported; false: it could not even be begun, for want of
     /// something on this machine.
     fn attempt(&mut self, io: &mut Io, order: AttemptOrder) -> bool;
-    /// The client still waits for its answer, and no attempt is out.
-    fn awaits_answer(&self) -> bool;
+    /// The client still waits for its answer, and no attempt is out: its connection is looked at now. One that has left is
+    /// reported.
+    fn awaits_answer(&mut self, io: &mut Io) -> bool;
     /// Calls off the attempt that is out, in any case or only if nothing of its line was written yet. True if one was
     /// called off: its end is reported, and an answer is still owed.
     fn call_off(&mut self, io: &mut Io, what: CallOff) -> bool;
--- a/crates/cottonnotch/src/net/rpc.rs
+++ b/crates/cottonnotch/src/net/rpc.rs
@@ -178,7 +178,21 @@
         }
     }
 
+    /// Whether an answer is still waited for, as far as the client's socket shows now. Guards against one that left, and
+    /// whose end waits its turn behind a thousand others' events: nothing may begin for it.
+    fn is_waited_for(&mut self, io: &mut Io) -> bool {
+        if matches!(self.state, State::Held | State::Attempting(_)) {
+            self.watch_client(io);
+        }
+        matches!(self.state, State::Held | State::Attempting(_))
+    }
+
     fn advance(&mut self, io: &mut Io) {
+        // It may come up long after it was begun, and a line that is not written can't run.
+        let is_unwritten = matches!(&self.state, State::Attempting(attempt) if !attempt.is_written());
+        if is_unwritten && !self.is_waited_for(io) {
+            return;
+        }
         let State::Attempting(attempt) = &mut self.state else { return };
         let progress = attempt.advance(io.now());
         if attempt.newly_written() {
@@ -391,8 +405,8 @@
         }
     }
 
-    fn awaits_answer(&self) -> bool {
-        matches!(self.state, State::Held)
+    fn awaits_answer(&mut self, io: &mut Io) -> bool {
+        self.is_waited_for(io) && matches!(self.state, State::Held)
     }
 
     fn call_off(&mut self, io: &mut Io, what: CallOff) -> bool {
--- a/crates/cottonnotch/tests/endings/claims.rs
+++ b/crates/cottonnotch/tests/endings/claims.rs
@@ -64,3 +64,32 @@
     assert!(answer.starts_with("BUSY"), "{answer}");
     assert!(node.poll().is_none(), "no third set-up");
 }
+
+// Guards clients.rs `attempt_ended`, which tells the module of the client's end before its attempt's.
+/// It leaves as its attempt fails, and a further one would have been made: the set-up for that is there for others.
+#[test]
+fn a_client_that_leaves_as_its_attempt_fails_takes_no_second_set_up() {
+    let nodes = [Scripted::new(), Scripted::new()];
+    let tenants = r#""tenants":[{"name":"t","allowancePerS":0.001,"share":1.0}],"balancers":1"#;
+    let settings = SETTINGS.replace(r#""balancers":1"#, tenants);
+    let proxy = Proxy::managed(&[&nodes[0], &nodes[1]], 1024, &settings.replace("300000", "8000000"));
+    let open = || {
+        let mut client = proxy.connect();
+        client.say(&fresh(OPEN).replace("d=2000", "d=20000"));
+        client
+    };
+    // Two set-ups are there, and the next one comes in minutes.
+    let client = open();
+    let (at, mut far) = called_at(&nodes);
+    far.hear();
+    proxy.pause();
+    far.say("BUSY\r\n");
+    proxy.arrived();
+    drop(client);
+    proxy.wake();
+    within(PATIENCE, "it is gone", || (proxy.figure("in_progress")? == 0).then_some(()));
+    let mut sound = open();
+    let (mut far, _) = nodes[1 - at].called();
+    far.say("UP 1\r\n");
+    assert_eq!(sound.hear(), "UP 1\r\n");
+}
--- /dev/null
+++ b/crates/cottonnotch/tests/endings/gone_clients.rs
@@ -0,0 +1,294 @@
+//! Clients that have gone while their attempts are out, or in the instant in which they might be sent on: no attempt begins
+//! for them, also where the loop has a thousand other events before their ends.
+//!
+//! One look at the system brings the loop 1,024 events at most. What stirs before a client's end, while the process is
+//! stopped, is taken up before it: with enough of that, an attempt fails, or comes up, in an earlier round than the one that
+//! shows the end.
+
+use super::peers::crowded::Crowded;
+use super::peers::*;
+use std::io::ErrorKind;
+use std::time::{Duration, Instant};
+
+/// More than the loop takes up at once.
+const MANY: usize = 1100;
+const SOCKETS: u32 = 8192;
+
+/// Nothing ends because its time is up, unless a story says so.
+fn patient() -> String {
+    let settings = SETTINGS.replace("\"target\":300000", "\"target\":60000000");
+    settings.replace("\"connectTimeout\":250000", "\"connectTimeout\":60000000")
+}
+
+fn line() -> String {
+    fresh(OPEN).replace("d=2000", "d=120000")
+}
+
+fn asks(proxy: &Proxy) -> (Peer, u64) {
+    let (mut client, line) = (proxy.connect(), line());
+    client.say(&line);
+    (client, id_of(&line))
+}
+
+fn in_progress(proxy: &Proxy, count: u64) {
+    within(PATIENCE, "so many in progress", || (proxy.figure("in_progress") == Some(count)).then_some(()));
+}
+
+type Leave = fn(Peer);
+
+/// Whoever ends its sending gives up: the proxy sees that first, whatever comes after it.
+const LEAVINGS: [(&str, Leave); 3] = [
+    ("an end", |client| drop(client)),
+    ("a reset", |client| client.reset()),
+    ("an end of its sending", |client| {
+        client.finish();
+        drop(client);
+    }),
+];
+
+type Fail = fn(Peer);
+
+const FAILURES: [(&str, Fail); 4] = [
+    ("an error", |mut far| far.say("ERR no\r\n")),
+    ("a refusal", |mut far| far.say("BUSY\r\n")),
+    ("an end", |far| drop(far)),
+    ("a reset", |far| far.reset()),
+];
+
+/// Clients that rest, as the front's do: whatever they say is one event each, and asks for nothing.
+struct Rest(Vec<Peer>);
+
+impl Rest {
+    fn of(proxy: &Proxy, count: usize) -> Self {
+        let mut clients: Vec<Peer> = (0..count).map(|_| proxy.connect()).collect();
+        clients.iter_mut().for_each(|client| client.say("PING\r\n"));
+        clients.iter_mut().for_each(|client| assert_eq!(client.hear(), "PONG\r\n"));
+        Rest(clients)
+    }
+
+    /// All of them stir: each has begun a line, and the loop is to look at it.
+    fn stir(&mut self) {
+        self.0.iter_mut().for_each(|client| client.say("P"));
+    }
+}
+
+/// The second of two render nodes is taken out, so that the first gets every first attempt; then it is put back, and is the
+/// only one that a further attempt can go to.
+fn only_the_first(proxy: &Proxy) {
+    assert_eq!(proxy.call("POST", "/maintenance/enter", "s1").0, 200);
+}
+
+fn both(proxy: &Proxy) {
+    assert_eq!(proxy.call("POST", "/maintenance/exit", "s1").0, 200);
+}
+
+/// A client that asks later is served, and nothing came before it at the second render node.
+fn first_at_the_second(proxy: &Proxy, second: &Scripted) {
+    assert_eq!(proxy.call("POST", "/maintenance/enter", "s0").0, 200);
+    let (mut client, id) = asks(proxy);
+    let (mut far, line) = second.called();
+    assert_eq!(id_of(&line), id, "nothing began for those that had left");
+    far.say("UP 1\r\n");
+    assert_eq!(client.hear(), "UP 1\r\n");
+    drop(client);
+    assert_eq!(far.rest().unwrap(), "");
+    assert_eq!(proxy.call("POST", "/maintenance/exit", "s0").0, 200);
+    in_progress(proxy, 0);
+}
+
+/// Guards clients.rs `attempt_ended` and `send`, rpc.rs `awaits_answer`: the failures of 700 attempts and some of the ends of
+/// their clients are there in one round, the rest of the ends only in the next.
+#[test]
+fn seven_hundred_clients_whose_attempts_fail_as_they_leave_have_no_further_ones() {
+    for (how, fail) in FAILURES {
+        let nodes = [Scripted::new(), Scripted::new()];
+        let proxy = Proxy::managed(&[&nodes[0], &nodes[1]], SOCKETS, &patient());
+        only_the_first(&proxy);
+        let pairs: Vec<(Peer, Peer)> = (0..700).map(|_| (asks(&proxy).0, nodes[0].called().0)).collect();
+        let (clients, fars): (Vec<Peer>, Vec<Peer>) = pairs.into_iter().unzip();
+        both(&proxy);
+        proxy.pause();
+        fars.into_iter().for_each(fail);
+        proxy.arrived();
+        for (client, (_, leave)) in clients.into_iter().zip(LEAVINGS.iter().cycle()) {
+            leave(client);
+        }
+        proxy.wake();
+        in_progress(&proxy, 0);
+        assert!(nodes[1].poll().is_none(), "after {how}, a further attempt began for one that had left");
+        assert!(nodes[0].poll().is_none());
+        first_at_the_second(&proxy, &nodes[1]);
+    }
+}
+
+/// Guards the same: one client's attempt fails, a thousand others stir, then it leaves.
+#[test]
+fn a_client_that_leaves_behind_a_thousand_events_has_no_further_attempt() {
+    let nodes = [Scripted::new(), Scripted::new()];
+    let proxy = Proxy::managed(&[&nodes[0], &nodes[1]], SOCKETS, &patient());
+    for ((answer, fail), (how, leave)) in FAILURES.iter().zip(LEAVINGS.iter().cycle()) {
+        let mut rest = Rest::of(&proxy, MANY);
+        only_the_first(&proxy);
+        let client = asks(&proxy).0;
+        let far = nodes[0].called().0;
+        both(&proxy);
+        proxy.pause();
+        fail(far);
+        proxy.arrived();
+        rest.stir();
+        proxy.arrived();
+        leave(client);
+        proxy.wake();
+        in_progress(&proxy, 0);
+        assert!(
+            nodes[1].poll().is_none(),
+            "after {answer}, a further attempt began for one that left by {how}"
+        );
+        assert!(nodes[0].poll().is_none());
+        // The first one is paused after a failure; put back by hand, it begins anew.
+        first_at_the_second(&proxy, &nodes[1]);
+    }
+}
+
+/// Guards the same: what fails is that the connection is refused, which is told only as the system tries again.
+#[test]
+fn a_client_that_leaves_as_its_connection_is_refused_has_no_further_attempt() {
+    for (how, leave) in [LEAVINGS[0], LEAVINGS[1]] {
+        let (crowded, second) = (Crowded::new(), Scripted::new());
+        let proxy = Proxy::managed(&[crowded.node(), &second], SOCKETS, &patient());
+        let mut rest = Rest::of(&proxy, MANY);
+        only_the_first(&proxy);
+        let client = asks(&proxy).0;
+        in_progress(&proxy, 1);
+        both(&proxy);
+        proxy.pause();
+        let address = crowded.node().address();
+        drop(crowded);
+        proxy.refused(address);
+        rest.stir();
+        proxy.arrived();
+        leave(client);
+        proxy.wake();
+        in_progress(&proxy, 0);
+        assert!(second.poll().is_none(), "a further attempt began for one that left by {how}");
+        first_at_the_second(&proxy, &second);
+    }
+}
+
+/// Guards the same: what ends the attempt is its time, which is up while the process stands still.
+#[test]
+fn a_client_that_leaves_as_its_attempt_times_out_has_no_further_attempt() {
+    const TARGET: Duration = Duration::from_millis(1500);
+    let nodes = [Scripted::new(), Scripted::new()];
+    let settings = SETTINGS.replace("\"target\":300000", "\"target\":1500000");
+    let proxy = Proxy::managed(&[&nodes[0], &nodes[1]], SOCKETS, &settings);
+    for (how, leave) in [LEAVINGS[0], LEAVINGS[1]] {
+        let mut rest = Rest::of(&proxy, MANY);
+        only_the_first(&proxy);
+        let client = asks(&proxy).0;
+        let mut far = nodes[0].called().0;
+        let began = Instant::now();
+        both(&proxy);
+        proxy.pause();
+        rest.stir();
+        proxy.arrived();
+        leave(client);
+        proxy.arrived();
+        within(PATIENCE, "its time", || (began.elapsed() > TARGET).then_some(()));
+        proxy.go_on();
+        in_progress(&proxy, 0);
+        assert_eq!(far.rest().unwrap(), "");
+        assert!(nodes[1].poll().is_none(), "a further attempt began for one that left by {how}");
+        first_at_the_second(&proxy, &nodes[1]);
+    }
+}
+
+/// Guards rpc.rs `advance`: the connection comes up a second late, and its client leaves before the loop looks at it. Its line
+/// is not written.
+#[test]
+fn the_line_of_a_client_that_has_left_is_not_written_on_a_connection_that_comes_up_late() {
+    for (how, leave) in LEAVINGS {
+        let crowded = Crowded::new();
+        let proxy = Proxy::managed(&[crowded.node()], SOCKETS, &patient());
+        let client = asks(&proxy).0;
+        in_progress(&proxy, 1);
+        proxy.pause();
+        // It comes up as the system tries again; the process doesn't know yet.
+        let mut far = crowded.accept();
+        proxy.arrived();
+        leave(client);
+        proxy.wake();
+        match far.rest() {
+            Ok(said) => assert_eq!(said, "", "its line was written after it had left by {how}"),
+            Err(error) => assert_eq!(error.kind(), ErrorKind::ConnectionReset),
+        }
+        in_progress(&proxy, 0);
+    }
+}
+
+/// Guards clients.rs `reopen`: a connection from before the start is tried again after 200 ms, and its client leaves meanwhile.
+#[test]
+fn a_client_that_leaves_while_its_old_connection_is_to_be_tried_again_has_no_further_attempt() {
+    let node = Scripted::new();
+    let proxy = Proxy::managed(&[&node], SOCKETS, &patient());
+    for (how, leave) in LEAVINGS {
+        let mut rest = Rest::of(&proxy, MANY);
+        let mut client = proxy.connect();
+        client.say(&line().replace("g=5c0f", "g=5c0f,at=s0"));
+        let mut far = node.called().0;
+        loop {
+            far.finish();
+            assert_eq!(far.rest().unwrap(), "", "the attempt is over");
+            proxy.pause();
+            let Some(next) = node.poll() else { break };
+            // The process was stopped too late, and its next try is out.
+            proxy.go_on();
+            far = next;
+            far.hear();
+        }
+        let stopped = Instant::now();
+        rest.stir();
+        proxy.arrived();
+        leave(client);
+        proxy.arrived();
+        within(PATIENCE, "its time", || (stopped.elapsed() > Duration::from_millis(250)).then_some(()));
+        proxy.go_on();
+        in_progress(&proxy, 0);
+        assert!(node.poll().is_none(), "a further attempt began for one that left by {how}");
+    }
+}
+
+/// Guards clients.rs `send`: 500 are held, and released by an operator's call that is read before their ends.
+#[test]
+fn held_clients_that_leave_behind_a_thousand_events_are_not_sent_as_they_are_released() {
+    let node = Scripted::new();
+    let proxy = Proxy::managed(&[&node], SOCKETS, &patient());
+    for (how, leave) in LEAVINGS {
+        let mut rest = Rest::of(&proxy, MANY);
+        assert_eq!(proxy.call("POST", "/maintenance/enter", "s0").0, 200);
+        let clients: Vec<Peer> = (0..500).map(|_| asks(&proxy).0).collect();
+        in_progress(&proxy, 500);
+        let mut operator = Peer::new(std::net::TcpStream::connect(proxy.mgmt()).unwrap());
+        operator.say("POST /maintenance/exit HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\ns");
+        // What was said is read once a later call has been answered.
+        in_progress(&proxy, 500);
+        proxy.pause();
+        operator.say("0");
+        proxy.arrived();
+        rest.stir();
+        proxy.arrived();
+        clients.into_iter().for_each(leave);
+        proxy.wake();
+        assert_eq!(operator.answer().0, 200);
+        in_progress(&proxy, 0);
+        assert!(node.poll().is_none(), "an attempt began for one that left by {how}");
+        let (mut client, id) = asks(&proxy);
+        let (mut far, line) = node.called();
+        assert_eq!(id_of(&line), id);
+        far.say("UP 1\r\n");
+        assert_eq!(client.hear(), "UP 1\r\n");
+        drop(client);
+        assert_eq!(far.rest().unwrap(), "");
+        in_progress(&proxy, 0);
+    }
+}
--- a/crates/cottonnotch/tests/endings/main.rs
+++ b/crates/cottonnotch/tests/endings/main.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod clients;
 mod floods;
+mod gone_clients;
 mod last_answers;
 mod late_connections;
 mod lists;
--- a/crates/cottonnotch/tests/peers/mod.rs
+++ b/crates/cottonnotch/tests/peers/mod.rs
@@ -568,6 +568,19 @@
         within(PATIENCE, "bytes and ends to arrive", || has_arrived(self.child.id(), &doors).then_some(()));
     }
 
+    /// Waits until no connection of the process to this address is being made any more: nobody listens there, and the
+    /// system tells it when it next tries.
+    pub fn refused(&self, address: SocketAddr) {
+        const SYN_SENT: &str = "02";
+        let door = format!(":{:04X}", address.port());
+        within(PATIENCE, "the refusal", || {
+            let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+            let words = |line: &str| -> Vec<String> { line.split_whitespace().map(str::to_owned).collect() };
+            let is_made = |row: &Vec<String>| row[2].ends_with(&door) && row[3] == SYN_SENT;
+            (!table.lines().skip(1).map(words).any(|row| is_made(&row))).then_some(())
+        });
+    }
+
     /// The process goes on, once all that was sent to it is there; since when.
     pub fn wake(&self) -> Instant {
         self.arrived();
