--- a/crates/decision/tests/memory.rs
+++ b/crates/decision/tests/memory.rs
@@ -12,7 +12,7 @@
 static HEAP: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
 /// Bytes for each standing connection: its job, its place in the tree and in its server's list.
-const A_CONNECTION: f64 = 500.0;
+const A_CONNECTION: f64 = 400.0;
 /// Bytes for each render node.
 const A_NODE: f64 = 400.0;
 
