--- a/crates/scale/src/bounds.rs
+++ b/crates/scale/src/bounds.rs
@@ -27,7 +27,8 @@
     pub slope: f64,
 }
 
-/// The bounds. Units: messages and bytes a second; heap bytes a member. Each is some fifth over what small tiers showed.
+/// The bounds. Units: messages and bytes a second; heap bytes a member. Each is a sixth to a third over what
+/// small tiers and the sweep showed, or a small figure where they showed next to nothing.
 pub const BOUNDS: &[Bound] = &[
     // One member more adds nothing to what another one sends and hears, but by the keeper's and the leader's turns.
     Bound { figure: "messages_out.mean", axis: Axis::Members, slope: 0.01 },
@@ -36,14 +37,14 @@
     Bound { figure: "bytes_in.mean", axis: Axis::Members, slope: 1.0 },
     // The keeper hears all and answers all; the leader grants to all.
     Bound { figure: "bytes_out.max", axis: Axis::Members, slope: 500.0 },
-    Bound { figure: "bytes_in.max", axis: Axis::Members, slope: 500.0 },
+    Bound { figure: "bytes_in.max", axis: Axis::Members, slope: 600.0 },
     Bound { figure: "leader_messages", axis: Axis::Members, slope: 7.0 },
     Bound { figure: "leader_bytes", axis: Axis::Members, slope: 620.0 },
     Bound { figure: "heap_bytes", axis: Axis::Members, slope: 400.0 },
     // A node more is four bytes of each table, and its entry in each report that has connections there.
     Bound { figure: "bytes_out.mean", axis: Axis::Nodes, slope: 1.0 },
     Bound { figure: "bytes_in.mean", axis: Axis::Nodes, slope: 1.0 },
-    Bound { figure: "heap_bytes", axis: Axis::Nodes, slope: 900.0 },
+    Bound { figure: "heap_bytes", axis: Axis::Nodes, slope: 1_000.0 },
     // A group more is a byte in the reports of those who have connections of it.
     Bound { figure: "bytes_out.mean", axis: Axis::Pairs, slope: 0.5 },
     Bound { figure: "heap_bytes", axis: Axis::Pairs, slope: 20.0 },
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -28,6 +28,8 @@
 const MS: Micros = 1_000;
 /// A set-up at a node takes so long.
 const SETUP: Micros = 5 * MS;
+/// What the accord's clock reads at the start; a machine that has run for a day.
+const STARTED: Micros = 86_400_000_000;
 /// Between two of the first connections, where they are asked for.
 const COMES: Micros = 50 * MS;
 /// The worker's answer to a check, and a content's way here with its compiling. Not measured: the daemon does both on another
@@ -200,8 +202,9 @@
     counts: Counts,
 }
 
-/// Its member of the accord.
+/// Its member of the accord, by a clock that begins with the process, as the daemon's accord has one: times go over the wire.
 struct Accord {
+    began: Micros,
     member: Member,
     seal: Seal,
     memory: Option<Memory>,
@@ -244,13 +247,14 @@
                 let kind = content_of(&hash).1;
                 let alike = against.iter().rev().take_while(|(_, other)| content_of(other).1 == kind);
                 let agrees_from = alike.last().map(|(number, _)| *number);
-                self.later.push((now + CHECK, Due::Checked { hash, agrees_from }));
+                self.later.push((self.began + now + CHECK, Due::Checked { hash, agrees_from }));
             }
-            Wanted::Fetch { hash, .. } => self.later.push((now + FETCH, Due::Have { hash })),
+            Wanted::Fetch { hash, .. } => self.later.push((self.began + now + FETCH, Due::Have { hash })),
             Wanted::Right(right) if right.topic == Topic::Rules => {
                 let version = right.version.map(|(number, hash)| (number, content_of(&hash).0));
                 let kind = right.version.map_or(0, |(_, hash)| content_of(&hash).1);
-                self.record(What::May { version, kind, until: right.until });
+                let until = self.began.saturating_add(right.until);
+                self.record(What::May { version, kind, until });
             }
             Wanted::ProposalOver { hash, why, .. } => {
                 let in_force = why == cottonnotch_accord::Why::InForce;
@@ -263,6 +267,11 @@
 }
 
 impl Accord {
+    /// When its time comes next, by the proxy's clock.
+    fn next_timeout(&self) -> Micros {
+        self.began.saturating_add(self.member.next_timeout())
+    }
+
     fn record(&mut self, what: What) {
         self.out.push_back(Wish::Record(what));
     }
@@ -366,7 +375,7 @@
     pub fn next_timeout(&self) -> Micros {
         let own = self.due.peek().map_or(Micros::MAX, |Reverse((at, ..))| *at);
         let peers = self.peers.as_ref().map_or(Micros::MAX, Peers::next_timeout);
-        let accord = self.accord.as_ref().map_or(Micros::MAX, |accord| accord.member.next_timeout());
+        let accord = self.accord.as_ref().map_or(Micros::MAX, Accord::next_timeout);
         own.min(peers).min(accord)
     }
 
@@ -431,7 +440,7 @@
                 self.counts.accord_in.add(bytes.len());
                 let Some(accord) = &mut self.accord else { return };
                 if let Ok((from, message)) = accord.seal.open(bytes) {
-                    let Ok(()) = accord.hand(now, Told::Message { from, message });
+                    let Ok(()) = accord.hand(now - accord.began, Told::Message { from, message });
                     self.take_accord();
                 }
             }
@@ -460,7 +469,7 @@
     /// What is due first is part of this.
     pub fn next_part(&self) -> Part {
         let peers = self.peers.as_ref().map_or(Micros::MAX, Peers::next_timeout);
-        let accord = self.accord.as_ref().map_or(Micros::MAX, |accord| accord.member.next_timeout());
+        let accord = self.accord.as_ref().map_or(Micros::MAX, Accord::next_timeout);
         let own = self.due.peek().map(|Reverse((at, _, due))| (*at, due));
         match own {
             Some((at, due)) if at <= peers.min(accord) => match due {
@@ -484,7 +493,7 @@
             Part::Accord => {
                 self.next_due(now);
                 if let Some(accord) = &mut self.accord {
-                    let Ok(()) = accord.hand_time(now);
+                    let Ok(()) = accord.hand_time(now - accord.began);
                     self.take_accord();
                 }
             }
@@ -585,7 +594,7 @@
 
     fn hand_accord(&mut self, now: Micros, input: Told) {
         let Some(accord) = &mut self.accord else { return };
-        let Ok(()) = accord.hand(now, input);
+        let Ok(()) = accord.hand(now - accord.began, input);
         self.take_accord();
     }
 
@@ -684,7 +693,8 @@
     };
     config.check().ok()?;
     Some(Accord {
-        member: Member::new(config, now, memory.clone(), seed),
+        began: now - STARTED,
+        member: Member::new(config, STARTED, memory.clone(), seed),
         seal: Seal::new(KEY, CLUSTER, me_there)?,
         memory,
         later: Vec::new(),
--- a/crates/scale/src/real.rs
+++ b/crates/scale/src/real.rs
@@ -162,10 +162,13 @@
     /// Processor time so far, in seconds, and resident bytes.
     pub fn spent(&self) -> io::Result<(f64, u64)> {
         let process = self.child.id();
-        let stat = std::fs::read_to_string(format!("/proc/{process}/stat"))?;
-        let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or_default().split(' ').collect();
-        let ticks = |at: usize| fields.get(at).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
-        let seconds = (ticks(11) + ticks(12)) as f64 / rustix::param::clock_ticks_per_second() as f64;
+        let mut nanoseconds = 0;
+        for task in std::fs::read_dir(format!("/proc/{process}/task"))? {
+            // A thread may end while one looks.
+            let text = std::fs::read_to_string(task?.path().join("schedstat")).unwrap_or_default();
+            nanoseconds += text.split(' ').next().and_then(|ran| ran.parse::<u64>().ok()).unwrap_or(0);
+        }
+        let seconds = nanoseconds as f64 / 1e9;
         let statm = std::fs::read_to_string(format!("/proc/{process}/statm"))?;
         let pages: u64 = statm.split(' ').nth(1).and_then(|pages| pages.parse().ok()).unwrap_or(0);
         Ok((seconds, pages * rustix::param::page_size() as u64))
--- a/crates/scale/src/shape.rs
+++ b/crates/scale/src/shape.rs
@@ -39,6 +39,10 @@
     /// Tiers of so many members or more have a fleet view, smaller ones gossip.
     #[arg(long, default_value_t = 24)]
     pub members_from: u32,
+    /// Wanted time of a message, milliseconds; 0: none, and no estimate of delays is noted or moves connections.
+    #[arg(long, default_value_t = 0)]
+    #[serde(default)]
+    pub aim_ms: u32,
     /// Members of the accord that vote; 0: there is no accord.
     #[arg(long, default_value_t = 3)]
     pub voters: u16,
@@ -57,6 +61,7 @@
             setups: 2.0,
             used: 0.55,
             members_from: 24,
+            aim_ms: 0,
             voters: 3,
             seed: 1,
         }
@@ -119,11 +124,10 @@
     /// The module's settings at a member.
     pub fn settings(&self, member: u32) -> Settings {
         const MS: Micros = 1_000;
-        // Without a wanted time of messages no estimate of delays moves connections: those are synthetic.
         let class = Class {
             target: 300 * MS,
             deadline: 2_000 * MS,
-            message_aim: 0,
+            message_aim: Micros::from(self.aim_ms) * MS,
             attempts: 3,
             effect: Effect::Safe,
             worth: 1.0,
