--- /dev/null
+++ b/crates/cottonnotch/tests/homes.rs
@@ -0,0 +1,308 @@
+//! Stories of homes by a group's size: several real processes, a relay between each two of them that a story cuts, and stand-ins
+//! of render nodes. They are judged from outside: by where the connections of one large group stand.
+
+mod peers;
+use cottonnotch_fleet::{EPOCH, keepers};
+use peers::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tempfile::TempDir;
+
+const MEMBERS: usize = 6;
+const NODES: usize = 24;
+/// Each proxy's clients of the group.
+const EACH: usize = 20;
+/// Of a node's million, each connection takes so much: a quarter of it, less what the group costs there, is nine and a half
+/// connections. 120 need thirteen homes.
+const LOAD: &str = "UP 1\r\nLOAD 20000\r\n";
+const NEEDED: usize = 13;
+/// What stands at the fullest node where a group has five homes.
+const BY_FIVE: usize = MEMBERS * EACH / 5;
+
+const WITH: &str = "[gossip]\nstrength = \"address\"\n[fleet]\nmembers_from = 4\nperiod_ms = 200\n\
+     longest_period_ms = 400\ndatagrams_per_request = 1000.0\ngroup_homes = 16\nhomes_keep_s = 20\n";
+const WITHOUT: &str = "[gossip]\nstrength = \"address\"\n[fleet]\nmembers_from = 4\nperiod_ms = 200\n\
+     longest_period_ms = 400\ndatagrams_per_request = 1000.0\n";
+
+/// What stands where: the node, and the proxy that brought it.
+type Standing = Arc<Mutex<BTreeMap<(usize, u64), usize>>>;
+
+/// Render nodes that take whatever comes.
+struct Nodes {
+    addresses: Vec<SocketAddr>,
+    standing: Standing,
+    over: Arc<AtomicBool>,
+}
+
+impl Nodes {
+    fn new() -> Self {
+        let (standing, over) = (Standing::default(), Arc::new(AtomicBool::new(false)));
+        let addresses = (0..NODES).map(|node| {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let address = listener.local_addr().unwrap();
+            let (standing, over) = (Arc::clone(&standing), Arc::clone(&over));
+            std::thread::spawn(move || {
+                for caller in listener.incoming().flatten() {
+                    if over.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let standing = Arc::clone(&standing);
+                    std::thread::spawn(move || serve(node, &caller, &standing));
+                }
+            });
+            address
+        });
+        Nodes { addresses: addresses.collect(), standing, over }
+    }
+
+    /// How many connections of these proxies stand at each node that has any.
+    fn of(&self, proxies: &[usize]) -> Vec<usize> {
+        let mut by_node: BTreeMap<usize, usize> = BTreeMap::new();
+        for ((node, proxy), count) in &*self.standing.lock().unwrap() {
+            if proxies.contains(&(*proxy as usize)) && *count > 0 {
+                *by_node.entry(*node).or_insert(0) += count;
+            }
+        }
+        by_node.into_values().collect()
+    }
+}
+
+impl Drop for Nodes {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
+        // Each one waits for a caller.
+        self.addresses.iter().for_each(|address| drop(TcpStream::connect(address)));
+    }
+}
+
+/// A client's id begins with the number of its proxy.
+fn serve(node: usize, mut caller: &TcpStream, standing: &Standing) {
+    let (mut reader, mut line) = (BufReader::new(caller), String::new());
+    if reader.read_line(&mut line).is_err()
+        || !line.starts_with("OPEN ")
+        || caller.write_all(LOAD.as_bytes()).is_err()
+    {
+        return;
+    }
+    let key = (node, id_of(&line) >> 32);
+    *standing.lock().unwrap().entry(key).or_insert(0) += 1;
+    while reader.read_line(&mut line).is_ok_and(|length| length > 0) {}
+    *standing.lock().unwrap().get_mut(&key).unwrap() -= 1;
+}
+
+/// The network between the proxies: for each two of them a socket by which one knows the other, and one the other way.
+struct Links {
+    own: Vec<SocketAddr>,
+    known: Vec<Vec<SocketAddr>>,
+    cut: Arc<BTreeMap<(usize, usize), AtomicBool>>,
+    over: Arc<AtomicBool>,
+}
+
+impl Links {
+    fn new() -> Self {
+        static STORY: AtomicU8 = AtomicU8::new(1);
+        let (story, process) = (STORY.fetch_add(1, Ordering::Relaxed), std::process::id());
+        let ip = Ipv4Addr::new(127, 9, (process % 250) as u8 + 1, story);
+        let own: Vec<SocketAddr> =
+            (0..MEMBERS).map(|member| SocketAddr::from((ip, 7946 + member as u16))).collect();
+        let pairs = (0..MEMBERS).flat_map(|from| (0..MEMBERS).map(move |to| (from, to)));
+        let cut: Arc<BTreeMap<_, _>> = Arc::new(pairs.map(|pair| (pair, AtomicBool::new(false))).collect());
+        let over = Arc::new(AtomicBool::new(false));
+        let mut known = vec![own.clone(); MEMBERS];
+        for one in 0..MEMBERS {
+            for other in one + 1..MEMBERS {
+                let ends = [(one, other), (other, one)].map(|(from, to)| {
+                    let socket = Arc::new(UdpSocket::bind((ip, 0)).unwrap());
+                    socket.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+                    known[from][to] = socket.local_addr().unwrap();
+                    (from, to, socket)
+                });
+                for (here, there) in [(0, 1), (1, 0)] {
+                    let (from, to, inlet) = ends[here].clone();
+                    let outlet = Arc::clone(&ends[there].2);
+                    let (cut, over, target) = (Arc::clone(&cut), Arc::clone(&over), own[to]);
+                    std::thread::spawn(move || {
+                        let mut bytes = [0; 512];
+                        while !over.load(Ordering::Relaxed) {
+                            // What nobody hears is lost.
+                            let Ok((length, _)) = inlet.recv_from(&mut bytes) else { continue };
+                            if !cut[&(from, to)].load(Ordering::Relaxed) {
+                                let _ = outlet.send_to(&bytes[..length], target);
+                            }
+                        }
+                    });
+                }
+            }
+        }
+        Links { own, known, cut, over }
+    }
+
+    /// Nothing passes from the one to the other.
+    fn cut(&self, from: usize, to: usize, cut: bool) {
+        self.cut[&(from, to)].store(cut, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Links {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
+    }
+}
+
+struct Tier {
+    nodes: Nodes,
+    links: Links,
+    proxies: Vec<Proxy>,
+    clients: Vec<Vec<Peer>>,
+    number: u64,
+    _folder: TempDir,
+}
+
+impl Tier {
+    /// Six proxies, of which these run without homes by a group's size.
+    fn new(without: &[usize]) -> Self {
+        let (nodes, links, folder) = (Nodes::new(), Links::new(), TempDir::new().unwrap());
+        let aliases: Vec<Scripted> =
+            nodes.addresses.iter().map(|address| Scripted::alias(*address)).collect();
+        let aliases: Vec<&Scripted> = aliases.iter().collect();
+        let start = |me: usize| {
+            let path = folder.path().join(format!("operator-{me}.toml"));
+            std::fs::write(&path, if without.contains(&me) { WITHOUT } else { WITH }).unwrap();
+            let mut command = Command::new(env!("CARGO_BIN_EXE_cottonnotch"));
+            command.env("COTTONNOTCH_OPERATOR", &path);
+            let all: Vec<String> = links.known[me].iter().map(|address| format!("\"{address}\"")).collect();
+            let settings = SETTINGS
+                .replace("\"balancers\":1", &format!("\"weights\":\"nominal\",\"balancers\":{MEMBERS}"))
+                .replace("\"ordinal\":0", &format!("\"ordinal\":{me}"))
+                .replace("\"familyInfo\":{", "\"familyInfo\":{\"groups\":true,");
+            let settings =
+                format!("{settings},\"peer_listen\":\"{}\",\"peers\":[{}]", links.own[me], all.join(","));
+            Proxy::managed_by(command, &aliases, 1024, &settings)
+        };
+        let proxies = (0..MEMBERS).map(start).collect();
+        let clients = (0..MEMBERS).map(|_| Vec::new()).collect();
+        Tier { nodes, links, proxies, clients, number: 0, _folder: folder }
+    }
+
+    /// A client of the group comes to this proxy, again and again until it is served.
+    fn come(&mut self, proxy: usize) {
+        let client = within(PATIENCE, "a client to be served", || {
+            self.number += 1;
+            let id = (proxy as u64) << 32 | self.number;
+            let mut client = self.proxies[proxy].connect();
+            client.say(&format!("OPEN {id:016x} 7f3a9c21e0b4d655 c=look,d=2000,g=5c0f\r\n"));
+            client.hear().starts_with("UP").then_some(client)
+        });
+        self.clients[proxy].push(client);
+    }
+
+    /// All clients of these proxies go, and as many come again, one at each in turn.
+    fn wave(&mut self, proxies: &[usize]) {
+        proxies.iter().for_each(|proxy| self.clients[*proxy].clear());
+        within(PATIENCE, "the clients to have gone", || self.nodes.of(proxies).is_empty().then_some(()));
+        for _ in 0..EACH {
+            proxies.iter().for_each(|proxy| self.come(*proxy));
+        }
+    }
+
+    /// How many nodes hold connections of these proxies, and how many stand at the fullest.
+    fn stands(&self, proxies: &[usize]) -> (usize, usize) {
+        let of = self.nodes.of(proxies);
+        (of.len(), of.into_iter().max().unwrap_or(0))
+    }
+
+    /// Waits until these proxies act on so many homes at least.
+    fn told(&self, proxies: &[usize], least: usize) {
+        let most = |proxy: &usize| self.proxies[*proxy].figure("homes.most").unwrap() as usize;
+        within(Duration::from_secs(30), "the homes to be told", || {
+            proxies.iter().all(|proxy| most(proxy) >= least).then_some(())
+        });
+    }
+
+    /// These proxies' connections stand on about as many nodes as are needed, none of which has much more than its part.
+    fn assert_spread(&self, proxies: &[usize], what: &str) {
+        let (nodes, fullest) = self.stands(proxies);
+        let all = proxies.len() * EACH;
+        eprintln!("{what}: {all} connections on {nodes} nodes, {fullest} at the fullest");
+        assert!((NEEDED - 1..=NODES).contains(&nodes), "{what}: on {nodes} nodes");
+        assert!(fullest <= all / (NEEDED - 1) + 3, "{what}: {fullest} of {all} at one node");
+    }
+}
+
+const ALL: [usize; MEMBERS] = [0, 1, 2, 3, 4, 5];
+
+#[test]
+fn a_large_group_outgrows_five_homes_and_keeps_them_through_a_stop_a_cut_and_a_mute() {
+    let mut tier = Tier::new(&[]);
+    tier.wave(&ALL);
+    tier.told(&ALL, NEEDED - 1);
+    tier.wave(&ALL);
+    tier.assert_spread(&ALL, "all hear one another");
+
+    // One stands still, two don't hear each other, one hears and isn't heard.
+    let (still, cut, mute) = (1, (2, 3), 4);
+    tier.proxies[still].pause();
+    tier.links.cut(cut.0, cut.1, true);
+    tier.links.cut(cut.1, cut.0, true);
+    ALL.iter().for_each(|to| tier.links.cut(mute, *to, *to != mute));
+    let rest = [0, 2, 3, 4, 5];
+    for round in 0..3 {
+        tier.wave(&rest);
+        // The clients of the one that stands still are where they were.
+        tier.assert_spread(&ALL, &format!("round {round} of the faults"));
+        std::thread::sleep(Duration::from_secs(2));
+    }
+    let told = tier.proxies[still].mgmt();
+    assert!(TcpStream::connect(told).is_ok(), "its door is open, though nobody answers");
+    tier.proxies[still].go_on();
+    tier.links.cut(cut.0, cut.1, false);
+    tier.links.cut(cut.1, cut.0, false);
+    ALL.iter().for_each(|to| tier.links.cut(mute, *to, false));
+    tier.wave(&ALL);
+    tier.assert_spread(&ALL, "after the faults");
+    let most: BTreeSet<u64> =
+        ALL.iter().filter_map(|proxy| tier.proxies[*proxy].figure("homes.most")).collect();
+    assert!(most.iter().all(|most| *most as usize <= 2 * NEEDED), "{most:?}");
+    let lines: usize = tier
+        .proxies
+        .iter()
+        .map(|one| one.log_so_far().iter().filter(|line| line.contains("panic")).count())
+        .sum();
+    assert_eq!(lines, 0);
+}
+
+/// Half of the tier runs without: as an older program would, it drops what it doesn't know, and its group has five homes.
+#[test]
+fn half_of_the_tier_without_the_keys_serves_on_as_ever() {
+    // The first two keepers are of those that know homes; the others' turns come as well.
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_micros() as i64;
+    let epoch = (now / EPOCH) as u64;
+    let on_duty: BTreeSet<usize> =
+        (epoch..epoch + 2).map(|epoch| keepers(epoch, MEMBERS as u32)[0] as usize).collect();
+    let mut others = ALL.into_iter().filter(|member| !on_duty.contains(member));
+    let with: Vec<usize> = on_duty.iter().copied().chain(others.by_ref().take(3 - on_duty.len())).collect();
+    let without: Vec<usize> = others.collect();
+    let mut tier = Tier::new(&without);
+    tier.wave(&ALL);
+    tier.told(&with, NEEDED - 1);
+    tier.wave(&ALL);
+    let (nodes, fullest) = tier.stands(&with);
+    assert!(
+        nodes >= NEEDED - 1 && fullest <= with.len() * EACH / 10 + 2,
+        "{nodes} nodes, {fullest} at the fullest"
+    );
+    let (nodes, fullest) = tier.stands(&without);
+    assert_eq!(nodes, 5, "{fullest} at the fullest of {nodes}");
+    // Rather than all at five nodes.
+    let (_, fullest) = tier.stands(&ALL);
+    assert!(fullest < BY_FIVE, "{fullest}");
+    for proxy in &without {
+        assert_eq!(tier.proxies[*proxy].figure("homes.most"), None);
+    }
+    assert!(with.iter().all(|proxy| tier.proxies[*proxy].figure("homes.told").unwrap() > 0));
+}
