--- a/crates/proxy/benches/growth.rs
+++ b/crates/proxy/benches/growth.rs
@@ -3,7 +3,7 @@
 #![allow(missing_docs)]
 
 use cottonnotch_decision::{Micros, RequestId, ServerId};
-use cottonnotch_proxy::{MessageDelays, ResolverResult};
+use cottonnotch_proxy::{FleetUse, MessageDelays, ResolverResult};
 use std::hint::black_box;
 use std::time::Instant;
 
@@ -67,25 +67,49 @@
     delays
 }
 
+/// What the notes are made of: what this proxy alone knows (no fresh view), a view of the fleet, and what render nodes tell of
+/// their delays beside it.
+#[derive(Clone, Copy, Debug)]
+enum Known {
+    Alone,
+    View,
+    ViewAndTold,
+}
+
 fn each_second() {
-    for nodes in [90, 1_024, 4_096] {
-        for connections in [1_000, 10_000, 45_455, 90_909] {
-            let mut delays = delays(nodes, connections);
-            let mut now = 100 * S;
-            let [_, notes] = timed(|| {
-                now += S;
-                black_box(delays.notes(now));
-            });
-            let [_, report] = timed(|| {
-                black_box(delays.standing_by_group(now));
-            });
-            println!(
-                r#"{{"what":"each second","nodes":{nodes},"connections":{connections},"n":{ROUNDS},"notes_median_us":{notes:.0},"report_median_us":{report:.0}}}"#
-            );
+    for known in [Known::Alone, Known::View, Known::ViewAndTold] {
+        for nodes in [90, 1_024, 4_096] {
+            for connections in [1_000, 10_000, 45_455, 90_909] {
+                second(known, nodes, connections);
+            }
         }
     }
 }
 
+fn second(known: Known, nodes: u32, connections: u64) {
+    let mut delays = delays(nodes, connections);
+    let mut now = 100 * S;
+    if !matches!(known, Known::Alone) {
+        let used = (0..nodes).step_by(3).map(|node| (ServerId(node), 0.6)).collect();
+        delays.fleet = Some(FleetUse::new(now, 1_000 * S, 100.0, used));
+    }
+    let [_, notes] = timed(|| {
+        now += S;
+        if matches!(known, Known::ViewAndTold) {
+            (0..nodes).for_each(|node| {
+                black_box(delays.told(now, ServerId(node), 5_000));
+            });
+        }
+        black_box(delays.notes(now));
+    });
+    let [_, report] = timed(|| {
+        black_box(delays.standing_by_group(now));
+    });
+    println!(
+        r#"{{"what":"each second","known":"{known:?}","nodes":{nodes},"connections":{connections},"n":{ROUNDS},"notes_median_us":{notes:.0},"report_median_us":{report:.0}}}"#
+    );
+}
+
 fn main() {
     lists();
     each_second();
--- /dev/null
+++ b/crates/proxy/tests/growth.rs
@@ -0,0 +1,73 @@
+//! What a proxy keeps of its connections' loads and of a list, in bytes of heap: so much for each, whatever there is of the
+//! other. `docs/CAPACITY.md` quotes the slopes; a test fails when one grows past that.
+
+use cottonnotch_decision::{Micros, RequestId, ServerId};
+use cottonnotch_proxy::{MessageDelays, ResolverResult};
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+use std::alloc::System;
+
+#[global_allocator]
+static HEAP: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const S: Micros = 1_000_000;
+/// Bytes at most for each connection, for each render node, and for each member of a list that was read.
+const A_CONNECTION: f64 = 130.0;
+const A_NODE: f64 = 220.0;
+const A_MEMBER: f64 = 220.0;
+
+/// Bytes that stay while what `make` returns is held.
+fn held<T>(make: impl FnOnce() -> T) -> f64 {
+    let region = Region::new(HEAP);
+    let kept = make();
+    let change = region.change();
+    drop(kept);
+    change.bytes_allocated as f64 - change.bytes_deallocated as f64
+}
+
+fn delays(nodes: u32, connections: u64) -> MessageDelays {
+    let mut delays = MessageDelays::new(440, Some(60_000), true);
+    (0..nodes).for_each(|node| delays.listed(ServerId(node), 2.0, true));
+    for id in 0..connections {
+        let server = ServerId((id % u64::from(nodes)) as u32);
+        delays.opened(S, RequestId(id), server, Some(id % 12_400), Some(2_000));
+        delays.load(RequestId(id), 100.0);
+    }
+    delays
+}
+
+fn list(members: usize) -> Vec<u8> {
+    let one = |number: usize| {
+        format!(
+            r#"{{"id":"render-{number}","host_port":"10.20.{}.{}:7400","locality":"hall-a","flavor":"std-2c","cell":7,"phase":"up","size":2.0,"up_since_ms":1796000000000}}"#,
+            number >> 8,
+            number & 0xff
+        )
+    };
+    let all: Vec<String> = (0..members).map(one).collect();
+    format!(r#"{{"revision":1,"complete":true,"members":[{}]}}"#, all.join(",")).into_bytes()
+}
+
+/// One test, since what other tests of the process hold would count.
+#[test]
+fn loads_and_lists_cost_so_much_each() {
+    for nodes in [90, 4_096] {
+        let empty = held(|| delays(nodes, 0));
+        let each = empty / f64::from(nodes);
+        println!(r#"{{"what":"loads heap","nodes":{nodes},"connections":0,"bytes_a_node":{each:.1}}}"#);
+        assert!(each < A_NODE, "{nodes} nodes: {each} bytes each");
+        for connections in [1_000, 10_000, 45_455, 90_909] {
+            let each = (held(|| delays(nodes, connections)) - empty) / connections as f64;
+            println!(
+                r#"{{"what":"loads heap","nodes":{nodes},"connections":{connections},"bytes_a_connection":{each:.1}}}"#
+            );
+            assert!(each < A_CONNECTION, "{nodes} nodes, {connections} connections: {each} bytes each");
+        }
+    }
+    for members in [90, 1_024, 4_096] {
+        let mut text = list(members);
+        let bytes = held(|| ResolverResult::parse(&mut text).expect("a sound list"));
+        let each = bytes / members as f64;
+        println!(r#"{{"what":"list heap","members":{members},"bytes_a_member":{each:.1}}}"#);
+        assert!(each < A_MEMBER, "{members} members: {each} bytes each");
+    }
+}
