--- a/crates/scale/src/figures.rs
+++ b/crates/scale/src/figures.rs
@@ -1,5 +1,7 @@
 //! What is counted of a member, and the line that a run gives.
 
+use crate::faults::Fault;
+use crate::judge::Verdict;
 use crate::shape::Shape;
 use serde::{Deserialize, Serialize};
 
@@ -202,6 +204,12 @@
     pub own_pairs: f64,
     /// Entries of a member's last report that went out, of those it had. 1: nothing was cut off.
     pub period_s: f64,
+    /// What happened in the time that was measured, if anything.
+    #[serde(default)]
+    pub fault: Option<Fault>,
+    /// What the records say of it.
+    #[serde(default)]
+    pub verdict: Verdict,
     /// Time that the run took in all.
     pub took_s: f64,
 }
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -186,7 +186,7 @@
 fn point(shape: &Shape, span: Span) -> io::Result<Line> {
     let Shape { members, nodes, pairs, connections, setups, used, members_from, aim_ms, voters, seed } =
         shape;
-    let Span { warm_up, window, threads } = span;
+    let Span { warm_up, window, threads, fault: _ } = span;
     let arguments = format!(
         "point --members {members} --nodes {nodes} --pairs {pairs} --connections {connections} --setups {setups} \
          --used {used} --members-from {members_from} --aim-ms {aim_ms} --voters {voters} --seed {seed} --warm-up {warm_up} \
--- a/crates/scale/src/sockets.rs
+++ b/crates/scale/src/sockets.rs
@@ -2,8 +2,10 @@
 //! the fleet view and for the accord, and its own watch on discovery.
 
 use crate::discovery::Discovery;
+use crate::faults::{Act, Fault, acts};
 use crate::figures::{Counts, Line, Spread};
 use crate::hollow::{Happening, Hollow, Place, Standing, View, Wish};
+use crate::judge::judge;
 use crate::records::{Record, What};
 use crate::shape::Shape;
 use crate::watch::{self, Watch};
@@ -156,6 +158,9 @@
     /// Threads that run the members.
     #[arg(long, default_value_t = 6)]
     pub threads: usize,
+    /// What happens from the beginning of the time that is measured.
+    #[arg(long, value_enum)]
+    pub fault: Option<Fault>,
 }
 
 /// A member on the loop.
@@ -166,6 +171,8 @@
     accord: Key,
     watch: Option<Key>,
     alarm: Alarm,
+    /// Its process has ended.
+    stopped: bool,
 }
 
 /// What a thread tells of its members.
@@ -245,7 +252,7 @@
     /// All that is due at a member, one thing after another, each to its account.
     fn wake(&mut self, seat: usize) -> io::Result<()> {
         let now = self.reactor.io.now();
-        while self.seats[seat].hollow.next_timeout() <= now {
+        while !self.seats[seat].stopped && self.seats[seat].hollow.next_timeout() <= now {
             let part = self.seats[seat].hollow.next_part();
             self.drive(seat, Happening::Time, move |counts| part.of(counts))?;
         }
@@ -256,6 +263,9 @@
     fn arm(&mut self, seat: usize) {
         let now = self.reactor.io.now();
         let there = &mut self.seats[seat];
+        if there.stopped {
+            return;
+        }
         if let Some(after) = there.alarm.set(now, there.hollow.next_timeout()) {
             self.reactor.io.owner_timer(now + after, seat as u32);
         }
@@ -272,6 +282,9 @@
         happening: Happening<'_>,
         account: impl Fn(&mut Counts) -> &mut u64,
     ) -> io::Result<()> {
+        if self.seats[seat].stopped {
+            return Ok(());
+        }
         let began = thread_time();
         let now = self.reactor.io.now();
         let there = &mut self.seats[seat];
@@ -316,11 +329,25 @@
         Ok(())
     }
 
-    /// This member is told to put a first content in force, if it is here.
-    fn propose(&mut self, member: u32) -> io::Result<()> {
+    /// Does it, if the member that it speaks of is here.
+    fn act(&mut self, act: Act) -> io::Result<()> {
+        let (Act::Stop(member) | Act::Propose { member, .. }) = act;
         let Some(seat) = self.seats.iter().position(|seat| seat.member == member) else { return Ok(()) };
-        self.drive(seat, Happening::Propose { content: 1, kind: 1 }, |counts| &mut counts.accord_ns)?;
-        self.arm(seat);
+        match act {
+            Act::Stop(_) => {
+                let there = &mut self.seats[seat];
+                there.stopped = true;
+                let keys = [Some(there.peers), Some(there.accord), there.watch.take()];
+                keys.into_iter().flatten().for_each(|key| self.reactor.remove(key));
+                let at = self.reactor.io.now();
+                self.records.push(Record { at, member, what: What::Ended });
+            }
+            Act::Propose { content, kind, .. } => {
+                let happening = Happening::Propose { content, kind };
+                self.drive(seat, happening, |counts| &mut counts.accord_ns)?;
+                self.arm(seat);
+            }
+        }
         Ok(())
     }
 
@@ -339,6 +366,7 @@
     clock: Clock,
     /// Members know one another by the relay's ends, and all connections are asked for through the module.
     relayed: bool,
+    acts: Vec<(Micros, Act)>,
     /// All are there; connections may be opened; all may begin.
     steps: [Barrier; 3],
 }
@@ -349,7 +377,7 @@
     // As large as the daemon's default.
     reactor.io.buffer_bound = 64 * 1024;
     let now = reactor.io.now();
-    let mut seats = Vec::new();
+    let (mut seats, mut records) = (Vec::new(), Vec::new());
     for (seat, member) in members.into_iter().enumerate() {
         let mut open = |accord, port| {
             let at = address(member, port);
@@ -365,10 +393,19 @@
             memory: None,
         };
         let hollow = Hollow::start(place, &run.known, now);
-        seats.push(Seat { member, hollow, peers, accord, watch: None, alarm: Alarm::default() });
+        records.push(Record { at: now, member, what: What::Began });
+        seats.push(Seat {
+            member,
+            hollow,
+            peers,
+            accord,
+            watch: None,
+            alarm: Alarm::default(),
+            stopped: false,
+        });
     }
     let accord_port = ACCORD_PORT + if run.relayed { RELAYED } else { 0 };
-    let mut worker = Worker { reactor, seats, discovery: run.discovery, accord_port, records: Vec::new() };
+    let mut worker = Worker { reactor, seats, discovery: run.discovery, accord_port, records };
     run.steps[0].wait();
     // The main thread weighs the heap between two steps.
     run.steps[1].wait();
@@ -383,19 +420,25 @@
     }
     // A version is in force before it is measured: leases are what the accord costs.
     worker.run_until(began + (span.warm_up * 0.4 * 1e6) as Micros)?;
-    worker.propose(1)?;
+    worker.act(Act::Propose { member: 1, content: 1, kind: 1 })?;
     let from = began + (span.warm_up * 1e6) as Micros;
     worker.run_until(from)?;
     let (before, cpu) = (worker.counts(), thread_time());
-    worker.run_until(from + (span.window * 1e6) as Micros)?;
+    let until = from + (span.window * 1e6) as Micros;
+    for (at, act) in &run.acts {
+        worker.run_until((from + at).min(until))?;
+        worker.act(*act)?;
+    }
+    worker.run_until(until)?;
     let cpu = thread_time() - cpu;
     let after = worker.counts();
     let counts =
         before.iter().zip(&after).map(|((member, before), (_, after))| (*member, after.since(before)));
     let counts = counts.collect();
     let leaders = worker.seats.iter().filter(|seat| seat.hollow.leads()).map(|seat| seat.member).collect();
-    let standing = worker.seats.iter().map(|seat| seat.hollow.standing()).collect();
-    let views = worker.seats.iter().map(|seat| seat.hollow.view()).collect();
+    let running = || worker.seats.iter().filter(|seat| !seat.stopped);
+    let standing = running().map(|seat| seat.hollow.standing()).collect();
+    let views = running().map(|seat| seat.hollow.view()).collect();
     let served = after.iter().map(|(_, counts)| counts.setups).sum();
     if run.relayed {
         return Ok(Told { counts, leaders, cpu, standing, views, records: worker.records, served });
@@ -419,6 +462,8 @@
     let port = PEERS_PORT + if relayed { RELAYED } else { 0 };
     let addresses: Vec<SocketAddr> = (0..shape.members).map(|member| address(member, port)).collect();
     let threads = span.threads.min(members.len());
+    let acts = span.fault.map_or(Some(Vec::new()), |fault| acts(shape, fault));
+    let acts = acts.ok_or_else(|| io::Error::other("sockets can't play this fault, virtual time can"))?;
     let barrier = || Barrier::new(threads + 1);
     let run = Arc::new(Run {
         shape: shape.clone(),
@@ -428,6 +473,7 @@
         discovery,
         clock: Clock::unix(),
         relayed,
+        acts,
         steps: [barrier(), barrier(), barrier()],
     });
     let (sender, receiver): (Sender<Reply>, Receiver<Reply>) = channel();
@@ -511,6 +557,11 @@
             / (f64::from(shape.members) * f64::from(shape.connections)).max(1.0),
         ..Line::default()
     };
+    line.fault = span.fault;
+    let mut records: Vec<Record> = told.iter().flat_map(|told| told.records.iter().cloned()).collect();
+    records.sort_by_key(|record| record.at);
+    // The list that is told at the end loses a zone.
+    line.verdict = judge(&records, changed);
     count(&mut line, &told);
     lists(&mut line, &told, changed);
     views(&mut line, &told);
@@ -558,13 +609,15 @@
 }
 
 fn lists(line: &mut Line, told: &[Told], changed: Micros) {
+    let stopped =
+        told.iter().flat_map(|told| &told.records).filter(|record| record.what == What::Ended).count();
     let records = told.iter().flat_map(|told| &told.records);
     let taken = records.filter_map(|record| match record.what {
         What::Listed { revision: CHANGED, .. } => Some((record.at - changed) as f64 / 1e6),
         _ => None,
     });
     let taken = taken.collect::<Vec<f64>>();
-    let all = taken.len() == line.shape.members as usize;
+    let all = taken.len() + stopped == line.shape.members as usize;
     let spread = Spread::of(taken);
     // Below zero: not all have taken it.
     line.list_all_s = if all { spread.max } else { -1.0 };
