--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -4,17 +4,17 @@
 //! `cottonnotch-proxy`. Its connections are synthetic: drawn from the seed, set up after a fixed time, none ever fails. What it
 //! holds grows with its connections, the nodes, the groups and the members, never with a product of two.
 
+use crate::agreement::{Accord, accord, hash_of};
 use crate::figures::Counts;
 use crate::nodes::Nodes;
 use crate::records::What;
 use crate::shape::{HOMES, Shape, mixed};
-use cottonnotch_accord::{Hash, Input as Told, Member, Memory, Output as Wanted, Timing, Topic, Verdict};
+use cottonnotch_accord::{Hash, Input as Told, Memory, Topic, Verdict};
 use cottonnotch_decision::{
     Action, Balancer, ClassId, Event, Micros, Outcome, Request, RequestId, ServerId, Settings,
 };
 use cottonnotch_fleet::FleetSection;
 use cottonnotch_gossip::{Gossip, GossipSection, Keys, State, Strength};
-use cottonnotch_proxy::envelope::Seal;
 use cottonnotch_proxy::{
     EVERY, Embedder, Input, Local, MessageDelays, Note, Output, Peers, ResolverResult, Roster,
 };
@@ -22,27 +22,15 @@
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
-use std::convert::Infallible;
 use std::net::SocketAddr;
 
 const MS: Micros = 1_000;
 /// A set-up at a node takes so long.
 const SETUP: Micros = 5 * MS;
-/// What the accord's clock reads at the start; a machine that has run for a day.
-const STARTED: Micros = 86_400_000_000;
 /// Between two of the first connections, where they are asked for.
 const COMES: Micros = 50 * MS;
-/// The worker's answer to a check, and a content's way here with its compiling. Not measured: the daemon does both on another
-/// thread, and brings contents over TCP.
-const CHECK: Micros = MS;
-const FETCH: Micros = 20 * MS;
 /// Bytes of a content, as proposals tell; nothing of that size goes over the wire here.
 const CONTENT: u32 = 64 * 1024;
-/// The accord's key, the same at all members.
-const KEY: &[u8] = b"00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
-/// The cluster's name.
-const CLUSTER: &str = "hollow";
-
 /// What happened to it.
 #[derive(Clone, Debug)]
 pub enum Happening<'a> {
@@ -107,8 +95,9 @@
     Record(What),
 }
 
+/// What comes later.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
+pub(crate) enum Due {
     Second,
     First,
     Arrival,
@@ -202,81 +191,6 @@
     counts: Counts,
 }
 
-/// Its member of the accord, by a clock that begins with the process, as the daemon's accord has one: times go over the wire.
-struct Accord {
-    began: Micros,
-    member: Member,
-    seal: Seal,
-    memory: Option<Memory>,
-    /// What has come of the member's outputs, to be taken up by the proxy.
-    later: Vec<(Micros, Due)>,
-    out: VecDeque<Wish>,
-}
-
-/// A content's hash: its number, and its kind.
-fn hash_of(content: u32, kind: u8) -> Hash {
-    let mut hash = Hash::default();
-    hash[..4].copy_from_slice(&content.to_le_bytes());
-    hash[4] = kind;
-    // All zeros would be no content.
-    hash[31] = 1;
-    hash
-}
-
-fn content_of(hash: &Hash) -> (u32, u8) {
-    (u32::from_le_bytes([hash[0], hash[1], hash[2], hash[3]]), hash[4])
-}
-
-impl Embedder for Accord {
-    type Member = Member;
-    type Error = Infallible;
-
-    fn member(&mut self) -> &mut Member {
-        &mut self.member
-    }
-
-    fn carry_out(&mut self, now: Micros, output: Wanted) -> Result<(), Infallible> {
-        match output {
-            Wanted::Send { to, message } => {
-                if let Ok(bytes) = self.seal.close(to, message) {
-                    self.out.push_back(Wish::Accord { to, bytes });
-                }
-            }
-            Wanted::Save(memory) => self.memory = Some(memory),
-            Wanted::Check { hash, against, .. } => {
-                let kind = content_of(&hash).1;
-                let alike = against.iter().rev().take_while(|(_, other)| content_of(other).1 == kind);
-                let agrees_from = alike.last().map(|(number, _)| *number);
-                self.later.push((self.began + now + CHECK, Due::Checked { hash, agrees_from }));
-            }
-            Wanted::Fetch { hash, .. } => self.later.push((self.began + now + FETCH, Due::Have { hash })),
-            Wanted::Right(right) if right.topic == Topic::Rules => {
-                let version = right.version.map(|(number, hash)| (number, content_of(&hash).0));
-                let kind = right.version.map_or(0, |(_, hash)| content_of(&hash).1);
-                let until = self.began.saturating_add(right.until);
-                self.record(What::May { version, kind, until });
-            }
-            Wanted::ProposalOver { hash, why, .. } => {
-                let in_force = why == cottonnotch_accord::Why::InForce;
-                self.record(What::Over { content: content_of(&hash).0, in_force });
-            }
-            Wanted::Right(_) | Wanted::ListBehind { .. } => {}
-        }
-        Ok(())
-    }
-}
-
-impl Accord {
-    /// When its time comes next, by the proxy's clock.
-    fn next_timeout(&self) -> Micros {
-        self.began.saturating_add(self.member.next_timeout())
-    }
-
-    fn record(&mut self, what: What) {
-        self.out.push_back(Wish::Record(what));
-    }
-}
-
 impl Hollow {
     /// A process that starts now, with the list that its configuration remembers.
     pub fn start(place: Place, known: &ResolverResult, now: Micros) -> Self {
@@ -670,38 +584,6 @@
     mixed(u64::from(group), 0x67)
 }
 
-fn accord(
-    shape: &Shape,
-    me: u32,
-    memory: Option<Memory>,
-    is_first: bool,
-    now: Micros,
-    seed: u64,
-) -> Option<Accord> {
-    if shape.voters == 0 {
-        return None;
-    }
-    let voters = shape.voters();
-    let me_there = u16::try_from(me).ok()?;
-    let memory = memory.or_else(|| (is_first && voters.contains(&me_there)).then(Memory::first));
-    let config = cottonnotch_accord::Config {
-        me: me_there,
-        members: u16::try_from(shape.members).ok()?,
-        voters,
-        timing: Timing::default(),
-        incarnation: now.max(1) as u64,
-    };
-    config.check().ok()?;
-    Some(Accord {
-        began: now - STARTED,
-        member: Member::new(config, STARTED, memory.clone(), seed),
-        seal: Seal::new(KEY, CLUSTER, me_there)?,
-        memory,
-        later: Vec::new(),
-        out: VecDeque::new(),
-    })
-}
-
 fn peers(shape: &Shape, me: u32, roster: Roster, life: u64, now: Micros, seed: u64) -> Option<Peers> {
     if shape.members >= shape.members_from {
         let section = FleetSection { members_from: Some(shape.members_from), ..FleetSection::default() };
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -5,6 +5,7 @@
 //! on links in memory and virtual time, where an hour's cut or hundreds of members in a test take seconds. [`judge`] reads
 //! [`records`] only and shares nothing with what made them. `docs/design/scale.md` says what hollow members skip.
 
+mod agreement;
 pub mod bounds;
 pub mod calibrate;
 pub mod discovery;
@@ -19,6 +20,7 @@
 pub mod relay;
 pub mod shape;
 pub mod sockets;
+pub mod tier;
 pub mod virtual_time;
 pub mod watch;
 
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -5,7 +5,7 @@
 use cottonnotch_scale::bounds::Axis;
 use cottonnotch_scale::faults::{self, Fault};
 use cottonnotch_scale::figures::Line;
-use cottonnotch_scale::sockets::{self, Span};
+use cottonnotch_scale::tier::{self, Span};
 use cottonnotch_scale::{Shape, calibrate, fit};
 use std::alloc::System;
 use std::io::{self, Write};
@@ -144,7 +144,7 @@
 
 fn run(what: What) -> io::Result<()> {
     match what {
-        What::Point { shape, span } => say(&sockets::play(&shape, span, || HEAP.allocated())?),
+        What::Point { shape, span } => say(&tier::play(&shape, span, || HEAP.allocated())?),
         What::Faults { fault, shape } => {
             let all = if fault.is_empty() { Fault::ALL.to_vec() } else { fault };
             all.into_iter().try_for_each(|fault| say(&faults::play(&shape, fault)))
--- a/crates/scale/src/virtual_time.rs
+++ b/crates/scale/src/virtual_time.rs
@@ -5,7 +5,7 @@
 use crate::hollow::{Happening, Hollow, Place, Wish};
 use crate::records::{Record, What};
 use crate::shape::{Shape, mixed};
-use crate::sockets::fill;
+use crate::tier::fill;
 use cottonnotch_accord::Memory;
 use cottonnotch_decision::Micros;
 use cottonnotch_decision::names::unit;
