--- a/crates/decision/tests/part.rs
+++ b/crates/decision/tests/part.rs
@@ -57,3 +57,28 @@
     assert!((51..=52).contains(&taken), "{taken}");
     assert!(Bucket::default().next(0.0) > 1_000 * S);
 }
+
+#[test]
+fn careful_parts_add_up_to_the_whole_at_most_also_of_two_sides_that_hear_only_themselves() {
+    for (nodes, side) in [(2_u32, 1_u32), (20, 6), (30, 10), (440, 147)] {
+        let part = |heard: u32, part: f64| {
+            let mut own = Part::even(nodes);
+            own.told(0, Tier { nodes: f64::from(heard), part, failing: 0.0 });
+            own.careful(S, 60.0, 1e9)
+        };
+        // On each side one has all, and the rest nothing.
+        let of_side = |heard: u32| part(heard, 1.0) + f64::from(heard - 1) * part(heard, 0.0);
+        let (whole, cut) = (of_side(nodes), of_side(side) + of_side(nodes - side));
+        assert!((whole - 60.0).abs() < 1e-6, "{nodes} nodes: {whole}");
+        assert!((cut - 60.0).abs() < 1e-6, "{nodes} nodes, {side} of them cut off: {cut}");
+        assert!((part(1, 1.0) * f64::from(nodes)) <= 60.0 + 1e-6, "all hear only themselves");
+    }
+}
+
+#[test]
+fn a_careful_part_is_even_or_what_one_has_where_nobody_tells() {
+    let mut part = Part::even(10);
+    assert_eq!((part.careful(0, 10.0, 0.0), part.careful(0, 10.0, 3.0)), (1.0, 3.0));
+    part.told(0, Tier { nodes: f64::NAN, part: f64::NAN, failing: 0.0 });
+    assert!((0.0..=10.0).contains(&part.careful(S, 10.0, 0.0)));
+}
