--- a/crates/decision/src/part.rs
+++ b/crates/decision/src/part.rs
@@ -10,8 +10,8 @@
 const TOLD_FOR: Micros = 8_000_000;
 /// However small a node's part was when it was told, it gets this much of an even one: clients may come to it next.
 const LEAST_OF_EVEN: f64 = 0.5;
-/// The budget of a cold server is used by half, and parts that were told add up to half as much again at most: with this, all
-/// nodes together could just use the whole of it. 2 earns more on the vast days (24 further seeds a kind: the worst third 0.35
+/// The budget of a cold server is used by half, and careful parts add up to the whole at most: with this, all nodes together use
+/// two thirds of it, and chance has the rest. 2 earns more on the vast days (24 further seeds a kind: the worst third 0.35
 /// for 0.26 with 1) and breaks no rule there, but a simulation of 100 nodes pushes cold servers over.
 const IDLE: f64 = 4.0 / 3.0;
 
