--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -2,6 +2,7 @@
 //! simulator's adapter both embed it. See `docs/design.md`.
 
 mod budget;
+pub mod homes;
 pub mod interface;
 mod job;
 pub mod list_calls;
