--- a/crates/cottonnotch/src/net/driver/peers.rs
+++ b/crates/cottonnotch/src/net/driver/peers.rs
@@ -13,6 +13,7 @@
 use cottonnotch_gossip::{Gossip, State};
 use cottonnotch_proxy::{Alarm, Input, Local, Output, Roster};
 use cottonnotch_reactor::Key;
+use cottonnotch_reactor::seldom::Seldom;
 use std::io;
 use std::net::SocketAddr;
 
@@ -28,6 +29,9 @@
     peers: cottonnotch_proxy::Peers,
     socket: Key,
     alarm: Alarm,
+    /// Datagrams that the fleet's member had dropped when that was last told.
+    dropped: u64,
+    drops: Seldom,
 }
 
 impl Member {
@@ -71,7 +75,8 @@
     }
 
     fn new(net: &mut Net, peers: cottonnotch_proxy::Peers, socket: Key) -> Self {
-        let mut member = Member { peers, socket, alarm: Alarm::default() };
+        let (alarm, drops) = (Alarm::default(), Seldom::default());
+        let mut member = Member { peers, socket, alarm, dropped: 0, drops };
         member.arm(net);
         member
     }
@@ -82,6 +87,16 @@
         }
     }
 
+    /// Says how many datagrams the fleet's member has dropped, if any since the last time.
+    fn say_dropped(&mut self, now: Micros) {
+        let Some(counts) = self.peers.fleet_member().map(cottonnotch_fleet::Member::counts) else { return };
+        let all = counts.dropped + counts.late;
+        if all > self.dropped && self.drops.due(now).is_some() {
+            let more = all - std::mem::replace(&mut self.dropped, all);
+            log::info!(target: PART, more, late = counts.late; "{more} datagrams of the tier were dropped: unknown, unasked or too late");
+        }
+    }
+
     fn handle(&mut self, net: &Net, around: &mut Around<'_>, input: Input<'_>) {
         let mut local = Local {
             delays: around.messages.delays(),
@@ -185,7 +200,9 @@
 
     /// Once a second: what this proxy has to tell.
     pub fn tick(&mut self, net: &mut Net, mut around: Around<'_>) -> Vec<Event> {
-        self.hand(net, &mut around, [Input::Second])
+        let events = self.hand(net, &mut around, [Input::Second]);
+        self.member.iter_mut().for_each(|member| member.say_dropped(net.now()));
+        events
     }
 
     /// Datagrams have come.
--- a/crates/cottonnotch/tests/homes.rs
+++ b/crates/cottonnotch/tests/homes.rs
@@ -305,4 +305,16 @@
         assert_eq!(tier.proxies[*proxy].figure("homes.most"), None);
     }
     assert!(with.iter().all(|proxy| tier.proxies[*proxy].figure("homes.told").unwrap() > 0));
+    // One of them at least was asked for homes as keeper, or will be: it says so once, however many come.
+    let asked = || {
+        let told = |proxy: &usize| {
+            tier.proxies[*proxy]
+                .log_so_far()
+                .into_iter()
+                .filter(|line| line.contains("datagrams of the tier were dropped"))
+        };
+        without.iter().map(|proxy| told(proxy).count()).max().filter(|lines| *lines > 0)
+    };
+    let lines = within(Duration::from_secs(70), "an older keeper's turn", asked);
+    assert!(lines <= 8, "{lines} lines");
 }
