Lists: the next call goes out within 5 s, whatever became of the last one

At fault: the back-off in list_calls.rs, up to 8 s by one and a half.

Now waits end 4 s after the failed call went out, the time that it waited included; the fleet's spread is a second at most (1.5 s at 440 proxies before). A call without any answer is given up after 3.5 s, one that says nothing whole after 4 s: a head, a text or a beat counts, bytes that drip don't; a long list that comes slowly is waited for.

--- a/crates/cottonnotch/src/net/resolver.rs
+++ b/crates/cottonnotch/src/net/resolver.rs
@@ -4,7 +4,7 @@
 use super::happening::{Happening, Io, Object};
 use super::resolver_result::ResolverResult;
 use cottonnotch_decision::Micros;
-use cottonnotch_decision::list_calls::SILENT_AFTER;
+use cottonnotch_decision::list_calls::{SILENT_AFTER, UNTOLD_AFTER};
 use cottonnotch_reactor::http::StreamedResponse;
 use cottonnotch_reactor::json_texts::JsonTexts;
 use cottonnotch_reactor::line::{Fill, LineStream};
@@ -15,9 +15,10 @@
 /// Guards against a discovery that vanished: its connection stays open, and the list would quietly grow old.
 const SILENT: Micros = SILENT_AFTER;
 /// A call waits for its turn at discovery, which answers one after another, and says 503 itself when that takes too long. One
-/// without a word for so long has fallen silent like a watch: what it misses counts as told 6 s after it began, so 2 s are
-/// left for the next call and its answer. Chosen: over the 3 s that discovery was seen to let a call wait.
-const UNANSWERED: Micros = 4_000_000;
+/// without a word for so long has fallen silent like a watch. Chosen: over the 3 s that discovery was seen to let a call wait.
+const UNANSWERED: Micros = 3_500_000;
+/// Bytes that drip are no word: a head, a text or a beat that is whole is one, or so many bytes of a long text.
+const PROGRESS: usize = 4_096;
 
 /// One watch.
 #[derive(Debug)]
@@ -27,9 +28,14 @@
     connected: bool,
     response: StreamedResponse,
     texts: JsonTexts,
-    /// When it last said anything, if it ever did; else when it was asked.
+    asked: Micros,
+    /// When its last whole word came, if any did; else when it was asked.
     heard: Micros,
+    /// Bytes since then.
+    fresh: usize,
+    /// Its head is whole; so was a text or a beat.
     answered: bool,
+    told: bool,
     lost: bool,
 }
 
@@ -45,7 +51,31 @@
         let heard = io.now();
         io.timer(heard + UNANSWERED, key, 0);
         let (response, texts) = (StreamedResponse::new(), JsonTexts::new());
-        Ok(Watch { key, stream, connected: false, response, texts, heard, answered: false, lost: false })
+        let (connected, answered, told, lost) = (false, false, false, false);
+        Ok(Watch {
+            key,
+            stream,
+            connected,
+            response,
+            texts,
+            asked: heard,
+            heard,
+            fresh: 0,
+            answered,
+            told,
+            lost,
+        })
+    }
+
+    /// How far the call is: its timers carry that number.
+    fn stage(&self) -> u32 {
+        u32::from(self.answered) + u32::from(self.told)
+    }
+
+    /// When it is to be given up if nothing more comes.
+    fn due(&self) -> Micros {
+        let silent = self.heard + if self.answered { SILENT } else { UNANSWERED };
+        if self.told { silent } else { silent.min(self.asked + UNTOLD_AFTER) }
     }
 
     fn lose(&mut self, io: &mut Io, why: impl ToString) {
@@ -63,6 +93,17 @@
         let (mut body, mut texts) = (Vec::new(), Vec::new());
         let result = self.response.feed(bytes, &mut body);
         let whole = self.texts.feed(&body, &mut texts);
+        self.fresh += bytes.len();
+        let is_told =
+            !texts.is_empty() || !body.is_empty() && !self.texts.is_within() || self.fresh >= PROGRESS;
+        if is_told || self.response.is_begun() && !self.answered {
+            let before = self.stage();
+            (self.heard, self.fresh, self.answered) = (io.now(), 0, true);
+            self.told |= is_told;
+            if self.stage() != before {
+                io.timer(self.due(), self.key, self.stage());
+            }
+        }
         for mut text in texts {
             match ResolverResult::parse(&mut text) {
                 Ok(result) => io.tell(Happening::Resolved { watch: self.key, result }),
@@ -98,10 +139,6 @@
         let fill = self.stream.fill();
         let bytes = self.stream.take_rest();
         if !bytes.is_empty() {
-            self.heard = io.now();
-            if !std::mem::replace(&mut self.answered, true) {
-                io.timer(self.heard + SILENT, self.key, 0);
-            }
             self.take(io, &bytes);
         }
         match fill {
@@ -127,14 +164,16 @@
         }
     }
 
-    fn timer(&mut self, io: &mut Io, _: u32) {
-        let due = self.heard + if self.answered { SILENT } else { UNANSWERED };
-        if due > io.now() {
-            io.timer(due, self.key, 0);
-        } else if self.answered {
+    fn timer(&mut self, io: &mut Io, timer: u32) {
+        let due = self.due();
+        if timer != self.stage() {
+            // Another one runs since the call got further.
+        } else if due > io.now() {
+            io.timer(due, self.key, timer);
+        } else if self.told {
             self.lose_as(io, true, "a beat has not come, it is silent");
         } else {
-            self.lose_as(io, true, "no answer");
+            self.lose_as(io, true, if self.answered { "no list, it is silent" } else { "no answer" });
         }
     }
 
--- a/crates/cottonnotch/tests/endings/lists.rs
+++ b/crates/cottonnotch/tests/endings/lists.rs
@@ -155,6 +155,92 @@
     is_obeyed(&proxy, &nodes, client);
 }
 
+/// The longest from a call to the next one, whatever became of it: a second of the six is left, and half a second more here,
+/// for what the machine takes. (On virtual time, to the microsecond: `decision/tests/list_calls.rs`.)
+const CALLED_AGAIN: Duration = Duration::from_millis(5_500);
+
+/// The next call, within that time after the last one went out.
+fn called_again(proxy: &Proxy, begun: Instant) -> Peer {
+    let mut call = within(3 * TOLD_AFTER, "the next call", || proxy.discovery.poll());
+    assert!(begun.elapsed() < CALLED_AGAIN, "{:?}", begun.elapsed());
+    while call.hear() != "\r\n" {}
+    call
+}
+
+// Guards list_calls.rs `failed`: waits grow, yet no further than the clock of the list lets them. (The seventh was over 8 s.)
+#[test]
+fn after_seven_refusals_in_a_row_the_next_call_is_made_in_time_and_tells_the_drain() {
+    let (proxy, nodes, client, _far) = served();
+    let mut call = called_again(&proxy, Instant::now());
+    let begun = Instant::now();
+    for _ in 0..7 {
+        let begun = Instant::now();
+        call.say(BUSY);
+        call = called_again(&proxy, begun);
+    }
+    assert!(begun.elapsed() > Duration::from_secs(9), "it is not hammered: {:?}", begun.elapsed());
+    call.say(&format!("{HEAD}{}", chunk(&drain(2, &nodes))));
+    is_obeyed(&proxy, &nodes, client);
+}
+
+// Guards resolver.rs `due` and `take`: bytes that drip are no word. (Each one put the end off, for ever.)
+#[test]
+fn a_call_of_which_bytes_drip_is_given_up_and_the_next_one_tells_the_drain() {
+    let half = chunk(&format!("{{\"revision\":2,\"complete\":true,\"members\":[{}", " ".repeat(2_000)));
+    for (told, dripping) in [("", HEAD), (HEAD, half.as_str())] {
+        let (proxy, nodes, client, _far) = served();
+        let mut call = called_again(&proxy, Instant::now());
+        let begun = Instant::now();
+        call.say(told);
+        let mut bytes = dripping.chars();
+        let mut next = within(3 * TOLD_AFTER, "the next call", || {
+            // It may be closed already.
+            let _ = call.try_say(&bytes.next()?.to_string());
+            std::thread::sleep(Duration::from_millis(300));
+            proxy.discovery.poll()
+        });
+        assert!(begun.elapsed() < CALLED_AGAIN, "{:?}", begun.elapsed());
+        while next.hear() != "\r\n" {}
+        next.say(&format!("{HEAD}{}", chunk(&drain(2, &nodes))));
+        is_obeyed(&proxy, &nodes, client);
+    }
+}
+
+// Guards resolver.rs `take`: a long list that comes slowly is not cut off, or it would be asked for again and again.
+#[test]
+fn a_long_list_that_comes_slowly_is_waited_for() {
+    let (proxy, nodes, client, _far) = served();
+    let mut call = called_again(&proxy, Instant::now());
+    let text = drain(2, &nodes).replacen('{', &format!("{{{}", " ".repeat(40_000)), 1);
+    let text = format!("{HEAD}{}", chunk(&text));
+    for piece in text.as_bytes().chunks(6_000) {
+        call.say(std::str::from_utf8(piece).unwrap());
+        std::thread::sleep(Duration::from_millis(900));
+    }
+    is_obeyed(&proxy, &nodes, client);
+    assert!(proxy.discovery.poll().is_none(), "it was not asked for again");
+}
+
+// Guards arrivals.rs `has_room`: descriptors are kept for the watch, though idle clients would take them all.
+#[test]
+fn idle_clients_that_fill_the_descriptors_do_not_keep_a_discovery_that_returns_from_telling_the_drain() {
+    const DESCRIPTORS: u32 = 64;
+    let nodes = [Scripted::new(), Scripted::new()];
+    let proxy = Proxy::by(short_of_descriptors(DESCRIPTORS), &[&nodes[0]], DESCRIPTORS, SETTINGS);
+    let (client, _far) = proxy.up(&nodes[0]);
+    let mut call = called_again(&proxy, Instant::now());
+    let crowd: Vec<Peer> = (0..4 * DESCRIPTORS).map(|_| proxy.connect()).collect();
+    for _ in 0..3 {
+        let begun = Instant::now();
+        call.say(BUSY);
+        drop(call);
+        call = called_again(&proxy, begun);
+    }
+    call.say(&format!("{HEAD}{}", chunk(&drain(2, &nodes))));
+    is_obeyed(&proxy, &nodes, client);
+    drop(crowd);
+}
+
 // Guards clients.rs `call_off_unwritten`: no connection is waited for so long that its line came too late after a drain.
 #[test]
 fn a_connection_that_is_still_being_made_at_a_drain_is_given_up() {
--- a/crates/decision/src/list_calls.rs
+++ b/crates/decision/src/list_calls.rs
@@ -2,7 +2,8 @@
 //!
 //! The list service answers one call after another and all nodes call it, often for the same reason: a joint start, an
 //! outage that is over, watches that fell silent together. What it bears is a figure of the whole fleet, so each node
-//! keeps to its part: with few nodes a call goes out at once, with 300 they are spread over a second.
+//! keeps to its part: with few nodes a call goes out at once, with 300 and more they are spread over a second.
+//! The other end is a clock: whatever became of the last call, the next one is due within [`BETWEEN_CALLS`] of it.
 
 use crate::interface::Micros;
 
@@ -15,9 +16,15 @@
 const FLEET_CALLS_PER_S: i64 = 300;
 /// A second, in microseconds.
 const SECOND: Micros = 1_000_000;
-/// Wait after the first failed call; doubles with each further one, up to 2^4 times this.
+/// Wait after the first failed call; doubles with each further one, as far as [`BETWEEN_CALLS`] lets it.
 const BACKOFF: Micros = SECOND / 2;
-/// A call that has not been answered is given up as lost after this.
+/// Longest time from a call that fails to the next. A change counts as told 6 s after the service had it and could be
+/// reached, whatever became of earlier calls: 2 s are left for the next one to wait for its turn.
+pub const BETWEEN_CALLS: Micros = 4 * SECOND;
+/// A call that says nothing whole for so long has fallen silent, and whoever made it reports that: with its turn in the
+/// spread, the next goes out 5 s after it.
+pub const UNTOLD_AFTER: Micros = 4 * SECOND;
+/// A call of which nothing at all is reported is given up as lost after this: a long list may take its time.
 const UNANSWERED: Micros = 15 * SECOND;
 /// A subscription that held for so long shows that the service is well; a shorter one only that it was reached.
 const HELD: Micros = 2 * SECOND;
@@ -28,6 +35,8 @@
     nodes: u32,
     due: Option<Micros>,
     failures: u32,
+    /// When the last call went out, unless it was answered since.
+    called: Option<Micros>,
     /// When the service first answered after the last failure.
     answered: Option<Micros>,
 }
@@ -43,9 +52,9 @@
         self.nodes = nodes;
     }
 
-    /// Over this time all nodes' calls are spread.
+    /// Over this time all nodes' calls are spread: a second at most, what comes then waits for its turn at the service.
     fn spread(&self) -> Micros {
-        (i64::from(self.nodes) * SECOND / FLEET_CALLS_PER_S).clamp(1, 10 * SECOND)
+        (i64::from(self.nodes) * SECOND / FLEET_CALLS_PER_S).clamp(1, SECOND)
     }
 
     /// The copy that came with the start is there: asks soon. Returns after how long; `chance` is 0 to 1.
@@ -70,18 +79,26 @@
             self.failures = 0;
         }
         self.failures = self.failures.saturating_add(1);
+        let since = self.called.take().map_or(0, |at| now - at);
+        let longest = (BETWEEN_CALLS - since).max(self.spread());
         let wait = (BACKOFF << (self.failures - 1).min(4)).max(self.spread());
-        (self.ask_in(now, wait / 2 + part(wait, chance)), self.failures == 3)
+        let after = if wait + wait / 2 <= longest {
+            wait / 2 + part(wait, chance)
+        } else {
+            longest / 3 * 2 + part(longest / 3, chance)
+        };
+        (self.ask_in(now, after), self.failures == 3)
     }
 
     /// A call goes out now. Returns after how long it is given up unless something comes.
     pub fn called(&mut self, now: Micros) -> Micros {
+        self.called = Some(now);
         self.ask_in(now, UNANSWERED)
     }
 
     /// The service has answered.
     pub fn answered(&mut self, now: Micros) {
-        self.due = None;
+        (self.due, self.called) = (None, None);
         self.answered = self.answered.or(Some(now));
     }
 
--- a/crates/reactor/src/http.rs
+++ b/crates/reactor/src/http.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// The head is whole.
+    pub fn is_begun(&self) -> bool {
+        !matches!(self.part, Part::Head)
+    }
+
     /// Appends at most so much; returns how much, and what is left to come.
     fn hand_on(&self, left: u64, body: &mut Vec<u8>) -> (usize, u64) {
         let take = self.raw.len().min(usize::try_from(left).unwrap_or(usize::MAX));
--- a/crates/reactor/src/json_texts_tests.rs
+++ b/crates/reactor/src/json_texts_tests.rs
@@ -107,3 +107,13 @@
         }
     }
 }
+
+#[test]
+fn a_text_with_a_long_blank_within_that_comes_in_pieces_is_found() {
+    let text = format!("{{{}\"a\":[{{\"b\":1}},{{\"b\":2.0}}]}}\n", " ".repeat(40_000));
+    let (mut texts, mut found) = (JsonTexts::new(), Vec::new());
+    for piece in text.as_bytes().chunks(6_000) {
+        texts.feed(piece, &mut found).unwrap();
+    }
+    assert_eq!(found.len(), 1);
+}
