--- a/crates/scale/src/bounds.rs
+++ b/crates/scale/src/bounds.rs
@@ -27,7 +27,8 @@
     pub slope: f64,
 }
 
-/// The bounds. Units: messages and bytes a second; heap bytes a member. Each is a sixth to a third over what
+/// The bounds, of the tests' small tiers (30 to 120 members, 100 connections and a set-up a second each; a keeper's reports are larger
+/// with more: the sweep's has 502 bytes out and 872 in for a member). Units: messages and bytes a second; heap bytes a member. Each is a sixth to a third over what
 /// small tiers and the sweep showed, or a small figure where they showed next to nothing.
 pub const BOUNDS: &[Bound] = &[
     // One member more adds nothing to what another one sends and hears, but by the keeper's and the leader's turns.
--- a/crates/scale/src/sockets.rs
+++ b/crates/scale/src/sockets.rs
@@ -130,7 +130,8 @@
 
 /// Where a member's sockets are: an address of its own in a part of the loopback network that this process has for itself.
 pub fn address(member: u32, port: u16) -> SocketAddr {
-    let net = 20 + (std::process::id() % 200) as u8;
+    // Apart from what other programs and tests of this workspace take.
+    let net = 200 + (std::process::id() % 50) as u8;
     SocketAddr::from((Ipv4Addr::new(127, net, (member / 250) as u8, (member % 250 + 1) as u8), port))
 }
 
