--- a/crates/proxy/benches/growth.rs
+++ b/crates/proxy/benches/growth.rs
@@ -105,8 +105,11 @@
     let [_, report] = timed(|| {
         black_box(delays.standing_by_group(now));
     });
+    let [_, groups] = timed(|| {
+        black_box(delays.by_group(now));
+    });
     println!(
-        r#"{{"what":"each second","known":"{known:?}","nodes":{nodes},"connections":{connections},"n":{ROUNDS},"notes_median_us":{notes:.0},"report_median_us":{report:.0}}}"#
+        r#"{{"what":"each second","known":"{known:?}","nodes":{nodes},"connections":{connections},"n":{ROUNDS},"notes_median_us":{notes:.0},"report_median_us":{report:.0},"groups_median_us":{groups:.0}}}"#
     );
 }
 
