--- a/crates/cottonnotch/src/net/message_delay.rs
+++ b/crates/proxy/src/message_delay.rs
@@ -1,15 +1,16 @@
 //! Delay notes, which the module needs: the time that a message takes at each subchannel, once a second while that is over a
 //! third of the shortest aim, and once more when it is back under.
 //!
-//! Where render nodes tell it ([`super::load_lines`]), that is passed on at once, and one that tells nothing to a connection of
+//! Where render nodes tell it ([`crate::LoadLines`]), that is passed on at once, and one that tells nothing to a connection of
 //! ours has no such delay. A subchannel without a connection of ours tells us nothing, and there are platforms where none does:
 //! then the time is estimated from what a proxy does see, which is the loads of its own connections, the groups they belong to,
 //! how long set-ups take, and what the fleet's keeper says. A client's line is timed to its reply as well, though render nodes
 //! return one within 2 ms however much work has piled up (docs/design.md has the figures). The larger of the two is noted.
 
-use super::peer_loads::{PeerLoads, Standing, groups_in, sketch};
+use crate::peer_loads::{PeerLoads, Standing, groups_in, sketch};
 use cottonnotch_decision::{Micros, RequestId, ServerId};
-use std::collections::{BTreeMap, BTreeSet};
+use cottonnotch_fleet::GroupLoad;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Between two rounds of notes.
 pub const EVERY: Micros = 1_000_000;
@@ -88,7 +89,9 @@
 /// A note that is due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Note {
+    /// Where.
     pub server: ServerId,
+    /// Time that a message takes.
     pub delay: Micros,
 }
 
@@ -151,6 +154,8 @@
 }
 
 impl MessageDelays {
+    /// Nothing seen yet; by the settings there are so many proxies, `aim` is the shortest time wanted of a message, and sizes are
+    /// listed or not.
     pub fn new(nodes: u32, aim: Option<Micros>, sized: bool) -> Self {
         MessageDelays {
             nodes: f64::from(nodes.max(1)),
@@ -197,6 +202,7 @@
         }
     }
 
+    /// A connection's load has changed, work in microseconds a second.
     pub fn load(&mut self, request: RequestId, load: f64) {
         if let Some(open) = self.open.get_mut(&request) {
             open.load = Some(load.max(0.0));
@@ -225,6 +231,7 @@
         old.map(|open| open.server.0).collect()
     }
 
+    /// A connection is over, if it was up.
     pub fn ended(&mut self, request: RequestId) {
         self.open.remove(&request);
     }
@@ -267,8 +274,7 @@
     /// The same with a byte of each group's digest in place of a sketch. A connection that has not told its load counts with
     /// the fleet's mean, if that is known: where a proxy has three, its own say nothing, and new ones would weigh nothing.
     pub fn standing_by_group(&self, now: Micros) -> BTreeMap<ServerId, (f64, Vec<u8>)> {
-        let told = self.fleet.as_ref().filter(|fleet| fleet.until > now && fleet.mean_load > 0.0);
-        let mean = told.map_or_else(|| self.mean(), |fleet| fleet.mean_load);
+        let mean = self.usual_load(now);
         let mut all: BTreeMap<ServerId, (f64, Vec<u8>)> = BTreeMap::new();
         for open in self.open.values() {
             let (load, groups) = all.entry(open.server).or_default();
@@ -279,12 +285,32 @@
         all
     }
 
+    /// What this proxy has of each group; a connection that has not told its load counts with the mean. Takes as long as there
+    /// are connections.
+    pub fn by_group(&self, now: Micros) -> Vec<GroupLoad> {
+        let mean = self.usual_load(now);
+        let mut all: HashMap<u64, GroupLoad> = HashMap::new();
+        for open in self.open.values() {
+            let Some(group) = open.group else { continue };
+            let of = all.entry(group).or_insert(GroupLoad { group, count: 0, load: 0.0 });
+            of.count += 1;
+            of.load += open.load.unwrap_or(mean);
+        }
+        all.into_values().collect()
+    }
+
     /// The listed subchannels' capacities, microseconds of work a second; none where sizes are not listed.
     pub fn sizes(&self) -> impl Iterator<Item = (ServerId, f64)> + '_ {
         let sized = self.known.iter().filter(|_| self.sized);
         sized.map(|(number, known)| (ServerId(*number), known.weight * WORK_OF_A_CORE))
     }
 
+    /// The fleet's mean load of a connection, or this proxy's where none is told.
+    fn usual_load(&self, now: Micros) -> f64 {
+        let told = self.fleet.as_ref().filter(|fleet| fleet.until > now && fleet.mean_load > 0.0);
+        told.map_or_else(|| self.mean(), |fleet| fleet.mean_load)
+    }
+
     /// Mean load of a connection, of those that told theirs.
     fn mean(&self) -> f64 {
         let loads = self.open.values().filter_map(|open| open.load);
