--- a/crates/cottonnotch/tests/endings/gone_clients.rs
+++ b/crates/cottonnotch/tests/endings/gone_clients.rs
@@ -258,38 +258,32 @@
     }
 }
 
-/// Guards clients.rs `send`: more are held than the loop takes up at once, and released by an operator's call that is read
-/// before their ends.
+/// Guards clients.rs `send`: more are held than the loop takes up at once, and released as a trial goes well, which is read
+/// before their ends. Who has waited longest leaves last, and is the first to be sent on.
 #[test]
 fn held_clients_that_leave_behind_a_thousand_events_are_not_sent_as_they_are_released() {
     let node = Scripted::new();
     let proxy = Proxy::managed(&[&node], SOCKETS, &patient());
-    for (how, leave) in [LEAVINGS[0], LEAVINGS[1]] {
-        assert_eq!(proxy.call("POST", "/maintenance/enter", "s0").0, 200);
-        let clients: Vec<Peer> = (0..MANY).map(|_| asks(&proxy).0).collect();
-        in_progress(&proxy, MANY as u64);
-        // An operator has 2 s for a call, so the rest of it follows soon.
-        let mut operator = Peer::new(std::net::TcpStream::connect(proxy.mgmt()).unwrap());
-        operator.say("POST /maintenance/exit HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\ns");
-        // What was said is read once a later call has been answered.
-        in_progress(&proxy, MANY as u64);
-        // What comes is taken up before that time is looked at, if the loop is between two rounds.
-        proxy.waits();
-        proxy.pause();
-        operator.say("0");
-        proxy.arrived();
-        clients.into_iter().for_each(leave);
-        proxy.wake();
-        assert_eq!(operator.answer().0, 200);
-        in_progress(&proxy, 0);
-        assert!(node.poll().is_none(), "an attempt began for one that left by {how}");
-        let (mut client, id) = asks(&proxy);
-        let (mut far, line) = node.called();
-        assert_eq!(id_of(&line), id);
-        far.say("UP 1\r\n");
-        assert_eq!(client.hear(), "UP 1\r\n");
-        drop(client);
-        assert_eq!(far.rest().unwrap(), "");
-        in_progress(&proxy, 0);
+    let (mut tried, id) = asks(&proxy);
+    node.called().0.say("BUSY\r\n");
+    // The node is paused, and this is the one trial of it: nobody else is sent until it has ended.
+    let (mut far, line) = node.called();
+    assert_eq!(id_of(&line), id);
+    let clients: Vec<Peer> = (0..MANY).map(|_| asks(&proxy).0).collect();
+    in_progress(&proxy, MANY as u64 + 1);
+    proxy.pause();
+    far.say("UP 1\r\n");
+    proxy.arrived();
+    for (client, (_, leave)) in clients.into_iter().rev().zip(LEAVINGS.iter().cycle()) {
+        leave(client);
     }
+    proxy.wake();
+    assert_eq!(tried.hear(), "UP 1\r\n");
+    in_progress(&proxy, 1);
+    assert!(node.poll().is_none(), "an attempt began for one that had left");
+    let (mut client, id) = asks(&proxy);
+    let (mut far, line) = node.called();
+    assert_eq!(id_of(&line), id);
+    far.say("UP 1\r\n");
+    assert_eq!(client.hear(), "UP 1\r\n");
 }
--- a/crates/cottonnotch/tests/peers/mod.rs
+++ b/crates/cottonnotch/tests/peers/mod.rs
@@ -562,12 +562,6 @@
         within(PATIENCE, "the proxy to stop", || state().contains(") T ").then_some(()));
     }
 
-    /// Waits until the process waits for something to happen.
-    pub fn waits(&self) {
-        let state = || std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
-        within(PATIENCE, "the proxy to wait", || state().contains(") S ").then_some(()));
-    }
-
     /// Waits until all that was sent to the process is there: what is sent from now on comes after it.
     pub fn arrived(&self) {
         let doors: Vec<SocketAddr> = [Some(self.address), self.mgmt].into_iter().flatten().collect();
