Tests: a process that starts while discovery is silent, refuses or drips is ready at once

Readiness (PONG to PING) waits for the door, and without an earlier process of the same proxy the door waits for no list: it opens with the list that the configuration remembers. Fails when the door waits for a list.

--- a/crates/cottonnotch/tests/endings/lists.rs
+++ b/crates/cottonnotch/tests/endings/lists.rs
@@ -241,6 +241,34 @@
     drop(crowd);
 }
 
+/// A process is ready when it answers a `PING`.
+fn ready_after(proxy: &Proxy) -> Duration {
+    let begun = Instant::now();
+    let mut client = proxy.connect();
+    client.say("PING\r\n");
+    assert_eq!(client.hear(), "PONG\r\n");
+    begun.elapsed()
+}
+
+// Guards driver/mod.rs `start`: readiness waits for the door, and the door for no list where nobody served before.
+#[test]
+fn a_process_that_starts_without_discovery_is_ready_and_serves_at_once_under_a_crowd() {
+    let answers: [fn(&mut Peer); 3] = [|_| {}, |call| call.say(BUSY), |call| call.say("HTTP/1.1 2")];
+    for answer in answers {
+        let (node, begun) = (Scripted::new(), Instant::now());
+        let proxy = Proxy::start(&[&node]);
+        let crowd: Vec<Peer> = (0..200).map(|_| proxy.open()).collect();
+        let after = ready_after(&proxy);
+        assert!(begun.elapsed() < Duration::from_secs(5), "{after:?}");
+        let (mut call, _) = proxy.discovery.called();
+        answer(&mut call);
+        let (mut far, line) = node.called();
+        far.say("UP 1\r\n");
+        assert!(line.starts_with("OPEN "), "{line}");
+        println!("ready after {after:?}, {} clients before it", crowd.len());
+    }
+}
+
 // Guards clients.rs `call_off_unwritten`: no connection is waited for so long that its line came too late after a drain.
 #[test]
 fn a_connection_that_is_still_being_made_at_a_drain_is_given_up() {
