Read again: cold budgets forget nodes that are out, and five bounds where others' figures come in

What cold servers get went by the most nodes ever listed, for ever: a fleet made smaller for good would have filled cold ones slowly until the restart; now for a minute. A rule without a window (0) shut cold servers out wholly. A member that sent one part of its groups again and again, with other names, grew the keeper's state; a tier with one new program scaled what that had by all others' connections; a keeper's work for answers was members times members; a member that was stopped while it asked took every answer for late. Tests for the first four fail without the mends. The hollow tier takes group_homes.

--- a/crates/decision/src/budget.rs
+++ b/crates/decision/src/budget.rs
@@ -9,6 +9,36 @@
 /// Part of a cold server's budget that is used; the rest is for chance and for the nodes' unequal parts.
 const COLD_BUDGET_USED: f64 = 0.5;
 
+/// Servers that are out are counted on for so long: processes that die together are back after half a minute at most, by the
+/// operators' brief. Chosen: twice that. After it the list is what there is, or a fleet that was made smaller would fill slowly for ever.
+const OUT: Micros = 60 * SECOND;
+
+/// The weight of all servers, those counted on that were listed lately and are out.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Whole {
+    most: f64,
+    now: f64,
+    /// Since when there is less than the most.
+    less: Option<Micros>,
+}
+
+impl Whole {
+    /// A list has come: its ready servers have this weight.
+    pub(crate) fn listed(&mut self, now: Micros, weight: f64) {
+        if weight >= self.most || self.less.is_some_and(|since| now - since >= OUT) {
+            (self.most, self.less) = (weight, None);
+        } else {
+            self.less = self.less.or(Some(now));
+        }
+        self.now = weight;
+    }
+
+    /// What the whole of a budget is spread over.
+    pub(crate) fn weight(&self, now: Micros) -> f64 {
+        if self.less.is_some_and(|since| now - since >= OUT) { self.now } else { self.most }
+    }
+}
+
 /// A bound on new connections to one server. Guards against bursts: after a reconnect storm the turns of a cold server alone
 /// would push it over, and trials by many nodes keep a full server full. Each node keeps to its part of the usual.
 #[derive(Clone, Copy, Debug)]
@@ -35,7 +65,9 @@
         let eased = since.map(|since| usual * (1.0 + since as f64 / SECOND as f64));
         let rate = cold.unwrap_or(f64::INFINITY).min(eased.unwrap_or(f64::INFINITY));
         let per_s = rate * weight;
-        let window = cold.map(|_| per_s * settings.fall_window as f64 / SECOND as f64);
+        // Without a window nothing lapses; and none is shorter than what timers tell apart.
+        let span = settings.fall_window.max(SECOND / 10) as f64 / SECOND as f64;
+        let window = cold.filter(|_| settings.fall_window > 0).map(|_| per_s * span);
         per_s.is_finite().then_some(Bound { per_s, window })
     }
 
@@ -62,3 +94,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "budget_tests.rs"]
+mod tests;
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -4,7 +4,7 @@
 //! is paused until the next second mark; new connections rotate over the rest; while all are paused they
 //! are held, and refused early when they cannot wait. What else is here is an exception to that.
 
-use crate::budget::Bound;
+use crate::budget::{Bound, Whole};
 use crate::homes::{self, Homes};
 use crate::interface::*;
 use crate::job::{Group, Job, Spot};
@@ -102,7 +102,7 @@
     servers: Vec<Server>,
     ready: Vec<ServerId>,
     total_weight: f64,
-    most_weight: f64,
+    whole: Whole,
     jobs: BTreeMap<RequestId, Job>,
     held: Vec<RequestId>,
     rotation: f64,
@@ -241,7 +241,7 @@
         let ids = 0..self.servers.len() as u32;
         self.ready = ids.map(ServerId).filter(|id| self.server(*id).is_some_and(|s| s.ready)).collect();
         self.total_weight = self.ready.iter().filter_map(|id| self.server(*id)).map(|s| s.weight).sum();
-        self.most_weight = self.most_weight.max(self.total_weight);
+        self.whole.listed(now, self.total_weight);
         for (number, s) in self.servers.iter_mut().enumerate() {
             s.believe(now, ServerId(number as u32), out);
         }
@@ -487,7 +487,7 @@
         let full = self.part.careful(now, allowed, own) * self.part.idle(now);
         let fill = full * SECOND as f64 / self.settings.warm_up.max(SECOND) as f64;
         let fill = if allowed > 0.0 { fill } else { fill.max(rate) };
-        (rate / self.total_weight.max(1e-9), fill / self.most_weight.max(1e-9))
+        (rate / self.total_weight.max(1e-9), fill / self.whole.weight(now).max(1e-9))
     }
 
     /// What has passed by now brought to budgets what the old part was.
--- a/crates/fleet/src/group_sums.rs
+++ b/crates/fleet/src/group_sums.rs
@@ -33,7 +33,11 @@
 impl Heard {
     /// What a sum over the members that tell their groups is multiplied with, to stand for all.
     fn scale(&self) -> f64 {
-        let told = if self.with_groups > 0.0 { (self.connections / self.with_groups).max(1.0) } else { 1.0 };
+        let told = if self.with_groups > 0.0 {
+            (self.connections / self.with_groups).clamp(1.0, MOST_UNHEARD)
+        } else {
+            1.0
+        };
         told * (f64::from(self.tier) / f64::from(self.members.max(1))).clamp(1.0, MOST_UNHEARD)
     }
 }
@@ -59,8 +63,9 @@
 }
 
 impl GroupSums {
-    /// A datagram of so many bytes has come.
-    pub fn take(&mut self, settings: &Settings, now: Micros, from: u32, bytes: usize, told: Groups) {
+    /// A datagram of so many bytes has come. The same part of a report again changes nothing, so a claim is two reports at most;
+    /// false if it names other groups than the first, which no honest member's does.
+    pub fn take(&mut self, settings: &Settings, now: Micros, from: u32, bytes: usize, told: Groups) -> bool {
         let (generation, bit) = (told.generation, 1_u16 << (told.part.0 & 15));
         let fresh =
             Claim { until: now, generation, parts: told.part.1, come: 0, bytes: 0, groups: BTreeMap::new() };
@@ -68,7 +73,7 @@
         let newer = generation.wrapping_sub(claim.generation) as i16;
         if newer < 0 && newer > -16 {
             // Overtaken on the way. One that is far behind is of a new process.
-            return;
+            return true;
         }
         if newer != 0 {
             let before = claim.generation;
@@ -78,14 +83,16 @@
         // No honest member is silent for longer, whatever this one says.
         let next = told.next.clamp(LEAST_NEXT, 5 * settings.longest_period / 2);
         claim.until = now + KEPT_HALVES * next / 2;
-        if claim.come & bit == 0 {
-            claim.bytes += bytes;
+        if claim.come & bit != 0 {
+            return told.groups.iter().all(|(group, _)| claim.groups.contains_key(group));
         }
+        claim.bytes += bytes;
         claim.come |= bit;
         claim.groups.extend(told.groups.into_iter().map(|(group, load)| (group, (generation, load))));
         if claim.come.count_ones() >= u32::from(claim.parts) {
             claim.groups.retain(|_, (of, _)| *of == generation);
         }
+        true
     }
 
     /// A member has left.
@@ -115,12 +122,15 @@
         told as f64 / self.claims.len().max(1) as f64 + table as f64
     }
 
+    /// The last table, while it is not to be made anew.
+    pub fn fresh(&self, now: Micros) -> Option<Vec<(u64, u32)>> {
+        self.table.as_ref().filter(|(made, _)| now - made < REMADE).map(|(_, table)| table.clone())
+    }
+
     /// The groups that need more than five homes, those that need most first.
     pub fn table(&mut self, settings: &GroupHomes, now: Micros, heard: &Heard) -> Vec<(u64, u32)> {
-        if let Some((made, table)) = &self.table
-            && now - made < REMADE
-        {
-            return table.clone();
+        if let Some(table) = self.fresh(now) {
+            return table;
         }
         self.forget_old(now);
         let scale = heard.scale();
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -273,6 +273,11 @@
             self.set_keeper(self.order.first().copied());
         }
         match self.stage {
+            // It was stopped, or very late: what comes now may be as old as that, so it asks anew.
+            Stage::Asking { .. } if self.now - self.reported > LATE => {
+                self.stage = Stage::Quiet;
+                self.report();
+            }
             Stage::Asking { round, next, due } if due <= self.now => self.ask_on(round, next),
             Stage::Quiet if self.next_report <= self.now => self.report(),
             _ => {}
@@ -365,7 +370,9 @@
         });
         if to == self.me {
             // What costs nothing has no bytes.
-            groups.into_iter().for_each(|groups| self.sums.take(&self.settings, self.now, to, 0, groups));
+            groups.into_iter().for_each(|groups| {
+                self.sums.take(&self.settings, self.now, to, 0, groups);
+            });
             return self.gathering.take(self.now, to, 0, report);
         }
         let mut parts = wire::write_report(&report);
@@ -505,7 +512,8 @@
         };
         let (generation, last) = (groups.generation, groups.part.0 + 1 == groups.part.1);
         let wanted = last && !groups.no_answer;
-        self.sums.take(&self.settings, self.now, from, bytes, groups);
+        let is_sound = self.sums.take(&self.settings, self.now, from, bytes, groups);
+        self.counts.dropped += u64::from(!is_sound);
         if wanted {
             let young = self.table().young;
             let homes = if young { Vec::new() } else { self.homes_table(&settings) };
@@ -515,6 +523,10 @@
     }
 
     fn homes_table(&mut self, settings: &GroupHomes) -> Vec<(u64, u32)> {
+        // Each of all members asks in a period, and what follows looks at all.
+        if let Some(table) = self.sums.fresh(self.now) {
+            return table;
+        }
         let nodes = self.nodes();
         let table = self.table();
         // Whose report was lost has its groups counted with the others that aren't heard.
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -586,7 +586,9 @@
 
 fn peers(shape: &Shape, me: u32, roster: Roster, life: u64, now: Micros, seed: u64) -> Option<Peers> {
     if shape.members >= shape.members_from {
-        let section = FleetSection { members_from: Some(shape.members_from), ..FleetSection::default() };
+        let group_homes = (shape.group_homes > 0).then_some(shape.group_homes);
+        let section =
+            FleetSection { members_from: Some(shape.members_from), group_homes, ..FleetSection::default() };
         let settings = section.check().ok()??;
         let member = cottonnotch_fleet::Member::new(settings, me, shape.members, seed, now, now);
         return Some(Peers::fleet(member, roster));
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -184,12 +184,23 @@
 
 /// A tier in a process of its own: what an earlier one has left on the heap is no part of it.
 fn point(shape: &Shape, span: Span) -> io::Result<Line> {
-    let Shape { members, nodes, pairs, connections, setups, used, members_from, aim_ms, voters, seed } =
-        shape;
+    let Shape {
+        members,
+        nodes,
+        pairs,
+        connections,
+        setups,
+        used,
+        members_from,
+        aim_ms,
+        group_homes,
+        voters,
+        seed,
+    } = shape;
     let Span { warm_up, window, threads, fault: _ } = span;
     let arguments = format!(
         "point --members {members} --nodes {nodes} --pairs {pairs} --connections {connections} --setups {setups} \
-         --used {used} --members-from {members_from} --aim-ms {aim_ms} --voters {voters} --seed {seed} --warm-up {warm_up} \
+         --used {used} --members-from {members_from} --aim-ms {aim_ms} --group-homes {group_homes} --voters {voters} --seed {seed} --warm-up {warm_up} \
          --window {window} --threads {threads}"
     );
     let output = Command::new(std::env::current_exe()?).args(arguments.split_whitespace()).output()?;
--- a/crates/scale/src/real.rs
+++ b/crates/scale/src/real.rs
@@ -120,7 +120,14 @@
         shape.voters(),
     );
     let accord = if shape.voters == 0 { "" } else { &accord };
-    format!("[fleet]\nmembers_from = {}\n[gossip]\nstrength = \"address\"\n{accord}", shape.members_from)
+    let homes = match shape.group_homes {
+        0 => String::new(),
+        groups => format!("group_homes = {groups}\n"),
+    };
+    format!(
+        "[fleet]\nmembers_from = {}\n{homes}[gossip]\nstrength = \"address\"\n{accord}",
+        shape.members_from
+    )
 }
 
 impl Daemon {
--- a/crates/scale/src/shape.rs
+++ b/crates/scale/src/shape.rs
@@ -43,6 +43,10 @@
     #[arg(long, default_value_t = 0)]
     #[serde(default)]
     pub aim_ms: u32,
+    /// Heaviest groups that a member reports to the keeper, which works out their homes; 0: homes by a group's size are off.
+    #[arg(long, default_value_t = 0)]
+    #[serde(default)]
+    pub group_homes: u32,
     /// Members of the accord that vote; 0: there is no accord.
     #[arg(long, default_value_t = 3)]
     pub voters: u16,
@@ -62,6 +66,7 @@
             used: 0.55,
             members_from: 24,
             aim_ms: 0,
+            group_homes: 0,
             voters: 3,
             seed: 1,
         }
