--- /dev/null
+++ b/crates/cottonnotch/src/net/driver/audit.rs
@@ -0,0 +1,231 @@
+//! What the proxy does with each request, watched: the guard checks every step against the rules, each close, retry and refusal is
+//! counted by its reason, and each change of a request's state is in the log (`debug`) under its id.
+
+use super::calls::Call;
+use super::net::PART;
+use cottonnotch_decision::{Entry, Micros, Outcome, Request, RequestId, ServerId, Settings, Unserved};
+use cottonnotch_proxy::{Checked, FinalAnswer, Guard, Violation};
+use cottonnotch_records::MoveReason;
+use std::collections::BTreeMap;
+use std::fmt::{self, Display};
+
+/// A step whose reasons are counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Step {
+    /// A connection that was up has ended, or was ended with `MOVE`.
+    Closed,
+    /// An attempt follows one that ended so.
+    Retried,
+    /// Refused: harmless to repeat.
+    Refused,
+    /// Answered with an error.
+    Failed,
+}
+
+impl Step {
+    fn name(self) -> &'static str {
+        match self {
+            Step::Closed => "closed",
+            Step::Retried => "retried",
+            Step::Refused => "refused",
+            Step::Failed => "failed",
+        }
+    }
+}
+
+/// The guard of this proxy, and the counts.
+#[derive(Debug, Default)]
+pub struct Audit {
+    guard: Guard,
+    reasons: BTreeMap<(Step, &'static str), u64>,
+}
+
+impl Audit {
+    pub fn new(settings: Settings) -> Self {
+        Audit { guard: Guard::new(settings), reasons: BTreeMap::new() }
+    }
+
+    /// The settings have changed.
+    pub fn set(&mut self, settings: Settings) {
+        self.guard.set(settings);
+    }
+
+    /// Each figure with its value: violations by kind, then steps by reason.
+    pub fn figures(&self) -> impl Iterator<Item = (String, u64)> {
+        let violations = self.guard.violations().all();
+        let violations = violations.map(|(kind, count)| (format!("violations.{}", kind.name()), count));
+        let reasons = self.reasons.iter();
+        violations.chain(reasons.map(|((step, why), count)| (format!("{}.{why}", step.name()), *count)))
+    }
+
+    /// What the module is told of the servers.
+    pub fn listed(&mut self, now: Micros, full: bool, entries: &[Entry]) {
+        self.guard.listed(now, full, entries);
+    }
+
+    // ---- a request's way ----
+
+    /// It was taken.
+    pub fn requested(&mut self, now: Micros, request: &Request, wire_id: u64) {
+        self.guard.requested(now, request);
+        state(request.id, wire_id, format_args!("owed an answer, {:?} us left", request.left));
+    }
+
+    /// It was open before the start and is up again.
+    pub fn reopened(&mut self, request: &Request, wire_id: u64) {
+        self.guard.reopened(request);
+        state(request.id, wire_id, "up again");
+    }
+
+    /// An attempt is to be sent. False: it must not be.
+    pub fn may_send(&mut self, now: Micros, call: &Call, server: ServerId) -> bool {
+        let checked = self.guard.send(now, call.id, server);
+        let may = !matches!(checked, Err(violation) if !violation.may_come_from_outside());
+        report(checked, call);
+        if let Some(before) = call.last_outcome {
+            self.count(Step::Retried, outcome_name(before));
+        }
+        state(call.id, call.wire_id, format_args!("attempt {} to server {}", call.attempts, server.0));
+        may
+    }
+
+    /// The last byte of the attempt's line is written.
+    pub fn written(&mut self, now: Micros, call: &Call) {
+        report(self.guard.written(now, call.id), call);
+    }
+
+    /// The attempt has ended without having been up.
+    pub fn attempt_ended(&mut self, call: &Call, outcome: Outcome) {
+        self.guard.attempt_ended(call.id, outcome);
+        state(call.id, call.wire_id, format_args!("attempt ended, {}", outcome_name(outcome)));
+    }
+
+    /// The attempt brought the connection up.
+    pub fn up(&mut self, now: Micros, call: &Call) {
+        report(self.guard.up(now, call.id), call);
+        state(call.id, call.wire_id, "up");
+    }
+
+    /// Refused, by the module.
+    pub fn refused(&mut self, now: Micros, call: &Call, why: Unserved) {
+        self.answered(now, call, FinalAnswer::Refused, unserved_name(why));
+    }
+
+    /// Failed, by the module.
+    pub fn failed(&mut self, now: Micros, call: &Call, why: Unserved) {
+        self.answered(now, call, FinalAnswer::Failed, unserved_name(why));
+    }
+
+    /// Answered with an error for what its client did.
+    pub fn turned_away(&mut self, now: Micros, call: &Call) {
+        self.answered(now, call, FinalAnswer::Failed, "client");
+    }
+
+    fn answered(&mut self, now: Micros, call: &Call, answer: FinalAnswer, why: &'static str) {
+        report(self.guard.answered(now, call.id, answer), call);
+        let step = if answer == FinalAnswer::Refused { Step::Refused } else { Step::Failed };
+        self.count(step, why);
+        state(call.id, call.wire_id, format_args!("{}: {why}", step.name()));
+    }
+
+    /// Its client left before the answer.
+    pub fn client_left(&mut self, call: &Call) {
+        self.guard.client_left(call.id);
+        state(call.id, call.wire_id, "its client has left");
+    }
+
+    /// A connection that was up is moved.
+    pub fn moved(&mut self, call: &Call, why: MoveReason) {
+        let why = match why {
+            MoveReason::Asked => "moved_asked",
+            MoveReason::Draining => "moved_draining",
+            MoveReason::Silent => "moved_silent",
+            MoveReason::Leaving => "moved_leaving",
+        };
+        self.closed(call, why);
+    }
+
+    /// A connection that was up has ended.
+    pub fn ended(&mut self, call: &Call, outcome: Outcome) {
+        self.closed(call, outcome_name(outcome));
+    }
+
+    fn closed(&mut self, call: &Call, why: &'static str) {
+        report(self.guard.closed(call.id), call);
+        self.count(Step::Closed, why);
+        state(call.id, call.wire_id, format_args!("closed: {why}"));
+    }
+
+    // ---- time ----
+
+    /// Once a second: which requests have had no answer in their time.
+    pub fn look_for_overdue(&mut self, now: Micros) {
+        for request in self.guard.overdue(now) {
+            unanswered(request, "in its time");
+        }
+    }
+
+    /// The process ends.
+    pub fn finish(&mut self) {
+        for request in self.guard.finish() {
+            unanswered(request, "before the process ends");
+        }
+    }
+
+    fn count(&mut self, step: Step, why: &'static str) {
+        *self.reasons.entry((step, why)).or_default() += 1;
+    }
+}
+
+/// Says that a rule was broken; a debug build stops there, unless somebody else may have caused it.
+fn report(checked: Checked, call: &Call) {
+    let Err(violation) = checked else { return };
+    let (kind, request) = (violation.name(), call.id.0);
+    log::error!(
+        target: PART, kind, request, wire_id:% = Hex(call.wire_id);
+        "rule violation {kind}: request {request}, {} on the wire", Hex(call.wire_id)
+    );
+    debug_assert!(violation.may_come_from_outside(), "rule violation {kind}: {call:?}");
+}
+
+fn unanswered(RequestId(request): RequestId, when: &str) {
+    let kind = Violation::Unanswered.name();
+    log::error!(target: PART, kind, request; "rule violation {kind}: request {request} had no answer {when}");
+}
+
+fn state(RequestId(request): RequestId, wire_id: u64, state: impl Display) {
+    log::debug!(target: PART, request, wire_id:% = Hex(wire_id); "request {request}: {state}");
+}
+
+/// An id as it is on the wire.
+struct Hex(u64);
+
+impl Display for Hex {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Served => "served",
+        Outcome::Error => "error",
+        Outcome::Full => "full",
+        Outcome::TimedOut => "timed_out",
+        Outcome::ConnectFailed => "connect_failed",
+        Outcome::Reset => "reset",
+        Outcome::Cancelled => "cancelled",
+        Outcome::NotSent => "not_sent",
+    }
+}
+
+fn unserved_name(why: Unserved) -> &'static str {
+    match why {
+        Unserved::Leaving => "leaving",
+        Unserved::AttemptsSpent => "attempts_spent",
+        Unserved::TooLate => "too_late",
+        Unserved::WindowOver => "window_over",
+        Unserved::Ruled => "ruled",
+        Unserved::NoServer => "no_server",
+    }
+}
--- a/crates/cottonnotch/src/net/driver/calls.rs
+++ b/crates/cottonnotch/src/net/driver/calls.rs
@@ -1,6 +1,6 @@
 //! The table of clients' RPCs: one entry for each that is owed an answer or is up.
 
-use cottonnotch_decision::{Micros, Request, RequestId, ServerId};
+use cottonnotch_decision::{Micros, Outcome, Request, RequestId, ServerId};
 use cottonnotch_reactor::Key;
 use std::collections::{BTreeMap, HashSet};
 
@@ -20,12 +20,15 @@
     pub began: Option<Micros>,
     pub group: Option<u64>,
     pub stage: Stage,
+    /// How the attempt before ended, if there was one.
+    pub last_outcome: Option<Outcome>,
 }
 
 impl Call {
     /// One that nothing was done for yet.
     pub fn new(id: RequestId, class: u32, wire_id: u64, group: Option<u64>) -> Self {
-        Call { id, class, wire_id, at: None, attempts: 0, began: None, group, stage: Stage::Owed }
+        let (at, began, last_outcome) = (None, None, None);
+        Call { id, class, wire_id, at, attempts: 0, began, group, stage: Stage::Owed, last_outcome }
     }
 
     /// The latest attempt's number among all that were made, those that reopen a connection too.
--- a/crates/cottonnotch/src/net/driver/clients.rs
+++ b/crates/cottonnotch/src/net/driver/clients.rs
@@ -11,7 +11,9 @@
 use crate::net::invariant::invariant;
 use crate::net::objection::Objection;
 use cottonnotch_decision::settings::Profile;
-use cottonnotch_decision::{ClassId, Event, Micros, Outcome, Request, RequestId, ServerId, TenantId};
+use cottonnotch_decision::{
+    ClassId, Event, Micros, Outcome, Request, RequestId, ServerId, TenantId, Unserved,
+};
 use cottonnotch_reactor::Key;
 use cottonnotch_reactor::seldom::Seldom;
 use cottonnotch_records::MoveReason;
@@ -47,6 +49,9 @@
             return [None, None];
         };
         end_attempt(net, &mut call, Outcome::Cancelled);
+        if call.stage == Stage::Owed {
+            net.audit.turned_away(net.reactor.io.now(), &call);
+        }
         net.records.failed(&call, why);
         gone(call, Outcome::Cancelled)
     }
@@ -118,6 +123,7 @@
         // One that names a subchannel which is not known is a new connection like any other.
         match wish.at.and_then(|at| subchannels.find(&at)) {
             None => {
+                net.audit.requested(net.reactor.io.now(), &request, call.wire_id);
                 self.calls.insert(key, call);
                 Some(Event::Request(request))
             }
@@ -169,10 +175,23 @@
             call.attempts += 1;
             return None;
         }
+        let not_sent = Event::Ended { request, attempt, server, outcome: Outcome::NotSent, last: false };
+        if !net.audit.may_send(net.reactor.io.now(), call, server) {
+            call.attempts += 1;
+            return Some(not_sent);
+        }
         if begin_attempt(net, subchannels, key, call, server, timeout, before) {
             return None;
         }
-        Some(Event::Ended { request, attempt, server, outcome: Outcome::NotSent, last: false })
+        Some(not_sent)
+    }
+
+    /// The last byte of an attempt's first line was written.
+    pub fn written(&self, net: &mut Net, key: Key) {
+        net.records.written();
+        if let Some(call) = self.calls.get(key) {
+            net.audit.written(net.reactor.io.now(), call);
+        }
     }
 
     /// Takes a connection that was open before the start back to its subchannel.
@@ -231,8 +250,14 @@
         call.began = None;
         net.records.up(call, || subchannels.shared_name(server), elapsed);
         let (event, setup) = match std::mem::replace(&mut call.stage, Stage::Up) {
-            Stage::Reopening(request) => (Event::Open { request: *request, server }, None),
-            _ => (Event::Established { request: call.id, attempt, server, elapsed }, Some(elapsed)),
+            Stage::Reopening(request) => {
+                net.audit.reopened(&request, call.wire_id);
+                (Event::Open { request: *request, server }, None)
+            }
+            _ => {
+                net.audit.up(net.reactor.io.now(), call);
+                (Event::Established { request: call.id, attempt, server, elapsed }, Some(elapsed))
+            }
         };
         messages.opened(net.now(), call, server, setup);
         Some(event)
@@ -241,8 +266,16 @@
     // ---- endings ----
 
     /// A final answer that the module has decided on: the unavailable status.
-    pub fn refuse(&mut self, net: &mut Net, messages: &mut Messages, request: RequestId, after: Micros) {
+    pub fn refuse(
+        &mut self,
+        net: &mut Net,
+        messages: &mut Messages,
+        request: RequestId,
+        after: Micros,
+        why: Unserved,
+    ) {
         if let Some(call) = self.answer(net, messages, request, |front, io| front.unavailable(io, after)) {
+            net.audit.refused(net.reactor.io.now(), &call, why);
             let Net { records, rules, .. } = net;
             records.refused(&call, after, || rules.as_ref()?.basis(request));
         }
@@ -250,10 +283,11 @@
     }
 
     /// A final answer that the module has decided on: a failure.
-    pub fn fail(&mut self, net: &mut Net, messages: &mut Messages, request: RequestId) {
-        let why = &"no attempt went well";
-        if let Some(call) = self.answer(net, messages, request, |front, io| front.fail(io, why)) {
-            net.records.failed(&call, why);
+    pub fn fail(&mut self, net: &mut Net, messages: &mut Messages, request: RequestId, why: Unserved) {
+        let words = &"no attempt went well";
+        if let Some(call) = self.answer(net, messages, request, |front, io| front.fail(io, words)) {
+            net.audit.failed(net.reactor.io.now(), &call, why);
+            net.records.failed(&call, words);
         }
         net.rules.iter().for_each(|rules| rules.over(request));
     }
@@ -293,7 +327,9 @@
         if net.with_front(key, |front, io| front.move_away(io)) != Some(true) {
             return None;
         }
-        let (server, attempt) = self.forget(messages, key)?.at?;
+        let call = self.forget(messages, key)?;
+        net.audit.moved(&call, why);
+        let (server, attempt) = call.at?;
         let outcome = Outcome::Cancelled;
         net.records.moved(request, || subchannels.shared_name(server), why);
         net.records.ended(request, outcome);
@@ -308,8 +344,15 @@
     }
 
     /// A connection that was up has ended.
-    pub fn ended(&mut self, net: &Net, messages: &mut Messages, key: Key, outcome: Outcome) -> Option<Event> {
+    pub fn ended(
+        &mut self,
+        net: &mut Net,
+        messages: &mut Messages,
+        key: Key,
+        outcome: Outcome,
+    ) -> Option<Event> {
         let call = self.forget(messages, key)?;
+        net.audit.ended(&call, outcome);
         net.records.ended(call.id, outcome);
         let (server, attempt) = call.at?;
         Some(Event::Ended { request: call.id, attempt, server, outcome, last: true })
@@ -318,7 +361,7 @@
     /// A client left before its answer: that, and the end of its attempt.
     pub fn left(
         &mut self,
-        net: &Net,
+        net: &mut Net,
         messages: &mut Messages,
         key: Key,
         outcome: Outcome,
@@ -327,6 +370,7 @@
         // One that is held has had its attempts: what they used must not be given back.
         let outcome = if call.began.is_some() { outcome } else { Outcome::Cancelled };
         end_attempt(net, &mut call, outcome);
+        net.audit.client_left(&call);
         net.records.client_left(call.id);
         gone(call, outcome)
     }
@@ -391,8 +435,10 @@
 }
 
 /// An attempt is over, if one is out.
-fn end_attempt(net: &Net, call: &mut Call, outcome: Outcome) {
+fn end_attempt(net: &mut Net, call: &mut Call, outcome: Outcome) {
     if let Some(began) = call.began.take() {
+        net.audit.attempt_ended(call, outcome);
+        call.last_outcome = Some(outcome);
         net.records.attempt_ended(call.id, call.latest(), outcome, net.now() - began);
     }
 }
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -9,6 +9,7 @@
 //! front relays.
 
 mod arrivals;
+mod audit;
 mod calls;
 mod clients;
 mod lifecycle;
@@ -28,6 +29,7 @@
 use crate::config::Config;
 use crate::rules::Rulebook;
 use arrivals::Arrivals;
+use audit::Audit;
 use clients::Clients;
 use cottonnotch_decision::{Action, Balancer, Event, Micros, Notice, ServerId};
 use cottonnotch_proxy::ResolverResult;
@@ -80,7 +82,8 @@
         let known = config.known.clone();
         let names = recorder.is_on();
         let records = Records::new(recorder, &config.profile);
-        let mut net = Net { reactor, config, records, rules: None, held_elsewhere: 0, rpcs: 0 };
+        let audit = Audit::new(config.profile.settings.clone());
+        let mut net = Net { reactor, config, records, audit, rules: None, held_elsewhere: 0, rpcs: 0 };
         let lifecycle = Lifecycle::new(&net, reread);
         let has_elder = lifecycle.has_elder(&mut net);
         if let Some(settings) = net.config.rules.clone() {
@@ -128,6 +131,7 @@
     }
 
     fn close_records(&mut self) {
+        self.net.audit.finish();
         let counts = self.net.records.close(RECORDS_WITHIN);
         // What was not written in time is lost as well, though nobody counted it.
         let lost = counts.produced.saturating_sub(counts.written);
@@ -157,7 +161,7 @@
                 let event = self.clients.asked(net, &mut self.arrivals, &self.subchannels, key, wish);
                 self.tell(event);
             }
-            Happening::Written => net.records.written(),
+            Happening::Written { rpc } => self.clients.written(net, rpc),
             Happening::Up { rpc, elapsed } => {
                 let event = self.clients.up(net, messages, &self.subchannels, rpc, elapsed);
                 self.tell(event);
@@ -235,6 +239,7 @@
     }
 
     fn tick(&mut self) {
+        self.net.audit.look_for_overdue(self.net.now());
         // What is held may be allowed now, or forbidden.
         let ruled = self.net.rules.as_mut().and_then(Rulebook::tick);
         self.tell(ruled);
@@ -286,7 +291,7 @@
                 let rules = self.net.rules.as_ref().map(Rulebook::seen);
                 let (in_progress, homes) = (self.clients.calls().len(), self.peers.homes());
                 let gauges = Gauges { in_progress, known, skipped, rules, homes };
-                Answer::yes(self.net.records.figures().text(gauges))
+                Answer::yes(self.net.records.figures().text(gauges, self.net.audit.figures()))
             }
             Call::Enter(id) => self.by_hand(id, true),
             Call::Exit(id) => self.by_hand(id, false),
@@ -407,6 +412,7 @@
             let now = self.net.now();
             log::debug!("event {event:?}");
             self.peers.witness(now, &event);
+            self.watch_servers(now, &event);
             self.net.rules.iter().for_each(|rules| rules.witness(&event));
             self.balancer.handle(now, event, &mut actions);
             for action in actions.drain(..) {
@@ -416,18 +422,29 @@
         }
     }
 
+    /// What the module is about to hear of servers and settings, for the guard.
+    fn watch_servers(&mut self, now: Micros, event: &Event) {
+        let audit = &mut self.net.audit;
+        match event {
+            Event::List { full, entries, .. } => audit.listed(now, *full, entries),
+            Event::ByHand { entries } => audit.listed(now, false, entries),
+            Event::Settings(settings) => audit.set((**settings).clone()),
+            _ => {}
+        }
+    }
+
     fn act(&mut self, now: Micros, action: Action) {
         let (net, messages) = (&mut self.net, &mut self.messages);
         let event = match action {
             Action::Send { request, server, timeout, before } => {
                 self.clients.send(net, &self.subchannels, request, server, timeout, before)
             }
-            Action::Refuse { request, retry_after } => {
-                self.clients.refuse(net, messages, request, retry_after);
+            Action::Refuse { request, retry_after, why } => {
+                self.clients.refuse(net, messages, request, retry_after, why);
                 None
             }
-            Action::Fail(request) => {
-                self.clients.fail(net, messages, request);
+            Action::Fail { request, why } => {
+                self.clients.fail(net, messages, request, why);
                 None
             }
             Action::Move(request) => {
--- a/crates/cottonnotch/src/net/driver/net.rs
+++ b/crates/cottonnotch/src/net/driver/net.rs
@@ -1,5 +1,6 @@
 //! What every part of the driver uses: the loop, what the proxy was told, and the records.
 
+use super::audit::Audit;
 use super::records::Records;
 use crate::config::Config;
 use crate::net::happening::{Front, Io, Object};
@@ -24,6 +25,8 @@
     pub reactor: Reactor<dyn Object>,
     pub config: Config,
     pub records: Records,
+    /// Checks and counts what is done with each request.
+    pub audit: Audit,
     /// The rules, if there are any.
     pub rules: Option<Rulebook>,
     /// Descriptors that other processes of this proxy hold: the limit is for all of them.
--- a/crates/cottonnotch/src/net/happening.rs
+++ b/crates/cottonnotch/src/net/happening.rs
@@ -59,7 +59,7 @@
     /// The subchannel returned nothing any more, and the client was moved; the connection's end is told next.
     Silent { rpc: Key },
     /// The last byte of a call attempt's first line was written.
-    Written,
+    Written { rpc: Key },
     /// A connection that was up has ended; nothing more is owed.
     Ended { rpc: Key, outcome: Outcome },
     /// The client left before it had an answer; `outcome`: what that makes of its attempt, if one was out.
--- a/crates/cottonnotch/src/net/management/figures.rs
+++ b/crates/cottonnotch/src/net/management/figures.rs
@@ -122,8 +122,8 @@
         }
     }
 
-    /// All of it, a figure a line.
-    pub fn text(&self, gauges: Gauges) -> String {
+    /// All of it, a figure a line; `audit` has the counts of violations and reasons.
+    pub fn text(&self, gauges: Gauges, audit: impl Iterator<Item = (String, u64)>) -> String {
         let mut text = String::new();
         let mut line = |name: &str, value: u64, kind: char| {
             // A text takes whatever is written.
@@ -140,6 +140,7 @@
         line("watches_lost", self.watches_lost, 'c');
         line("lists_back", self.lists_back, 'c');
         line("lists_refused", self.lists_refused, 'c');
+        audit.for_each(|(name, count)| line(&name, count, 'c'));
         line("in_progress", gauges.in_progress as u64, 'g');
         line("known_render_nodes", gauges.known as u64, 'g');
         line("skipped_render_nodes", gauges.skipped as u64, 'g');
@@ -196,7 +197,7 @@
         let mut figures = Figures::default();
         figures.classes(["look", "edit"].into_iter());
         let gauges = Gauges { in_progress: 3, known: 2, skipped: 1, ..Gauges::default() };
-        let text = figures.text(gauges.clone());
+        let text = figures.text(gauges.clone(), std::iter::empty());
         assert!(text.starts_with("svc.handled.look.passed:0|c\nsvc.handled.look.dropped:0|c\n"), "{text}");
         assert!(
             text.ends_with("svc.in_progress:3|g\nsvc.known_render_nodes:2|g\nsvc.skipped_render_nodes:1|g\n")
@@ -209,7 +210,7 @@
         figures.classes(["look", "print", "edit"].into_iter());
         figures.passed(2);
         figures.passed(9);
-        let text = figures.text(gauges);
+        let text = figures.text(gauges, std::iter::empty());
         for line in ["look.bad_gateway:1|c", "edit.passed:2|c", "print.dropped:1|c", "print.passed:0|c"] {
             assert!(text.contains(&format!("svc.handled.{line}\n")), "{line}: {text}");
         }
@@ -218,17 +219,17 @@
     #[test]
     fn homes_are_told_where_they_are_on() {
         let homes = Some(Homes { groups: 2, most: 205, told: 31, cut: 4, dropped: 5 });
-        let text = Figures::default().text(Gauges { homes, ..Gauges::default() });
+        let text = Figures::default().text(Gauges { homes, ..Gauges::default() }, std::iter::empty());
         let told = "svc.homes.groups:2|g\nsvc.homes.most:205|g\nsvc.homes.told:31|c\nsvc.homes.cut:4|c\nsvc.homes.dropped:5|c\n";
         assert!(text.ends_with(told), "{text}");
-        assert!(!Figures::default().text(Gauges::default()).contains("homes"));
+        assert!(!Figures::default().text(Gauges::default(), std::iter::empty()).contains("homes"));
     }
 
     #[test]
     fn no_name_breaks_the_format() {
         let mut figures = Figures::default();
         figures.classes(["a:1|c\nsvc.b", "ok-name_2"].into_iter());
-        let text = figures.text(Gauges::default());
+        let text = figures.text(Gauges::default(), std::iter::empty());
         assert!(text.contains("svc.handled.a%3a1%7cc%0asvc%2eb.passed:0|c\n"), "{text}");
         assert!(text.contains("svc.handled.ok-name_2.passed:0|c\n"), "{text}");
         assert!(text.lines().all(|line| line.matches(':').count() == 1 && line.matches('|').count() == 1));
--- a/crates/cottonnotch/src/net/rpc.rs
+++ b/crates/cottonnotch/src/net/rpc.rs
@@ -196,7 +196,7 @@
         let State::Attempting(attempt) = &mut self.state else { return };
         let progress = attempt.advance(io.now());
         if attempt.newly_written() {
-            io.tell(Happening::Written);
+            io.tell(Happening::Written { rpc: self.key });
         }
         match progress {
             Progress::Pending => {}
--- a/crates/cottonnotch/tests/peers/mod.rs
+++ b/crates/cottonnotch/tests/peers/mod.rs
@@ -609,5 +609,9 @@
         // It may have exited already.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        // A test that fails shows what the proxy said last: no failure without a trace.
+        if std::thread::panicking() {
+            self.log_so_far().iter().for_each(|line| eprintln!("proxy: {line}"));
+        }
     }
 }
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -434,6 +434,23 @@
     Gone,
 }
 
+/// Why a request gets a final answer without having been served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unserved {
+    /// The node ends.
+    Leaving,
+    /// It has had all attempts that its class or a rule allows.
+    AttemptsSpent,
+    /// Too little of its time is left for an attempt.
+    TooLate,
+    /// Its repeats have no effect only up to now.
+    WindowOver,
+    /// A rule says so.
+    Ruled,
+    /// No server may take it within the time that it can wait.
+    NoServer,
+}
+
 /// What an instance wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -454,9 +471,16 @@
         request: RequestId,
         /// Not before this; 0: nothing said.
         retry_after: Micros,
+        /// Why it is not served.
+        why: Unserved,
     },
     /// Final answer: failed, no promise.
-    Fail(RequestId),
+    Fail {
+        /// Whose.
+        request: RequestId,
+        /// Why it is not served.
+        why: Unserved,
+    },
     /// End an established connection politely; the client comes again.
     Move(RequestId),
     /// Ask for changes of the server list.
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -1,9 +1,14 @@
-//! Types, events and actions: `src/interface.rs`. Every decision is in this file.
+//! Types, events and actions: `src/interface.rs`. Every decision is in this file and in its folder: lists of
+//! servers, the rotation over them, pauses.
 //!
 //! The mechanism (PIP-385, adapted; docs/design.md): a server that refused a connection as full, or failed,
 //! is paused until the next second mark; new connections rotate over the rest; while all are paused they
 //! are held, and refused early when they cannot wait. What else is here is an exception to that.
 
+mod lists;
+mod pauses;
+mod rotation;
+
 use crate::budget::{Bound, Whole};
 use crate::homes::{self, Homes};
 use crate::interface::*;
@@ -16,37 +21,8 @@
 
 /// Pauses end at marks of this clock, as PIP-385's quotas do.
 const SECOND: Micros = 1_000_000;
-/// Each further strike doubles the pause, up to 2^5 s: a dead server is tried about twice a minute.
-const MOST_DOUBLINGS: u32 = 5;
-/// One strike is forgotten for each such time without another.
-const FORGET: Micros = 20 * SECOND;
-/// While most set-ups fail, a node keeps to its usual rate, or to its part of so many for all, if more.
-const LEAST_PACE: f64 = 2.0;
-/// All nodes together set up at most this multiple of what tenants are allowed a second, but for nodes whose
-/// last set-up was quick: the store that all share goes down under all that come again after a break.
-const SETUPS: f64 = 3.0;
-/// Multiple of the usual rate for servers not heard of while most others are piled up.
-const UNHEARD: f64 = 0.1;
 /// Arrivals are averaged over about this many seconds.
 const RATE_MEMORY: f64 = 20.0;
-/// Part of its own connections that a node moves off a server for each note of messages over the aim: more
-/// where more has piled up, so that the pile is gone within about CLEAR_WITHIN.
-const MOVED_PER_NOTE: f64 = 0.1;
-const CLEAR_WITHIN: f64 = 2.0 * SECOND as f64;
-const MOST_MOVED: f64 = 0.25;
-
-/// A draining server's connections are moved within this time, a part each round: what stays is cut off. New
-/// ones (`rules.stopSendingWithin`) end at once.
-const DRAIN_WITHIN: Micros = 2 * SECOND;
-const DRAIN_ROUND: Micros = SECOND / 10;
-
-/// Another node's word counts for this long, and own good experience outweighs any for as long.
-const WORD: Micros = 3 * SECOND;
-/// So many nodes must agree, or one and own experience: one alone may itself be cut off.
-const AGREED: usize = 2;
-/// Words alone keep no more than this part of the servers paused at a time: as many as are known to die
-/// together (24%). However many nodes lie, the rest is used, and what is paused is tried at the next mark.
-const MOST_ACCUSED: f64 = 0.25;
 
 /// Timers: held connections may be tried again; the list is to be asked for; draining servers' next round.
 const WAKE: u32 = 0;
@@ -211,100 +187,6 @@
         }
     }
 
-    // ---- the server list ----
-
-    fn list(&mut self, now: Micros, full: bool, copy: bool, entries: Vec<Entry>, out: &mut Vec<Action>) {
-        if !copy {
-            self.list_calls.answered(now);
-        } else if self.settings.list_told_unasked && self.settings.list_on_request {
-            self.call_for_list(now, out);
-        } else if self.settings.list_on_request {
-            let chance = self.random();
-            ask_list(self.list_calls.started(now, chance), out);
-        }
-        if full {
-            // What a full list leaves out is gone, and starts anew if it is ever listed again.
-            self.servers.iter_mut().for_each(|s| (s.ready, s.draining) = (false, false));
-        }
-        self.listed(now, entries, out);
-    }
-
-    fn call_for_list(&mut self, now: Micros, out: &mut Vec<Action>) {
-        out.push(Action::Watch);
-        ask_list(self.list_calls.called(now), out);
-    }
-
-    fn listed(&mut self, now: Micros, entries: Vec<Entry>, out: &mut Vec<Action>) {
-        for entry in entries {
-            self.entry(now, entry);
-        }
-        let ids = 0..self.servers.len() as u32;
-        self.ready = ids.map(ServerId).filter(|id| self.server(*id).is_some_and(|s| s.ready)).collect();
-        self.total_weight = self.ready.iter().filter_map(|id| self.server(*id)).map(|s| s.weight).sum();
-        self.whole.listed(now, self.total_weight);
-        for (number, s) in self.servers.iter_mut().enumerate() {
-            s.believe(now, ServerId(number as u32), out);
-        }
-        self.drain(now, out);
-        self.release_held(now, out);
-    }
-
-    /// Moves an even part of what is left on each draining server, so that the clients come again bit by bit.
-    fn drain(&mut self, now: Micros, out: &mut Vec<Action>) {
-        if self.drain_due.is_some_and(|at| at > now) {
-            return;
-        }
-        self.drain_due = None;
-        let chance = self.random() * 0.999;
-        for s in &mut self.servers {
-            let Some(until) = s.leave_by else { continue };
-            let rounds = ((until - now).max(0) / DRAIN_ROUND) as f64 + 1.0;
-            let kept = s.open.len() - (s.open.len() as f64 / rounds + chance) as usize;
-            out.extend(s.open.drain(kept..).map(Action::Move));
-            self.drain_due = self.drain_due.or((kept > 0 || now < until).then_some(now + DRAIN_ROUND));
-        }
-        out.extend(self.drain_due.map(|_| Action::Timer { after: DRAIN_ROUND, token: DRAIN }));
-    }
-
-    fn entry(&mut self, now: Micros, entry: Entry) {
-        let index = entry.server.0 as usize;
-        if index >= self.servers.len() {
-            self.servers.resize_with(index + 1, Server::default);
-        }
-        let known = &mut self.servers[index];
-        let weighted = self.settings.weighted && entry.weight.is_finite() && entry.weight > 0.0;
-        let weight = if weighted { entry.weight } else { 1.0 };
-        // Put back after a drain: its first turn is the next, or it would wait for one at a quiet hour.
-        let back = known.leave_by.is_some() && entry.state == Listed::Ready;
-        if known.weight == 0.0 || known.started != entry.started || back {
-            // New, or a new life of the process: what was known of the old one no longer counts.
-            // All nodes share one hashed order and enter it at phases ordinal/nodes: rotations that walk
-            // in step would otherwise put every node's next connection on the same server.
-            let phase = f64::from(self.settings.ordinal) / f64::from(self.settings.nodes.max(1));
-            let place = (unit(entry.digest) - phase).rem_euclid(1.0);
-            let first = (place + self.part.of(now, 1.0)).min(1.0);
-            let (turn, budget) = if back { (0.0, first) } else { (self.rotation + place / weight, place) };
-            let (open, told) = (std::mem::take(&mut known.open), known.told);
-            let digest = entry.digest;
-            *known = Server { digest, place, turn, budget, filled: now, open, told, ..Server::default() };
-        }
-        known.ready = entry.state == Listed::Ready;
-        // What drained and is gone by now has its connections moved all the same.
-        known.draining = entry.state == Listed::Draining;
-        let until = known.draining.then_some(now + DRAIN_WITHIN);
-        known.leave_by = known.leave_by.or(until).filter(|_| !known.ready);
-        (known.spot, known.weight, known.started) = ((entry.zone, entry.cell), weight, entry.started);
-    }
-
-    /// Back-off with jitter: a failing list service is not hammered by all nodes in step.
-    fn list_failed(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let chance = self.random();
-        let (after, is_news) = self.list_calls.failed(now, chance);
-        let unreachable = Action::Log { notice: Notice::ListUnreachable, server: None };
-        out.extend(is_news.then_some(unreachable));
-        ask_list(after, out);
-    }
-
     /// Sends the request on the next turn, holds it, or gives the final answer.
     fn dispatch(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
@@ -321,12 +203,21 @@
         let repeats = job.bound_to(&self.settings);
         let most = self.settings.attempts(job.class()).min(ruling.attempts);
         let late = left.is_some_and(|left| left < job.least_try(&self.settings));
-        let spent = self.leaving || job.sent >= most || late;
-        if spent || before.is_some_and(|end| end <= now) {
-            return self.answer(now, id, self.next_chance(now, &ruling, repeats), out);
+        let is_over = before.is_some_and(|end| end <= now);
+        let unserved = if self.leaving {
+            Some(Unserved::Leaving)
+        } else if job.sent >= most {
+            Some(Unserved::AttemptsSpent)
+        } else if late {
+            Some(Unserved::TooLate)
+        } else {
+            is_over.then_some(Unserved::WindowOver)
+        };
+        if let Some(why) = unserved {
+            return self.answer(now, id, self.next_chance(now, &ruling, repeats), why, out);
         }
         if let Some(after) = ruling.refuse {
-            return self.answer(now, id, now.saturating_add(after), out);
+            return self.answer(now, id, now.saturating_add(after), Unserved::Ruled, out);
         }
         let from = ruling.not_before.unwrap_or(now);
         if let Some(server) = (from <= now).then(|| self.pick(now, id, &ruling)).flatten() {
@@ -352,7 +243,7 @@
         let until = self.next_chance(now, &ruling, repeats).max(from).min(before.unwrap_or(Micros::MAX));
         // As the paper's send time-outs shorter than the pause left: what cannot wait is refused early.
         if until > last_call {
-            return self.answer(now, id, until, out);
+            return self.answer(now, id, until, Unserved::NoServer, out);
         }
         if self.held.is_empty() {
             out.push(Action::Log { notice: Notice::Holding, server: None });
@@ -365,12 +256,16 @@
     }
 
     /// The final answer to what cannot be placed: a refusal where that may be said.
-    fn answer(&mut self, now: Micros, id: RequestId, until: Micros, out: &mut Vec<Action>) {
+    fn answer(&mut self, now: Micros, id: RequestId, until: Micros, why: Unserved, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
         let refusable = job.may_have_run.is_none() || self.settings.effect(job.class()).may_refuse();
         let longest = if self.settings.retry_after { self.settings.max_retry_after } else { 0 };
         let retry_after = (until - now).min(longest);
-        out.push(if refusable { Action::Refuse { request: id, retry_after } } else { Action::Fail(id) });
+        out.push(if refusable {
+            Action::Refuse { request: id, retry_after, why }
+        } else {
+            Action::Fail { request: id, why }
+        });
         self.finish(id);
     }
 
@@ -403,249 +298,6 @@
         self.held.retain(|held| *held != id);
     }
 
-    // ---- rotation ----
-
-    /// The unpaused server whose turn is due first, if any; takes its turn.
-    fn pick(&mut self, now: Micros, id: RequestId, ruling: &Ruling) -> Option<ServerId> {
-        // Failures wherever one turns point at something shared: more tries keep it down (ic7944d).
-        let down = self.part.failing(now, self.failing) > 0.5;
-        if down && now < self.next_send || !self.setups.fill(now, self.setups_per_s(now)) {
-            return None;
-        }
-        let job = self.jobs.get(&id)?;
-        let repeats = job.bound_to(&self.settings);
-        let group = job.request.group.filter(|_| self.settings.groups && repeats.is_none());
-        // Connections of a group share work: spread over the fleet they would multiply it (ie5ddb3), and in
-        // overload none would be held out. A group's turns rotate over the servers that come first in an
-        // order of its own, common to all nodes; while these are paused it is held.
-        let at_home = |s: &Server| group.map_or(1.0, |g| homes::score(g, s.digest, s.weight));
-        let least_home = group.map_or(0.0, |g| self.homes.least(g, self.allowed(ruling).map(at_home)));
-        let (usual, rotation) = (self.usual_rates(now), self.rotation);
-        let mut best: Option<((bool, bool, f64), ServerId)> = None;
-        let (mut due, mut heard, mut bad) = ((true, f64::INFINITY), 0, 0);
-        for &candidate in &self.ready {
-            let Some(s) = self.servers.get_mut(candidate.0 as usize) else { continue };
-            let lately = s.slow.is_some_and(|at| now - at < 3 * SECOND);
-            heard += u32::from(lately || !s.open.is_empty());
-            bad += u32::from(lately);
-            if s.paused_until.is_some_and(|until| until > now) {
-                continue;
-            }
-            if s.paused_until.take().is_some() {
-                // The pause has lapsed. The trial comes at this node's own place in the order, so that
-                // the nodes do not all reopen the server at one second mark.
-                s.half_open = true;
-                s.turn = s.turn.max(rotation + s.place / s.weight);
-            }
-            let mut bound = Bound::of(&self.settings, now, usual, s.weight, s.started, s.strained);
-            // Most servers with connections of this node are piled up: those of which it hears nothing are
-            // likely so too; tried at server after server, nobody would be held out (i118c6b).
-            if self.crowded && bound.is_none() && group.is_none() && s.open.is_empty() {
-                bound = Some(Bound::warm(usual.0 * s.weight * UNHEARD));
-            }
-            s.budget = bound.map_or(s.budget, |bound| bound.filled(s.budget, now - s.filled));
-            s.filled = now;
-            if repeats.is_some_and(|group| !group.holds(s.spot))
-                || !ruling.allows(candidate)
-                || s.half_open && s.trial.is_some()
-                || bound.is_some() && s.budget < 1.0
-                || at_home(s) < least_home
-            {
-                continue;
-            }
-            // What is wished for takes turns of its own: the rest would else fall behind, and then get all.
-            let second = ruling.is_second_choice(candidate);
-            due = if (second, s.turn) < due { (second, s.turn) } else { due };
-            let key = (job.tried.contains(&candidate), second, s.turn);
-            if best.is_none_or(|(least, _)| key < least) {
-                best = Some((key, candidate));
-            }
-        }
-        self.crowded = 2 * bad > heard && self.part.tier(now).is_none();
-        let server = best?.1;
-        let rate = (usual.0 * self.total_weight).max(self.part.of(now, LEAST_PACE));
-        self.setups.take();
-        self.next_send = now + (SECOND as f64 / rate) as Micros;
-        let rotation = rotation.max(due.1);
-        self.rotation = rotation;
-        let s = self.server_mut(server)?;
-        s.turn = s.turn.max(rotation - 1.0 / s.weight) + 1.0 / s.weight;
-        s.trial = s.half_open.then_some(id);
-        s.budget = (s.budget - 1.0).max(0.0);
-        Some(server)
-    }
-
-    /// New connections a second that a server of weight 1 usually gets from this node, and that would fill it
-    /// to the others' level, or to what tenants may hold, within its warm-up: a fleet a third full has room.
-    fn usual_rates(&self, now: Micros) -> (f64, f64) {
-        let age = (now - self.started_at).max(SECOND) as f64 / SECOND as f64;
-        let rate = self.arrivals / (RATE_MEMORY * (1.0 - (-age / RATE_MEMORY).exp()));
-        // What waits shows no room, and servers that are out leave the rest no more.
-        let allowed = self.settings.allowance_open();
-        let open: usize = self.servers.iter().map(|s| s.open.len()).sum();
-        let own = if allowed > 0.0 { open } else { self.jobs.len() } as f64;
-        let full = self.part.careful(now, allowed, own) * self.part.idle(now);
-        let fill = full * SECOND as f64 / self.settings.warm_up.max(SECOND) as f64;
-        let fill = if allowed > 0.0 { fill } else { fill.max(rate) };
-        (rate / self.total_weight.max(1e-9), fill / self.whole.weight(now).max(1e-9))
-    }
-
-    /// What has passed by now brought to budgets what the old part was.
-    fn told(&mut self, now: Micros, tier: Tier) {
-        let usual = self.usual_rates(now);
-        for s in &mut self.servers {
-            let bound = Bound::of(&self.settings, now, usual, s.weight, s.started, s.strained);
-            s.budget = bound.map_or(s.budget, |bound| bound.filled(s.budget, now - s.filled));
-            s.filled = now;
-        }
-        self.part.told(now, tier);
-    }
-
-    /// Set-ups that this node may send. In a large tier, which is told of, its own last one says little.
-    fn setups_per_s(&self, now: Micros) -> f64 {
-        let quick = self.part.tier(now).is_none() && self.quick.is_some_and(|at| now - at < SECOND);
-        let allowed = self.settings.allowance_per_s().filter(|_| !quick);
-        allowed.map_or(f64::INFINITY, |allowed| self.part.of(now, SETUPS * allowed))
-    }
-
-    /// When some server may next be tried: its pause has lapsed and its budget is there.
-    fn next_chance(&self, now: Micros, ruling: &Ruling, repeats: Option<Group>) -> Micros {
-        let usual = self.usual_rates(now);
-        let chance = |s: &Server| {
-            let bound = Bound::of(&self.settings, now, usual, s.weight, s.started, s.strained);
-            let short = bound.map_or(0, |bound| bound.short(s.budget));
-            s.paused_until.unwrap_or(now).max(s.filled.saturating_add(short))
-        };
-        let within = |s: &&Server| repeats.is_none_or(|group| group.holds(s.spot));
-        let soonest = self.allowed(ruling).filter(within).map(chance).min();
-        let setups = self.setups.next(self.setups_per_s(now));
-        soonest.unwrap_or(now + SECOND).max(setups).clamp(now + SECOND / 20, now + SECOND)
-    }
-
-    // ---- pauses ----
-
-    /// What an outcome shows of the server.
-    fn judge(&mut self, now: Micros, at: ServerId, id: RequestId, outcome: Outcome, out: &mut Vec<Action>) {
-        match outcome {
-            Outcome::Full => self.pause(now, at, id, false, out),
-            // A reset of an established connection too: the server is lost, or sheds what it cannot carry.
-            Outcome::Error | Outcome::ConnectFailed | Outcome::TimedOut | Outcome::Reset => {
-                let unwell = matches!(outcome, Outcome::Error | Outcome::TimedOut);
-                self.quick = self.quick.filter(|_| !unwell);
-                self.failing += if unwell { (1.0 - self.failing) / 8.0 } else { 0.0 };
-                self.pause(now, at, id, true, out);
-            }
-            Outcome::Served => self.went_well(now, at, id, out),
-            // Shows nothing: a trial leaves the server half-open. A set-up that was not used is for others.
-            Outcome::Cancelled | Outcome::NotSent => {
-                self.setups.give_back(outcome == Outcome::NotSent);
-                self.server_mut(at).into_iter().for_each(|s| s.trial = s.trial.filter(|trial| *trial != id));
-            }
-        }
-    }
-
-    /// Pauses a server until the next second mark; after failures and failed trials, longer each time.
-    fn pause(&mut self, now: Micros, at: ServerId, by: RequestId, failed: bool, out: &mut Vec<Action>) {
-        let Some(s) = self.server_mut(at) else { return };
-        let trial = s.trial == Some(by);
-        if !trial && s.paused_until.is_some_and(|until| until > now) {
-            // Sent before the pause, or broken by the same blow: no news.
-            return;
-        }
-        let mut until = (now / SECOND + 1) * SECOND;
-        let quiet = s.strained.map_or(0, |since| (now - since) / FORGET);
-        s.strikes = s.strikes.saturating_sub(quiet.clamp(0, 64) as u32);
-        if failed || trial {
-            until += ((1 << s.strikes.min(MOST_DOUBLINGS)) - 1) * SECOND;
-            s.strikes += 1;
-            if s.strikes == 2 {
-                out.push(Action::Log { notice: Notice::PausedFailing, server: Some(at) });
-            }
-        }
-        (s.trial, s.accused) = (None, None);
-        s.strained = Some(now);
-        s.paused_until = s.paused_until.max(Some(until));
-        s.believe(now, at, out);
-    }
-
-    fn went_well(&mut self, now: Micros, at: ServerId, by: RequestId, out: &mut Vec<Action>) {
-        let Some(s) = self.server_mut(at).filter(|s| s.trial == Some(by)) else { return };
-        (s.trial, s.half_open) = (None, false);
-        if s.strikes > 1 {
-            out.push(Action::Log { notice: Notice::Recovered, server: Some(at) });
-        }
-        // Half is forgiven, not all: a server that fails most requests passes a trial now and then.
-        s.strikes /= 2;
-        s.believe(now, at, out);
-        self.release_held(now, out);
-    }
-
-    /// Messages at a server take long: work has piled up there, though it refuses nothing. A note comes
-    /// once a second while that lasts, so the pause reaches to the mark after the next note.
-    fn delayed(&mut self, now: Micros, at: ServerId, delay: Micros, out: &mut Vec<Action>) {
-        let shortest = self.settings.shortest_aim();
-        let chance = self.random();
-        let (jobs, settings) = (&self.jobs, &self.settings);
-        let Some(s) = self.servers.get_mut(at.0 as usize) else { return };
-        let falling = std::mem::replace(&mut s.delay, delay) / 5 * 4 > delay;
-        let Some(aim) = shortest.filter(|aim| delay > aim / 3) else { return };
-        s.slow = Some(now);
-        s.strained = Some(now);
-        s.paused_until = s.paused_until.max(Some(((now + SECOND) / SECOND + 1) * SECOND));
-        s.believe(now, at, out);
-        if delay < aim / 2 || falling {
-            return;
-        }
-        // Load lasts: what is there would earn nothing for minutes. Each node moves a part of its own
-        // connections, least worth for their load first. A pile that drains is left to (ie5ddb3).
-        let value = |id: &RequestId| jobs.get(id).map_or(0.0, |job| job.value(settings));
-        let mut stays = BTreeMap::new();
-        if let Some(rules) = &mut self.rules {
-            let stay = |id: &RequestId| Some((*id, rules.stay(now, &jobs.get(id)?.request, at)?));
-            stays.extend(s.open.iter().filter_map(stay));
-        }
-        let order = |a: &RequestId, b: &RequestId| {
-            stays.get(a).cmp(&stays.get(b)).then(value(a).total_cmp(&value(b)))
-        };
-        let part = (MOVED_PER_NOTE + delay as f64 / CLEAR_WITHIN).min(MOST_MOVED);
-        for _ in 0..(s.open.len() as f64 * part + chance) as usize {
-            let least = s.open.iter().enumerate().min_by(|a, b| order(a.1, b.1));
-            let may = least.filter(|(_, id)| stays.get(id) != Some(&Stay::UntilDrained));
-            let Some((index, _)) = may else { break };
-            out.push(Action::Move(s.open.swap_remove(index)));
-        }
-    }
-
-    /// Another node's word is evidence, no order: it brings a pause or a trial forward where it is confirmed.
-    fn heard(&mut self, now: Micros, from: u32, at: ServerId, word: Word, out: &mut Vec<Action>) {
-        let fresh = |at: Micros| now - at <= WORD;
-        let accused = self.servers.iter().filter(|s| s.accused.is_some_and(|until| until > now)).count();
-        let room = accused as f64 + 1.0 <= self.ready.len() as f64 * MOST_ACCUSED;
-        let mark = (now / SECOND + 1) * SECOND;
-        let Some(s) = self.server_mut(at).filter(|s| s.ready) else { return };
-        s.words.retain(|(node, _, said)| *node != from && fresh(*said));
-        s.words.push((from, word, now));
-        let agree = |word| s.words.iter().filter(|(_, said, _)| *said == word).count();
-        let (well, unwell) = (agree(Word::Well), agree(Word::Unwell));
-        let paused = s.paused_until.is_some_and(|until| until > now);
-        let strained = s.strained.is_some_and(fresh);
-        let agreed = unwell > well && unwell + usize::from(strained) >= AGREED;
-        match word {
-            // Once only: whoever repeats it, this node looks for itself before it believes it again.
-            Word::Unwell
-                if agreed && !paused && room && s.accused.is_none() && !s.well.is_some_and(fresh) =>
-            {
-                (s.paused_until, s.accused) = (Some(mark), Some(mark));
-            }
-            // Others serve there: the trial need not wait for a pause that grew with each failure.
-            Word::Well if paused && unwell == 0 && well >= AGREED => {
-                s.paused_until = s.paused_until.min(Some(mark));
-            }
-            _ => {}
-        }
-        s.believe(now, at, out);
-    }
-
     /// The servers that may take new connections, as far as the list and the rules tell.
     fn allowed<'a>(&'a self, ruling: &'a Ruling) -> impl Iterator<Item = &'a Server> {
         self.ready.iter().filter(|id| ruling.allows(**id)).filter_map(|id| self.server(*id))
--- a/crates/decision/tests/any_settings/judge.rs
+++ b/crates/decision/tests/any_settings/judge.rs
@@ -173,7 +173,7 @@
         match action {
             Action::Send { request, server, .. } => self.send(now, *request, *server),
             Action::Refuse { request, .. } => self.answer(now, *request, true),
-            Action::Fail(request) => self.answer(now, *request, false),
+            Action::Fail { request, .. } => self.answer(now, *request, false),
             _ => {}
         }
     }
--- a/crates/decision/tests/any_settings/mutants.rs
+++ b/crates/decision/tests/any_settings/mutants.rs
@@ -78,7 +78,7 @@
     pub fn actions(self, ends: bool, actions: Vec<Action>) -> Vec<Action> {
         let mut done = Vec::new();
         for action in actions {
-            let is_answer = matches!(action, Action::Refuse { .. } | Action::Fail(_));
+            let is_answer = matches!(action, Action::Refuse { .. } | Action::Fail { .. });
             match (self, action) {
                 (Mutant::SwallowsAnswers, _) if is_answer => {}
                 (Mutant::AnswersTwice, answer) if is_answer => done.extend([answer.clone(), answer]),
@@ -88,8 +88,8 @@
                 (Mutant::WritesAtAnyTime, Action::Send { request, server, timeout, .. }) => {
                     done.push(Action::Send { request, server, timeout, before: None });
                 }
-                (Mutant::RefusesWhatFailed, Action::Fail(request)) => {
-                    done.push(Action::Refuse { request, retry_after: 0 });
+                (Mutant::RefusesWhatFailed, Action::Fail { request, why }) => {
+                    done.push(Action::Refuse { request, retry_after: 0, why });
                 }
                 (_, action) => done.push(action),
             }
--- a/crates/decision/tests/any_settings/world.rs
+++ b/crates/decision/tests/any_settings/world.rs
@@ -402,7 +402,7 @@
                 self.seen.refused += 1;
                 self.clients.entry(request).and_modify(|client| client.over = true);
             }
-            Action::Fail(request) => {
+            Action::Fail { request, .. } => {
                 self.seen.failed += 1;
                 self.clients.entry(request).and_modify(|client| client.over = true);
             }
--- a/crates/decision/tests/cold_fleet.rs
+++ b/crates/decision/tests/cold_fleet.rs
@@ -362,7 +362,7 @@
                     }
                     self.push(now + 30 * MS, Due::Up { node, life, request, server, sent: now });
                 }
-                Action::Refuse { request, retry_after } => {
+                Action::Refuse { request, retry_after, .. } => {
                     self.holds[node] -= 1.0;
                     let (client, tries) = self.requests[request.0 as usize];
                     let wait = if tries < 3 { 100 * MS } else { S };
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -139,7 +139,7 @@
 }
 
 pub fn failed(actions: &[Action]) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Fail(_)))
+    actions.iter().any(|a| matches!(a, Action::Fail { .. }))
 }
 
 pub fn moves(actions: &[Action]) -> Vec<u64> {
--- a/crates/decision/tests/rulebook.rs
+++ b/crates/decision/tests/rulebook.rs
@@ -118,7 +118,14 @@
     assert!(!refused(&node.ask(2, 20 * S)));
     told.say(Ruling { refuse: Some(700 * MS), ..Ruling::default() });
     let answer = node.tell(Event::Ruled);
-    assert!(answer.contains(&Action::Refuse { request: RequestId(2), retry_after: 700 * MS }), "{answer:?}");
+    assert!(
+        answer.contains(&Action::Refuse {
+            request: RequestId(2),
+            retry_after: 700 * MS,
+            why: Unserved::Ruled
+        }),
+        "{answer:?}"
+    );
 }
 
 #[test]
@@ -127,10 +134,17 @@
     let (mut node, told) = under(settings(Effect::Unsafe), 3);
     told.say(doubt(500 * MS));
     let answer = node.ask(1, 20 * S);
-    assert_eq!(answer, [Action::Refuse { request: RequestId(1), retry_after: 500 * MS }]);
+    assert_eq!(
+        answer,
+        [Action::Refuse { request: RequestId(1), retry_after: 500 * MS, why: Unserved::Ruled }]
+    );
     told.say(doubt(60 * S));
     let answer = node.ask(2, 20 * S);
-    assert_eq!(answer, [Action::Refuse { request: RequestId(2), retry_after: 2 * S }], "what clients honour");
+    assert_eq!(
+        answer,
+        [Action::Refuse { request: RequestId(2), retry_after: 2 * S, why: Unserved::Ruled }],
+        "what clients honour"
+    );
     // One that may have run must not be called harmless to repeat.
     let (mut node, told) = under(settings(Effect::Keyed { scope: Scope::Zone, window: 10 * S }), 3);
     let at = node.place(3);
@@ -145,7 +159,14 @@
     let at = node.now + 400 * MS;
     told.say(Ruling { not_before: Some(at), ..Ruling::default() });
     let short = node.ask(1, 300 * MS);
-    assert!(short.contains(&Action::Refuse { request: RequestId(1), retry_after: 400 * MS }), "{short:?}");
+    assert!(
+        short.contains(&Action::Refuse {
+            request: RequestId(1),
+            retry_after: 400 * MS,
+            why: Unserved::NoServer
+        }),
+        "{short:?}"
+    );
     assert_eq!(sent(&node.ask(2, 2 * S)), None);
     assert_eq!(sent(&node.run_to(at - 1)), None);
     assert!(sent(&node.run_to(at + S)).is_some());
--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -158,7 +158,7 @@
                 }
                 entry.out = Some((server, node.now));
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse { request, retry_after, .. } => {
                 let entry = open.remove(&request.0).expect("one answer for a known request");
                 assert!(retry_after >= 0 && entry.out.is_none());
                 let ran = entry.may_have_run.is_some();
@@ -171,7 +171,7 @@
                 over.insert(request.0);
                 *answers += 1;
             }
-            Action::Fail(request) => {
+            Action::Fail { request, .. } => {
                 open.remove(&request.0).expect("one answer for a known request");
                 over.insert(request.0);
                 *answers += 1;
--- a/crates/decision/tests/size.rs
+++ b/crates/decision/tests/size.rs
@@ -1,12 +1,37 @@
-//! The module is printed and kept in the on-call folder: it stays short and narrow.
+//! The files that decide are printed and kept in the on-call folder: each stays short and narrow, and says first what it is for.
+
+use std::path::{Path, PathBuf};
+
+/// Lines that are not blank, in one file.
+const MOST_LINES: usize = 400;
+/// Characters of a line.
+const MOST_WIDTH: usize = 110;
+
+/// `policy.rs` and the files of its folder.
+fn files_that_decide() -> Vec<PathBuf> {
+    let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let folder = std::fs::read_dir(source.join("policy")).unwrap().map(|entry| entry.unwrap().path());
+    folder.chain([source.join("policy.rs")]).collect()
+}
 
 #[test]
-fn module_stays_printable() {
-    let text = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/src/policy.rs")).unwrap();
-    let lines = text.lines().filter(|l| !l.trim().is_empty()).count();
-    assert!(lines <= 650, "the module holds {lines} lines that are not blank, 650 at most");
-    for (i, line) in text.lines().enumerate() {
-        assert!(line.chars().count() <= 110, "line {} of the module is wider than 110", i + 1);
+fn each_file_that_decides_stays_printable() {
+    let files = files_that_decide();
+    assert!(files.len() > 1, "{files:?}");
+    for path in files {
+        let name = path.display();
+        let text = std::fs::read_to_string(&path).unwrap();
+        let lines = text.lines().filter(|line| !line.trim().is_empty()).count();
+        assert!(lines <= MOST_LINES, "{name} holds {lines} lines that are not blank, {MOST_LINES} at most");
+        for (i, line) in text.lines().enumerate() {
+            assert!(line.chars().count() <= MOST_WIDTH, "{name}, line {}: wider than {MOST_WIDTH}", i + 1);
+        }
+        assert!(text.starts_with("//! "), "{name} says first what it is for");
     }
-    assert!(text.lines().next().unwrap().contains("src/interface.rs"), "the interface is named first");
+}
+
+#[test]
+fn the_interface_is_named_first() {
+    let text = std::fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("src/policy.rs")).unwrap();
+    assert!(text.lines().next().unwrap().contains("src/interface.rs"));
 }
--- a/crates/decision/tests/tier.rs
+++ b/crates/decision/tests/tier.rs
@@ -97,7 +97,7 @@
                     let at = if up { self.busy } else { now + timeout };
                     self.push(at, Due::Ends { node, request, attempt, server: server.0, sent: now, up });
                 }
-                Action::Refuse { request, retry_after } => {
+                Action::Refuse { request, retry_after, .. } => {
                     self.holds[node] -= 1.0;
                     let (client, tries, _) = self.requests[request.0 as usize];
                     // Clients come again; after some tries they wait longer.
--- a/crates/kit/src/model/testing.rs
+++ b/crates/kit/src/model/testing.rs
@@ -95,6 +95,7 @@
             term_to_kill: 3700 * MS,
         },
         demands: Demands::default(),
+        wall_steps: Vec::new(),
     }
 }
 
--- a/crates/kit/src/plan.rs
+++ b/crates/kit/src/plan.rs
@@ -58,6 +58,17 @@
     pub rules: Rules,
     /// What the run must reach, beside keeping every rule.
     pub demands: Demands,
+    /// How the machine's wall clock is stepped, in order; the run's own clock never is.
+    pub wall_steps: Vec<WallStep>,
+}
+
+/// A step of the wall clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WallStep {
+    /// When.
+    pub at: Micros,
+    /// By how much, in microseconds; negative: back.
+    pub by: Micros,
 }
 
 impl Plan {
@@ -196,6 +207,13 @@
     }
 }
 
+impl Plan {
+    /// How far the wall clock is off at that time of the run, by all its steps so far.
+    pub fn wall_offset(&self, at: Micros) -> Micros {
+        self.wall_steps.iter().filter(|step| step.at <= at).map(|step| step.by).sum()
+    }
+}
+
 impl Session {
     /// Its load this long after it came.
     pub fn load_at(&self, since: Micros) -> f64 {
--- a/crates/kit/src/scenario/draw/mod.rs
+++ b/crates/kit/src/scenario/draw/mod.rs
@@ -77,6 +77,7 @@
             worst_window: body.demand.worst_window,
             datagram_bytes_per_s: body.demand.datagram_bytes_per_s,
         },
+        wall_steps: Vec::new(),
     }
 }
 
--- a/crates/kit/src/testing.rs
+++ b/crates/kit/src/testing.rs
@@ -68,6 +68,7 @@
             term_to_kill: 4 * S,
         },
         demands: Demands::default(),
+        wall_steps: Vec::new(),
     }
 }
 
--- a/crates/kit/tests/judge/stage.rs
+++ b/crates/kit/tests/judge/stage.rs
@@ -110,6 +110,7 @@
             term_to_kill: 3700 * MS,
         },
         demands: Demands::default(),
+        wall_steps: Vec::new(),
     }
 }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod envelope;
 mod fleet;
 mod gossip;
+mod guard;
 mod load_lines;
 mod message_delay;
 mod names;
@@ -19,6 +20,7 @@
 mod resolver_result;
 
 pub use driven::{Alarm, Driven, Embedder};
+pub use guard::{Checked, FinalAnswer, Guard, Violation, Violations};
 pub use load_lines::{LoadLines, Told};
 pub use message_delay::{EVERY, FleetUse, MessageDelays, Note};
 pub use names::WireNames;
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -553,7 +553,7 @@
                 let (request, server) = (request.0, server.0);
                 self.later(now + SETUP, Due::Up { request, attempt, server });
             }
-            Action::Refuse { request, .. } | Action::Fail(request) => {
+            Action::Refuse { request, .. } | Action::Fail { request, .. } => {
                 self.owed.remove(&request);
                 self.counts.refused += 1;
             }
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -392,10 +392,10 @@
                 let host = self.servers.name(server.0);
                 writeln!(to, "place\tnode-{node}\t{}\t{host}\t{timeout}", request.0)
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse { request, retry_after, .. } => {
                 writeln!(to, "say_no\tnode-{node}\t{}\t{retry_after}", request.0)
             }
-            Action::Fail(request) => writeln!(to, "report_failure\tnode-{node}\t{}", request.0),
+            Action::Fail { request, .. } => writeln!(to, "report_failure\tnode-{node}\t{}", request.0),
             Action::Move(request) => writeln!(to, "rebalance\tnode-{node}\t{}", request.0),
             Action::Watch => writeln!(to, "stream_changes\tnode-{node}\t1"),
             Action::Probe(server) => writeln!(to, "sample\tnode-{node}\t{}", self.servers.name(server.0)),
