--- a/crates/cottonnotch/src/maintenance/mod.rs
+++ b/crates/cottonnotch/src/maintenance/mod.rs
@@ -95,6 +95,18 @@
         changed
     }
 
+    /// Takes over another state's calls for these render nodes, with their times as `time` gives them; drops what that has no call
+    /// for. What is known already keeps its times.
+    pub fn follow(&mut self, other: &Maintenance, ids: &[String], time: impl Fn(Micros) -> Micros) {
+        self.marks.retain(|id, _| other.marks.contains_key(id));
+        for id in ids {
+            if let Some(mark) = other.marks.get(id) {
+                let mark = Mark { at: time(mark.at), out: mark.out, since: time(mark.since) };
+                self.marks.insert(id.clone(), mark);
+            }
+        }
+    }
+
     /// Forgets what has long ended.
     pub fn forget_old(&mut self, now: Micros) {
         self.marks.retain(|_, mark| mark.out || now - mark.at < REMEMBERED);
--- a/crates/cottonnotch/src/net/driver/management.rs
+++ b/crates/cottonnotch/src/net/driver/management.rs
@@ -87,7 +87,9 @@
         }
         let how = if out { "out" } else { "in use" };
         let done = Answer::yes(format!("{id} is {how}\n"));
-        let now = net.now();
+        // Of the wall clock: another process, or a later one, reads it.
+        net.observe_wall();
+        let now = net.wall.unix(net.now());
         let mut state = subchannels.by_hand().clone();
         let changed = if out { state.enter(now, id) } else { state.exit(now, id) };
         if !changed && state.is_out(id) != out {
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -32,7 +32,7 @@
 use audit::Audit;
 use clients::Clients;
 use cottonnotch_decision::{Action, Balancer, Event, Micros, Notice, ServerId};
-use cottonnotch_proxy::ResolverResult;
+use cottonnotch_proxy::{ResolverResult, WallClock};
 use cottonnotch_reactor::listener::Binding;
 use cottonnotch_reactor::seldom::Seldom;
 use cottonnotch_reactor::signals::{SIGHUP, SIGTERM, Signals};
@@ -83,7 +83,8 @@
         let names = recorder.is_on();
         let records = Records::new(recorder, &config.profile);
         let audit = Audit::new(config.profile.settings.clone());
-        let mut net = Net { reactor, config, records, audit, rules: None, held_elsewhere: 0, rpcs: 0 };
+        let wall = WallClock::new(reactor.io.now(), Clock::wall());
+        let mut net = Net { reactor, config, records, audit, wall, rules: None, held_elsewhere: 0, rpcs: 0 };
         let lifecycle = Lifecycle::new(&net, reread);
         let has_elder = lifecycle.has_elder(&mut net);
         if let Some(settings) = net.config.rules.clone() {
@@ -239,6 +240,7 @@
     }
 
     fn tick(&mut self) {
+        self.net.observe_wall();
         self.net.audit.look_for_overdue(self.net.now());
         // What is held may be allowed now, or forbidden.
         let ruled = self.net.rules.as_mut().and_then(Rulebook::tick);
--- a/crates/cottonnotch/src/net/driver/net.rs
+++ b/crates/cottonnotch/src/net/driver/net.rs
@@ -6,7 +6,8 @@
 use crate::net::happening::{Front, Io, Object};
 use crate::rules::Rulebook;
 use cottonnotch_decision::Micros;
-use cottonnotch_reactor::{Key, Reactor};
+use cottonnotch_proxy::WallClock;
+use cottonnotch_reactor::{Clock, Key, Reactor};
 
 /// The driver's timers: the module's tokens are below these.
 pub const TICK: u32 = 1 << 16;
@@ -20,6 +21,9 @@
 /// The driver's part in the log, whichever of its files writes the line: filters and collectors know it by this.
 pub const PART: &str = "cottonnotch::net::driver";
 
+/// Two looks at the loop's clock around one at the wall clock are no further apart than this, or the look is void.
+const LOOK_WITHIN: Micros = 10_000;
+
 /// The loop, the configuration and the records.
 pub struct Net {
     pub reactor: Reactor<dyn Object>,
@@ -27,6 +31,8 @@
     pub records: Records,
     /// Checks and counts what is done with each request.
     pub audit: Audit,
+    /// The machine's wall clock beside the loop's.
+    pub wall: WallClock,
     /// The rules, if there are any.
     pub rules: Option<Rulebook>,
     /// Descriptors that other processes of this proxy hold: the limit is for all of them.
@@ -41,6 +47,16 @@
         self.reactor.io.now()
     }
 
+    /// Looks at the wall clock. A look during which the process stood still says nothing, and is left to the next one.
+    pub fn observe_wall(&mut self) {
+        let before = self.now();
+        let unix = Clock::wall();
+        let now = self.now();
+        if now - before <= LOOK_WITHIN && self.wall.observe(now, unix) {
+            log::warn!(target: PART, unix; "the wall clock was stepped; times go on by the monotonic clock");
+        }
+    }
+
     /// Reports the timer after this time.
     pub fn timer_in(&mut self, after: Micros, timer: u32) {
         let now = self.now();
--- a/crates/cottonnotch/src/net/driver/peers.rs
+++ b/crates/cottonnotch/src/net/driver/peers.rs
@@ -53,8 +53,8 @@
         }
         let socket = bind(net, listen)?;
         let (seed, now) = (net.config.seed, net.now());
-        // The loop's clock is Unix time.
-        let member = cottonnotch_fleet::Member::new(settings, me, members as u32, seed, now, now);
+        let unix = net.wall.unix(now);
+        let member = cottonnotch_fleet::Member::new(settings, me, members as u32, seed, now, unix);
         log::info!(target: PART, peers = members, listen:%; "a view of the fleet with {} other proxies", members - 1);
         let peers = cottonnotch_proxy::Peers::fleet(member, roster(net));
         Ok(Some(Member::new(net, peers, socket)))
@@ -103,6 +103,7 @@
             servers: around.subchannels,
             settings: &net.config.profile.settings,
             rpcs: around.rpcs,
+            unix: net.wall.unix(net.now()),
         };
         self.peers.handle(net.now(), input, &mut local);
     }
--- a/crates/cottonnotch/src/net/driver/subchannels.rs
+++ b/crates/cottonnotch/src/net/driver/subchannels.rs
@@ -20,6 +20,8 @@
     /// As discovery lists it.
     state: Listed,
     address: Option<SocketAddr>,
+    /// When its process started, as discovery tells it in Unix time; and by the loop's clock, worked out when that was first told.
+    up_since: Option<Micros>,
     started: Option<Micros>,
     zone: ZoneId,
     /// Its hardware class, as discovery names it.
@@ -34,7 +36,8 @@
     fn new(name: Name) -> Self {
         let (state, belief, zone) = (Listed::Gone, Belief::default(), ZoneId::default());
         let flavor = Box::default();
-        Subchannel { name, state, address: None, started: None, zone, flavor, cell: 0, weight: 1.0, belief }
+        let (address, up_since, started) = (None, None, None);
+        Subchannel { name, state, address, up_since, started, zone, flavor, cell: 0, weight: 1.0, belief }
     }
 
     fn is_listed(&self) -> bool {
@@ -57,8 +60,10 @@
     known: Vec<Subchannel>,
     watch: Option<Key>,
     revision: u64,
-    /// What the operators have laid over the lists.
+    /// What the operators have laid over the lists, as it is kept: in Unix time.
     by_hand: Maintenance,
+    /// The same by the loop's clock, worked out when each call was first known.
+    laid_over: Maintenance,
     /// Discovery has been heard of; before, there is what the configuration remembers.
     is_confirmed: bool,
     losses: Seldom,
@@ -76,6 +81,9 @@
         copy: bool,
     ) -> Event {
         let ResolverResult { revision, complete: full, members } = result;
+        // Before times that were told are looked at: the wall clock may have been stepped since the last second.
+        net.observe_wall();
+        let now = net.now();
         if revision < self.revision {
             let last = self.revision;
             net.records.list_fell_back(full);
@@ -116,9 +124,12 @@
                 subchannel.flavor = member.flavor.into();
             }
             subchannel.address = member.address.or(subchannel.address);
-            let anew = std::mem::replace(&mut subchannel.started, member.started) != member.started;
+            let anew = std::mem::replace(&mut subchannel.up_since, member.up_since) != member.up_since;
+            if anew {
+                subchannel.started = member.up_since.map(|unix| net.wall.time_of(now, unix));
+            }
             messages.listed(ServerId(number), member.weight, anew);
-            entries.push(subchannel.entry(ServerId(number), &self.by_hand));
+            entries.push(subchannel.entry(ServerId(number), &self.laid_over));
         }
         self.record(net, full, &entries);
         self.rule(net, full, &entries);
@@ -170,12 +181,15 @@
     /// The operators have called for something else: these ids are concerned. An event, if any was ever listed.
     pub fn lay_over(
         &mut self,
-        net: &Net,
+        net: &mut Net,
         messages: &mut Messages,
         by_hand: Maintenance,
         ids: &[String],
     ) -> Option<Event> {
+        net.observe_wall();
+        let now = net.now();
         self.by_hand = by_hand;
+        self.laid_over.follow(&self.by_hand, ids, |unix| net.wall.time_of(now, unix));
         let mut entries = Vec::new();
         for id in ids {
             let is_out = self.by_hand.is_out(id);
@@ -186,7 +200,7 @@
             let server = ServerId(number);
             // What was seen of it before says nothing of the process that comes back.
             messages.listed(server, subchannel.weight, !is_out);
-            entries.push(subchannel.entry(server, &self.by_hand));
+            entries.push(subchannel.entry(server, &self.laid_over));
         }
         self.record(net, false, &entries);
         self.rule(net, false, &entries);
@@ -273,13 +287,13 @@
     /// It may get new RPCs, as far as the list and the operators tell.
     pub fn is_ready(&self, server: ServerId) -> bool {
         let subchannel = self.known.get(server.0 as usize);
-        subchannel.is_some_and(|s| s.entry(server, &self.by_hand).state == Listed::Ready)
+        subchannel.is_some_and(|s| s.entry(server, &self.laid_over).state == Listed::Ready)
     }
 
     /// The list, or the operators, say that it drains.
     pub fn is_draining(&self, server: ServerId) -> bool {
         let subchannel = self.known.get(server.0 as usize);
-        subchannel.is_some_and(|s| s.entry(server, &self.by_hand).state == Listed::Draining)
+        subchannel.is_some_and(|s| s.entry(server, &self.laid_over).state == Listed::Draining)
     }
 
     pub fn find(&self, name: &str) -> Option<ServerId> {
--- a/crates/cottonnotch/tests/homes.rs
+++ b/crates/cottonnotch/tests/homes.rs
@@ -284,9 +284,13 @@
     let epoch = (now / EPOCH) as u64;
     let on_duty: BTreeSet<usize> =
         (epoch..epoch + 2).map(|epoch| keepers(epoch, MEMBERS as u32)[0] as usize).collect();
-    let mut others = ALL.into_iter().filter(|member| !on_duty.contains(member));
+    let keeper = |epoch: &u64| keepers(*epoch, MEMBERS as u32)[0] as usize;
+    // The first turn of one that doesn't know them: its member is not among those that do.
+    let turn = (epoch + 2..).find(|epoch| !on_duty.contains(&keeper(epoch))).unwrap();
+    let taken = |member: &usize| on_duty.contains(member) || *member == keeper(&turn);
+    let mut others = ALL.into_iter().filter(|member| !taken(member));
     let with: Vec<usize> = on_duty.iter().copied().chain(others.by_ref().take(3 - on_duty.len())).collect();
-    let without: Vec<usize> = others.collect();
+    let without: Vec<usize> = others.chain([keeper(&turn)]).collect();
     let mut tier = Tier::new(&without);
     tier.wave(&ALL);
     tier.told(&with, NEEDED - 1);
@@ -305,7 +309,7 @@
         assert_eq!(tier.proxies[*proxy].figure("homes.most"), None);
     }
     assert!(with.iter().all(|proxy| tier.proxies[*proxy].figure("homes.told").unwrap() > 0));
-    // One of them at least was asked for homes as keeper, or will be: it says so once, however many come.
+    // One of them is asked for homes as keeper, in its turn: it says so once, however many come.
     let asked = || {
         let told = |proxy: &usize| {
             tier.proxies[*proxy]
@@ -315,6 +319,7 @@
         };
         without.iter().map(|proxy| told(proxy).count()).max().filter(|lines| *lines > 0)
     };
-    let lines = within(Duration::from_secs(70), "an older keeper's turn", asked);
+    let turn_ends = Duration::from_micros(((turn + 1) as i64 * EPOCH - now) as u64);
+    let lines = within(turn_ends + Duration::from_secs(10), "an older keeper's turn", asked);
     assert!(lines <= 8, "{lines} lines");
 }
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -211,6 +211,12 @@
         }
     }
 
+    /// What the wall clock shows now, in Unix time: it may have been stepped, and epochs follow it, as they do at all members whose
+    /// machines read the same clock. No other time does.
+    pub fn set_unix(&mut self, now: Micros, unix: Micros) {
+        self.unix = unix - now;
+    }
+
     /// The next thing to do, if any.
     pub fn poll(&mut self) -> Option<Output> {
         self.out.pop_front()
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -72,6 +72,7 @@
     pub fn handle(&mut self, now: Micros, input: Input<'_>, around: &mut Around<'_, '_>) {
         let Ok(()) = match input {
             Input::Second => {
+                self.member.set_unix(now, around.local.unix);
                 let sizes = self.sizes(now, around.local);
                 self.hand(now, cottonnotch_fleet::Input::Sizes(sizes), around)
             }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,6 +18,7 @@
 mod peer_loads;
 mod peers;
 mod resolver_result;
+mod wall_clock;
 
 pub use driven::{Alarm, Driven, Embedder};
 pub use guard::{Checked, FinalAnswer, Guard, Violation, Violations};
@@ -27,3 +28,4 @@
 pub use peer_loads::{PeerLoads, Standing};
 pub use peers::{Input, Local, Output, Peers, Roster, Servers};
 pub use resolver_result::{BadResult, Member, ResolverResult};
+pub use wall_clock::WallClock;
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -33,6 +33,8 @@
     pub settings: &'a Settings,
     /// Requests that are owed an answer or served.
     pub rpcs: usize,
+    /// What the wall clock shows, in Unix time.
+    pub unix: Micros,
 }
 
 /// Whose address is whose.
--- a/crates/proxy/src/resolver_result.rs
+++ b/crates/proxy/src/resolver_result.rs
@@ -23,8 +23,8 @@
     pub state: Listed,
     /// Its size beside others'.
     pub weight: f64,
-    /// When its process last started; `None`: long ago.
-    pub started: Option<Micros>,
+    /// When its process last started, in Unix time of its own machine; `None`: long ago.
+    pub up_since: Option<Micros>,
 }
 
 /// A list, or changes of it.
@@ -98,7 +98,7 @@
     let flavor = json.get_str("flavor").unwrap_or("").to_owned();
     let cell = json.get("cell").map_or(Some(0), |c| c.as_u32()).ok_or("cell")?;
     let weight = json.get("size").map_or(Some(1.0), |s| s.cast_f64()).ok_or("size")?;
-    let started = json.get("up_since_ms").map_or(Some(0), |u| u.as_u64()).ok_or("up_since_ms")?;
-    let started = (started != 0).then(|| Micros::try_from(started).ok()?.checked_mul(1000)).flatten();
-    Ok(Member { id: id.to_owned(), address, zone, flavor, cell, state, weight, started })
+    let up_since = json.get("up_since_ms").map_or(Some(0), |u| u.as_u64()).ok_or("up_since_ms")?;
+    let up_since = (up_since != 0).then(|| Micros::try_from(up_since).ok()?.checked_mul(1000)).flatten();
+    Ok(Member { id: id.to_owned(), address, zone, flavor, cell, state, weight, up_since })
 }
--- /dev/null
+++ b/crates/proxy/tests/wall_clock.rs
@@ -0,0 +1,86 @@
+//! Unix times told before, around and after steps of the wall clock.
+
+use cottonnotch_decision::Micros;
+use cottonnotch_proxy::WallClock;
+use proptest::prelude::*;
+
+const S: Micros = 1_000_000;
+const HOUR: Micros = 3600 * S;
+/// The process's own clock need not be near Unix time.
+const UNIX: Micros = 1_800_000_000 * S;
+
+/// A process that looked once a second, and whose wall clock was stepped half a second after a look.
+fn stepped(at: Micros, by: Micros, until: Micros) -> WallClock {
+    let mut clock = WallClock::new(0, UNIX);
+    for now in (0..=until).step_by(S as usize) {
+        clock.observe(now, UNIX + now + if now >= at { by } else { 0 });
+    }
+    clock
+}
+
+#[test]
+fn without_a_step_times_are_what_they_are() {
+    let clock = stepped(HOUR, 0, 10 * S);
+    for time in [-HOUR, -S, 0, 5 * S, 10 * S] {
+        assert_eq!(clock.time_of(10 * S, UNIX + time), time);
+    }
+    assert_eq!(clock.time_of(10 * S, UNIX + 10 * S + S / 10), 10 * S, "another machine is a little ahead");
+    assert_eq!(clock.time_of(10 * S, UNIX + HOUR), 10 * S, "a time to come counts as now");
+    assert_eq!(clock.unix(10 * S), UNIX + 10 * S);
+}
+
+#[test]
+fn a_slewed_clock_was_not_stepped() {
+    let mut clock = WallClock::new(0, UNIX);
+    for now in (0..100 * S).step_by(S as usize) {
+        assert!(!clock.observe(now, UNIX + now + now / 20));
+    }
+    assert!(clock.observe(100 * S, UNIX));
+}
+
+#[test]
+fn what_is_told_from_before_a_step_is_as_old_as_it_is() {
+    for by in [-HOUR, -7 * S, -2 * S, 2 * S, 7 * S, HOUR] {
+        let clock = stepped(20 * S - S / 2, by, 30 * S);
+        // Read on the old clock a second before the step, and told after it.
+        let time = clock.time_of(30 * S, UNIX + 18 * S);
+        assert!((18 * S..=30 * S).contains(&time), "step of {by}: {time}");
+    }
+    // An hour leaves no doubt which clock it was.
+    for by in [-HOUR, HOUR] {
+        assert_eq!(stepped(20 * S - S / 2, by, 30 * S).time_of(30 * S, UNIX + 18 * S), 18 * S);
+    }
+}
+
+#[test]
+fn after_many_steps_the_latest_ones_are_known() {
+    let mut clock = WallClock::new(0, UNIX);
+    for step in 0..100 {
+        clock.observe(step * S, UNIX + step * S + step % 2 * HOUR);
+    }
+    assert_eq!(clock.time_of(99 * S, UNIX + 99 * S + HOUR), 99 * S);
+    assert_eq!(clock.time_of(99 * S, UNIX + 98 * S), 98 * S);
+}
+
+proptest! {
+    /// Whatever the steps: what is told is never taken for older than it is, by more than a look and the tolerance.
+    #[test]
+    fn nothing_is_taken_for_older_than_it_is(
+        steps in proptest::collection::vec((0..60 * S, -HOUR..HOUR), 0..5),
+        told_at in 0..60 * S,
+        later in 0..20 * S,
+    ) {
+        let offset = |now: Micros| steps.iter().filter(|(at, _)| *at <= now).map(|(_, by)| by).sum::<Micros>();
+        let mut clock = WallClock::new(-1, UNIX - 1);
+        let now = told_at + later;
+        for look in (0..now).step_by(S as usize).chain([now]) {
+            clock.observe(look, UNIX + look + offset(look));
+        }
+        let time = clock.time_of(now, UNIX + told_at + offset(told_at));
+        // Two steps between two looks leave an offset that was never seen; small ones look like slewing.
+        let seen: Vec<Micros> = (0..now).step_by(S as usize).chain([now]).map(offset).collect();
+        prop_assume!(seen.iter().any(|seen| *seen == offset(told_at)));
+        prop_assert!(time >= told_at - S - 350_000, "{time} for {told_at}");
+        prop_assert!(time <= now);
+    }
+}
--- a/crates/reactor/src/clock.rs
+++ b/crates/reactor/src/clock.rs
@@ -13,10 +13,10 @@
 }
 
 impl Clock {
-    /// Unix time, taken once and then advanced by the monotonic clock: it never goes back.
+    /// Unix time, taken once and then advanced by the monotonic clock: it never goes back, and is no Unix time any more once the
+    /// wall clock was stepped.
     pub fn unix() -> Self {
-        let base = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros);
-        Clock { started: Instant::now(), base }
+        Clock { started: Instant::now(), base: Self::wall() }
     }
 
     /// Reads `base` at that moment: loops that are given the same share their time.
@@ -24,6 +24,11 @@
         Clock { started, base }
     }
 
+    /// What the machine's wall clock shows now, in Unix time. It may be stepped, either way.
+    pub fn wall() -> Micros {
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as Micros)
+    }
+
     /// The present time.
     pub fn now(&self) -> Micros {
         self.base + self.started.elapsed().as_micros() as Micros
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -481,6 +481,8 @@
             servers: &self.nodes,
             settings: &self.settings,
             rpcs: self.open.len() + self.owed.len(),
+            // This clock is Unix time, and is never stepped.
+            unix: now,
         };
         peers.handle(now, input, &mut local);
         while let Some(output) = peers.poll() {
--- a/crates/scale/src/nodes.rs
+++ b/crates/scale/src/nodes.rs
@@ -22,17 +22,17 @@
             let number = self.names.intern(&member.id);
             let is_new = self.started.len() <= number as usize;
             if is_new {
-                self.started.push(member.started);
+                self.started.push(member.up_since);
             }
-            let before = std::mem::replace(&mut self.started[number as usize], member.started);
-            delays.listed(ServerId(number), member.weight, !is_new && before != member.started);
+            let before = std::mem::replace(&mut self.started[number as usize], member.up_since);
+            delays.listed(ServerId(number), member.weight, !is_new && before != member.up_since);
             entries.push(Entry {
                 server: ServerId(number),
                 digest: digest(&member.id),
                 state: member.state,
                 zone: ZoneId(self.zones.intern(&member.zone) as u16),
                 cell: member.cell,
-                started: member.started,
+                started: member.up_since,
                 weight: member.weight,
             });
         }
