Files that fail for a while lose no operator's call and end no process

Cause: Kept::look noted a file as seen before reading it, so one EIO hid it for good, and the next call of that process wrote its own state over it; a merged state was written once; nothing was synced. Replacement::begin failed for good on a full folder, so the process listened alone and found the address taken; a folder that could not be read counted as nobody there. Change: what can't be read is looked at again, an operator's call reads what is kept before it writes and is refused where that fails, what can't be written is written later, bytes are synced before their name and the folder after it. A process shows itself as soon as it can, sees the others meanwhile, takes an earlier one to be there until it can tell, and listens shared wherever others may be.

--- a/crates/cottonnotch/src/net/driver/lifecycle.rs
+++ b/crates/cottonnotch/src/net/driver/lifecycle.rs
@@ -9,6 +9,8 @@
 use crate::config::{BadConfig, Config};
 use cottonnotch_decision::settings::Profile;
 use cottonnotch_decision::{Event, Micros, RequestId};
+use cottonnotch_reactor::seldom::Seldom;
+use std::io;
 use std::net::SocketAddr;
 
 /// Gets the whole configuration anew, from both files.
@@ -43,6 +45,9 @@
     shutdown: Option<Shutdown>,
     /// This process among others of its proxy, where they can meet.
     replacement: Option<Replacement>,
+    /// An earlier process serves still, as far as that could be told; until it could, one is taken to.
+    has_elder: bool,
+    hidden: Seldom,
     began: Micros,
 }
 
@@ -51,14 +56,19 @@
     pub fn new(net: &Net, reread: Reread) -> Self {
         let began = net.now();
         let place = net.config.mgmt.and_then(|_| shared_file(net.config.listen, "process"));
-        let replacement = place.and_then(|place| match Replacement::begin(place, began) {
-            Ok(replacement) => Some(replacement),
-            Err(error) => {
-                log::warn!(target: PART, error:%; "this process cannot show itself to another one that replaces it: {error}");
-                None
-            }
-        });
-        Lifecycle { address: net.config.listen, reread, shutdown: None, replacement, began }
+        let replacement = place.map(|place| Replacement::new(place, began));
+        let (shutdown, hidden) = (None, Seldom::default());
+        let mut lifecycle = Lifecycle {
+            address: net.config.listen,
+            reread,
+            shutdown,
+            replacement,
+            has_elder: true,
+            hidden,
+            began,
+        };
+        lifecycle.show(began);
+        lifecycle
     }
 
     /// Clients may connect there.
@@ -66,15 +76,38 @@
         self.address = address;
     }
 
-    /// Another process can find this one.
+    /// Shows this process to the others, if it isn't yet: the folder may be full for a while.
+    fn show(&mut self, now: Micros) {
+        if let Some(Err(error)) = self.replacement.as_mut().map(Replacement::show) {
+            self.say_hidden(now, &error);
+        }
+    }
+
+    fn say_hidden(&mut self, now: Micros, error: &io::Error) {
+        if let Some(left_out) = self.hidden.due(now) {
+            log::warn!(
+                target: PART, error:%, left_out;
+                "this process cannot show itself to others of its proxy, or not see them, and tries on: {error}"
+            );
+        }
+    }
+
+    /// Another process may find this one, now or once it can be shown.
     pub fn may_be_replaced(&self) -> bool {
         self.replacement.is_some()
     }
 
     /// Looks for other processes of this proxy, and tells them of this one; true if an earlier one serves still.
-    pub fn has_elder(&self, net: &mut Net) -> bool {
+    pub fn has_elder(&mut self, net: &mut Net) -> bool {
+        self.show(net.now());
         let Some(replacement) = &self.replacement else { return false };
-        let others = replacement.others();
+        let others = match replacement.others() {
+            Ok(others) => others,
+            Err(error) => {
+                self.say_hidden(net.now(), &error);
+                return self.has_elder;
+            }
+        };
         net.held_elsewhere = others.iter().map(|other| other.held).sum();
         if !others.is_empty() {
             // An RPC holds two, its own object's and the subchannel's; what is beyond objects is some ten.
@@ -82,13 +115,14 @@
             // What can't be told leaves the other with what it heard before.
             let _ = replacement.tell_held(held);
         }
-        others.iter().any(|other| replacement.is_elder(other))
+        self.has_elder = others.iter().any(|other| replacement.is_elder(other));
+        self.has_elder
     }
 
-    /// Clients that an earlier process serves are to be taken over: the list is discovery's own, or discovery has had
-    /// its time.
-    pub fn is_settled(&self, now: Micros, is_confirmed: bool) -> bool {
-        is_confirmed || now - self.began >= SETTLED_AFTER
+    /// Clients that an earlier process serves are to be taken over: the list is discovery's own and calls by hand are known, or
+    /// both have had their time.
+    pub fn is_settled(&self, now: Micros, is_informed: bool) -> bool {
+        is_informed || now - self.began >= SETTLED_AFTER
     }
 
     /// This process serves: an earlier one may leave.
--- a/crates/cottonnotch/src/net/driver/maintenance.rs
+++ b/crates/cottonnotch/src/net/driver/maintenance.rs
@@ -28,13 +28,25 @@
 #[derive(Debug, Default)]
 pub struct Kept {
     path: Option<PathBuf>,
+    /// What was read, or written, last.
     seen: Option<Stamp>,
+    /// It was looked at, and read if it was there.
+    is_known: bool,
+    /// What is there now is less than this process knows, and could not be written yet.
+    is_behind: bool,
+    /// The file is there, and its folder could not be synced yet.
+    is_unsynced: bool,
 }
 
 impl Kept {
     /// Calls are kept in this file; in none, they end with the process.
     pub fn at(path: Option<PathBuf>) -> Self {
-        Kept { path, seen: None }
+        Kept { path, ..Kept::default() }
+    }
+
+    /// What is kept was read, or there is nothing.
+    pub fn is_known(&self) -> bool {
+        self.path.is_none() || self.is_known
     }
 
     /// There is a file to look at.
@@ -42,7 +54,13 @@
         self.path.is_some()
     }
 
-    /// What another process has written since the last look or writing, if anything.
+    /// What is kept is less than what this process knows: it is to be saved again.
+    pub fn is_behind(&self) -> bool {
+        self.is_behind
+    }
+
+    /// What another process has written since the last look or writing, if anything. What can't be read now is looked at again; what
+    /// is no sound state is told once.
     pub fn look(&mut self) -> Option<Result<Maintenance, NoSave>> {
         let path = self.path.as_deref()?;
         let stamp = match stamp(path) {
@@ -51,30 +69,57 @@
             Err(error) => return Some(Err(error.into())),
         };
         if stamp == self.seen {
+            self.is_known = true;
             return None;
         }
-        self.seen = stamp;
-        stamp.map(|_| read(path))
+        let found = stamp.map(|_| read(path));
+        if !matches!(found, Some(Err(NoSave::Io(_)))) {
+            (self.seen, self.is_known) = (stamp, true);
+        }
+        found
+    }
+
+    /// What could not be saved is to be saved as soon as it can be.
+    pub fn fell_behind(&mut self) {
+        self.is_behind = true;
     }
 
-    /// Writes the state in place of what is there, all of it or nothing.
+    /// Syncs the folder, if that failed before: until then a new name may be lost with the machine, not with the process.
+    pub fn sync_folder(&mut self) -> io::Result<()> {
+        let folder = self.path.as_deref().and_then(Path::parent).filter(|_| self.is_unsynced);
+        if let Some(folder) = folder {
+            File::open(folder)?.sync_all()?;
+        }
+        self.is_unsynced = false;
+        Ok(())
+    }
+
+    /// Writes the state in place of what is there, all of it or nothing: it is on the disk when this returns well.
     pub fn save(&mut self, state: &Maintenance) -> io::Result<()> {
         let Some(path) = self.path.as_deref() else { return Ok(()) };
         // A name that no other process writes to, so that what is renamed is whole.
         let new = path.with_extension(format!("{}.new", std::process::id()));
-        let written = File::create(&new)
-            .and_then(|mut file| file.write_all(encode(state).as_bytes()))
-            .and_then(|()| fs::rename(&new, path));
+        let written = write_whole(&new, encode(state).as_bytes()).and_then(|()| fs::rename(&new, path));
         if let Err(error) = written {
             // What was begun is no use to anybody.
             let _ = fs::remove_file(&new);
             return Err(error);
         }
         self.seen = stamp(path).ok();
+        (self.is_behind, self.is_unsynced) = (false, true);
+        // The name stands, and a later look tries again.
+        let _ = self.sync_folder();
         Ok(())
     }
 }
 
+/// A name must never stand for bytes that aren't on the disk yet.
+fn write_whole(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    let mut file = File::create(path)?;
+    file.write_all(bytes)?;
+    file.sync_all()
+}
+
 fn stamp(path: &Path) -> io::Result<Stamp> {
     let metadata = fs::symlink_metadata(path)?;
     #[cfg(unix)]
--- a/crates/cottonnotch/src/net/driver/management.rs
+++ b/crates/cottonnotch/src/net/driver/management.rs
@@ -1,13 +1,15 @@
 //! The operators' address as the driver has it: who is let in, whether this process is ready, and what is called for by
 //! hand.
 
-use super::maintenance::{Kept, LOOK_EVERY};
+use super::maintenance::{Kept, LOOK_EVERY, NoSave};
 use super::messages::Messages;
 use super::net::{CALLERS, LOOK, Net, PART};
 use super::subchannels::Subchannels;
+use crate::maintenance::Maintenance;
 use crate::net::management::{Answer, Desk};
-use cottonnotch_decision::Event;
+use cottonnotch_decision::{Event, Micros};
 use cottonnotch_reactor::Key;
+use cottonnotch_reactor::seldom::Seldom;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -19,6 +21,8 @@
 pub struct Management {
     desk: Option<Desk>,
     kept: Kept,
+    unread: Seldom,
+    unwritten: Seldom,
 }
 
 /// Where a proxy's processes share something: named by the address that they share, so that proxies on one machine don't
@@ -33,7 +37,7 @@
     /// Opens the operators' address, if one is configured. Fails if it can't be had.
     pub fn start(net: &mut Net) -> io::Result<Self> {
         let Some(address) = net.config.mgmt else {
-            return Ok(Management { desk: None, kept: Kept::default() });
+            return Ok(Management::at(None, Kept::default()));
         };
         let desk = Desk::open(&mut net.reactor, address, CALLERS)?;
         // No key-values: scripts take the last word as the address.
@@ -42,7 +46,11 @@
         if !kept.is_kept() {
             log::warn!(target: PART, "maintenance by hand ends with this process: {FOLDER} names no folder, or listen no port");
         }
-        Ok(Management { desk: Some(desk), kept })
+        Ok(Management::at(Some(desk), kept))
+    }
+
+    fn at(desk: Option<Desk>, kept: Kept) -> Self {
+        Management { desk, kept, unread: Seldom::default(), unwritten: Seldom::default() }
     }
 
     /// Looks for what another process of this proxy was told, and sets the timer of the next look. An event, if that
@@ -55,22 +63,46 @@
     ) -> Option<Event> {
         self.desk.as_ref()?;
         net.timer_in(LOOK_EVERY, LOOK);
-        let theirs = match self.kept.look()? {
-            Ok(theirs) => theirs,
+        match self.take_over(net, messages, subchannels) {
+            Ok(event) => event,
             Err(error) => {
-                log::error!(target: PART, error:%; "kept maintenance cannot be taken over: {error}");
-                return None;
+                if let Some(left_out) = self.unread.due(net.now()) {
+                    log::error!(target: PART, error:%, left_out; "kept maintenance cannot be taken over: {error}");
+                }
+                None
             }
-        };
+        }
+    }
+
+    /// Takes over what is kept, if that is news, and writes what is missing there. Fails if it can't be read, now or ever.
+    fn take_over(
+        &mut self,
+        net: &mut Net,
+        messages: &mut Messages,
+        subchannels: &mut Subchannels,
+    ) -> Result<Option<Event>, NoSave> {
+        let theirs = self.kept.look().transpose()?;
         let mut merged = subchannels.by_hand().clone();
-        let changed = merged.merge(&theirs);
-        // Guards against two that write at once: who finds something missing writes it again.
-        if merged != theirs
-            && let Err(error) = self.kept.save(&merged)
-        {
-            log::error!(target: PART, error:%; "maintenance by hand cannot be kept: {error}");
+        let changed = theirs.as_ref().map_or_else(Vec::new, |theirs| merged.merge(theirs));
+        // Guards against two that write at once: who finds something missing writes it again, until it is there.
+        if theirs.is_some_and(|theirs| merged != theirs) || self.kept.is_behind() {
+            self.save(net.now(), &merged);
+        }
+        if self.kept.sync_folder().is_err() {
+            log::debug!(target: PART, "the folder of kept maintenance cannot be synced yet");
+        }
+        if changed.is_empty() {
+            return Ok(None);
+        }
+        Ok(subchannels.lay_over(net, messages, merged, &changed))
+    }
+
+    fn save(&mut self, now: Micros, state: &Maintenance) {
+        let Err(error) = self.kept.save(state) else { return };
+        self.kept.fell_behind();
+        if let Some(left_out) = self.unwritten.due(now) {
+            log::error!(target: PART, error:%, left_out; "maintenance by hand cannot be kept yet: {error}");
         }
-        if changed.is_empty() { None } else { subchannels.lay_over(net, messages, merged, &changed) }
     }
 
     /// An operator takes a render node out, or puts it back: the answer, and an event if that changes anything.
@@ -81,6 +113,30 @@
         subchannels: &mut Subchannels,
         id: &str,
         out: bool,
+    ) -> (Answer, Vec<Event>) {
+        // What is kept first: what this process writes takes the place of what is there, which it must know.
+        let taken_over = match self.take_over(net, messages, subchannels) {
+            Err(NoSave::Io(error)) => {
+                let words = format!("nothing was done, earlier calls cannot be read: {error}\n");
+                return (Answer::failed(words), Vec::new());
+            }
+            Err(NoSave::Bad(error)) => {
+                log::error!(target: PART, error:%; "kept maintenance cannot be taken over: {error}");
+                None
+            }
+            Ok(event) => event,
+        };
+        let (answer, event) = self.call(net, messages, subchannels, id, out);
+        (answer, taken_over.into_iter().chain(event).collect())
+    }
+
+    fn call(
+        &mut self,
+        net: &mut Net,
+        messages: &mut Messages,
+        subchannels: &mut Subchannels,
+        id: &str,
+        out: bool,
     ) -> (Answer, Option<Event>) {
         if !subchannels.is_known(id) {
             return (Answer::unknown("no render node of that id is listed\n"), None);
@@ -107,6 +163,11 @@
         (done, subchannels.lay_over(net, messages, state, &[id.to_owned()]))
     }
 
+    /// What earlier processes were told by hand is known here, as far as it is kept.
+    pub fn is_informed(&self) -> bool {
+        self.desk.is_none() || self.kept.is_known()
+    }
+
     /// Operators wait to be let in.
     pub fn acceptable(&mut self, net: &mut Net) {
         self.desk.iter_mut().for_each(|desk| desk.acceptable(&mut net.reactor));
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -65,6 +65,8 @@
     peers: Peers,
     management: Management,
     holding: Seldom,
+    /// Said when it can't listen beside an earlier process.
+    shut_out: Seldom,
 }
 
 impl Driver {
@@ -85,7 +87,7 @@
         let audit = Audit::new(config.profile.settings.clone());
         let wall = WallClock::new(reactor.io.now(), Clock::wall());
         let mut net = Net { reactor, config, records, audit, wall, rules: None, held_elsewhere: 0, rpcs: 0 };
-        let lifecycle = Lifecycle::new(&net, reread);
+        let mut lifecycle = Lifecycle::new(&net, reread);
         let has_elder = lifecycle.has_elder(&mut net);
         if let Some(settings) = net.config.rules.clone() {
             let (profile, seed) = (&net.config.profile, net.config.seed);
@@ -105,6 +107,7 @@
             subchannels: Subchannels::default(),
             lifecycle,
             holding: Seldom::default(),
+            shut_out: Seldom::default(),
         };
         // Before the first list: nothing must go to what is out.
         driver.look_for_calls();
@@ -304,8 +307,8 @@
     /// The answer is given once the call is in force: what is held or is to be tried again has gone elsewhere.
     fn by_hand(&mut self, id: &str, out: bool) -> Answer {
         let (net, messages, subchannels) = (&mut self.net, &mut self.messages, &mut self.subchannels);
-        let (answer, event) = self.management.by_hand(net, messages, subchannels, id, out);
-        self.tell(event);
+        let (answer, events) = self.management.by_hand(net, messages, subchannels, id, out);
+        self.tell_all(events);
         self.clients.call_off_unwritten(&mut self.net, &self.subchannels);
         answer
     }
@@ -327,9 +330,11 @@
             self.hand_over();
         } else if !self.arrivals.is_open() && (!has_elder || self.is_settled()) {
             // It is tried again at the next look; the earlier process goes on.
-            if let Err(error) = self.open() {
+            if let Err(error) = self.open()
+                && let Some(left_out) = self.shut_out.due(self.net.now())
+            {
                 let address = self.net.config.listen;
-                log::error!(address:%, error:%; "cannot listen beside the earlier process: {error}");
+                log::error!(address:%, error:%, left_out; "cannot listen beside the earlier process: {error}");
             }
         }
     }
@@ -355,8 +360,8 @@
     }
 
     fn is_settled(&self) -> bool {
-        let (now, confirmed) = (self.net.now(), self.subchannels.is_confirmed());
-        self.subchannels.can_place() && self.lifecycle.is_settled(now, confirmed)
+        let is_informed = self.subchannels.is_confirmed() && self.management.is_informed();
+        self.subchannels.can_place() && self.lifecycle.is_settled(self.net.now(), is_informed)
     }
 
     /// Why this process is not ready to serve, if it isn't.
--- a/crates/cottonnotch/src/net/driver/replacement.rs
+++ b/crates/cottonnotch/src/net/driver/replacement.rs
@@ -37,6 +37,13 @@
     pub held: usize,
 }
 
+/// This process's own file.
+#[derive(Debug)]
+struct Shown {
+    file: File,
+    path: PathBuf,
+}
+
 /// This process among those of its proxy.
 #[derive(Debug)]
 pub struct Replacement {
@@ -44,36 +51,51 @@
     prefix: PathBuf,
     born: Micros,
     began: Micros,
-    file: File,
-    path: PathBuf,
+    is_ready: bool,
+    /// `None`: the file could not be written yet.
+    shown: Option<Shown>,
 }
 
 impl Replacement {
-    /// Shows this process, as one that starts. Fails where the folder can't be written to.
-    pub fn begin(prefix: PathBuf, born: Micros) -> io::Result<Self> {
-        let hidden = prefix.with_extension(format!("{}-{born}.new", std::process::id()));
-        let path = named(&prefix, born, STARTING);
-        let file = File::create(&hidden)?;
-        let began = monotonic();
-        let text = format!("{:0HELD_WIDTH$}{began:0BEGAN_WIDTH$}", 0);
-        // Locked and whole before it can be seen by its name: it would be taken for a dead process's.
-        let locked = file.try_lock().map_err(io::Error::from);
-        let written = locked.and_then(|()| file.write_all_at(text.as_bytes(), 0));
-        let shown = written.and_then(|()| fs::rename(&hidden, &path));
-        if let Err(error) = shown {
+    /// A process that starts; the others don't see it before [`Self::show`].
+    pub fn new(prefix: PathBuf, born: Micros) -> Self {
+        Replacement { prefix, born, began: monotonic(), is_ready: false, shown: None }
+    }
+
+    /// Shows this process, if it isn't shown yet. Fails where the folder can't be written to; it may be tried again.
+    pub fn show(&mut self) -> io::Result<()> {
+        if self.shown.is_some() {
+            return Ok(());
+        }
+        let hidden = self.prefix.with_extension(format!("{}-{}.new", std::process::id(), self.born));
+        let path = named(&self.prefix, self.born, if self.is_ready { READY } else { STARTING });
+        let shown = self.write(&hidden, &path);
+        if shown.is_err() {
             // What was begun is no use to anybody.
             let _ = fs::remove_file(&hidden);
-            return Err(error);
         }
-        Ok(Replacement { prefix, born, began, file, path })
+        self.shown = Some(Shown { file: shown?, path });
+        Ok(())
+    }
+
+    fn write(&self, hidden: &Path, path: &Path) -> io::Result<File> {
+        let file = File::create(hidden)?;
+        let text = format!("{:0HELD_WIDTH$}{:0BEGAN_WIDTH$}", 0, self.began);
+        // Locked and whole before it can be seen by its name: it would be taken for a dead process's.
+        file.try_lock()?;
+        file.write_all_at(text.as_bytes(), 0)?;
+        fs::rename(hidden, path)?;
+        Ok(file)
     }
 
-    /// Shows that this process serves clients.
+    /// Shows that this process serves clients. Fails as [`Self::show`], and is to be said again then.
     pub fn say_ready(&mut self) -> io::Result<()> {
+        self.is_ready = true;
+        self.show()?;
         let ready = named(&self.prefix, self.born, READY);
-        if self.path != ready {
-            fs::rename(&self.path, &ready)?;
-            self.path = ready;
+        if let Some(shown) = self.shown.as_mut().filter(|shown| shown.path != ready) {
+            fs::rename(&shown.path, &ready)?;
+            shown.path = ready;
         }
         Ok(())
     }
@@ -81,47 +103,59 @@
     /// Tells the others how many descriptors this process holds.
     pub fn tell_held(&self, held: usize) -> io::Result<()> {
         let text = format!("{:0HELD_WIDTH$}", held.min(99_999_999));
-        self.file.write_all_at(text.as_bytes(), 0)
+        self.shown.as_ref().map_or(Ok(()), |shown| shown.file.write_all_at(text.as_bytes(), 0))
     }
 
-    /// The others that live. Files of those that have ended are removed. What can't be read shows nobody.
-    pub fn others(&self) -> Vec<Other> {
+    /// The others that live. Files of those that have ended are removed. Fails where that can't be told now: somebody may live.
+    pub fn others(&self) -> io::Result<Vec<Other>> {
         let folder = self.prefix.parent().unwrap_or(Path::new("."));
-        let Ok(entries) = fs::read_dir(folder) else { return Vec::new() };
-        let paths = entries.filter_map(|entry| Some(entry.ok()?.path()));
-        paths.filter(|path| *path != self.path).filter_map(|path| self.other(&path)).collect()
+        let own = self.shown.as_ref().map(|shown| shown.path.as_path());
+        let mut others = Vec::new();
+        for entry in fs::read_dir(folder)? {
+            let path = entry?.path();
+            if Some(path.as_path()) != own {
+                others.extend(self.other(&path)?);
+            }
+        }
+        Ok(others)
     }
 
-    fn other(&self, path: &Path) -> Option<Other> {
-        let prefix = self.prefix.file_name()?.to_str()?;
-        let name = path.file_name()?.to_str()?.strip_prefix(prefix)?.strip_prefix('-')?;
-        let (born, word) = name.split_once('.')?;
-        let is_ready = match word {
-            READY => true,
-            STARTING => false,
-            _ => return None,
-        };
-        let born = born.parse().ok()?;
+    fn other(&self, path: &Path) -> io::Result<Option<Other>> {
+        let Some((born, is_ready)) = self.name_of(path) else { return Ok(None) };
         // Guards against what is no plain file: a pipe of that name would hold up the loop.
-        if !fs::symlink_metadata(path).ok()?.is_file() {
-            return None;
+        let Some(metadata) = unless_gone(fs::symlink_metadata(path))? else { return Ok(None) };
+        if !metadata.is_file() {
+            return Ok(None);
         }
-        let file = File::open(path).ok()?;
+        let Some(file) = unless_gone(File::open(path))? else { return Ok(None) };
         match file.try_lock_shared() {
             Err(TryLockError::WouldBlock) => {}
-            Err(TryLockError::Error(_)) => return None,
+            Err(TryLockError::Error(error)) => return Err(error),
             Ok(()) => {
                 // Its process has ended. If it can't be removed, it is found dead again.
                 let _ = fs::remove_file(path);
-                return None;
+                return Ok(None);
             }
         }
         let mut bytes = [0; HELD_WIDTH + BEGAN_WIDTH];
-        let read = file.read_at(&mut bytes, 0).ok()?;
+        let read = file.read_at(&mut bytes, 0)?;
         let text = std::str::from_utf8(&bytes[..read]).unwrap_or_default();
         let (held, began) = text.split_at_checked(HELD_WIDTH).unwrap_or((text, ""));
         let (held, began) = (held.parse().unwrap_or(0), began.parse().ok());
-        Some(Other { born, began, is_ready, held })
+        Ok(Some(Other { born, began, is_ready, held }))
+    }
+
+    /// What a file's name says, if it is one of this proxy's: when its process began, and whether it is ready.
+    fn name_of(&self, path: &Path) -> Option<(Micros, bool)> {
+        let prefix = self.prefix.file_name()?.to_str()?;
+        let name = path.file_name()?.to_str()?.strip_prefix(prefix)?.strip_prefix('-')?;
+        let (born, word) = name.split_once('.')?;
+        let is_ready = match word {
+            READY => true,
+            STARTING => false,
+            _ => return None,
+        };
+        Some((born.parse().ok()?, is_ready))
     }
 
     /// One that began before this one.
@@ -132,16 +166,26 @@
         }
     }
 
-    /// A process that began later serves clients.
+    /// A process that began later serves clients, as far as that can be told now.
     pub fn has_successor(&self) -> bool {
-        self.others().iter().any(|other| !self.is_elder(other) && other.is_ready)
+        let others = self.others().unwrap_or_default();
+        others.iter().any(|other| !self.is_elder(other) && other.is_ready)
+    }
+}
+
+/// A file that has gone meanwhile is none.
+fn unless_gone<T>(found: io::Result<T>) -> io::Result<Option<T>> {
+    match found {
+        Ok(found) => Ok(Some(found)),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(error) => Err(error),
     }
 }
 
 impl Drop for Replacement {
     fn drop(&mut self) {
         // The lock ends with the process in any case; this only tidies up.
-        let _ = fs::remove_file(&self.path);
+        let _ = self.shown.as_ref().map(|shown| fs::remove_file(&shown.path));
     }
 }
 
@@ -155,17 +199,24 @@
 mod tests {
     use super::*;
 
+    /// A process that has shown itself.
+    fn begun(prefix: &Path, born: Micros) -> Replacement {
+        let mut replacement = Replacement::new(prefix.to_owned(), born);
+        replacement.show().unwrap();
+        replacement
+    }
+
     #[test]
     fn a_successor_counts_once_it_is_ready_and_for_as_long_as_it_lives() {
         let folder = tempfile::tempdir().unwrap();
         let prefix = folder.path().join("cottonnotch-a_1.process");
-        let mut old = Replacement::begin(prefix.clone(), 10).unwrap();
+        let mut old = begun(&prefix, 10);
         old.say_ready().unwrap();
-        assert!(old.others().is_empty() && !old.has_successor());
-        let mut new = Replacement::begin(prefix.clone(), 20).unwrap();
+        assert!(old.others().unwrap().is_empty() && !old.has_successor());
+        let mut new = begun(&prefix, 20);
         assert!(!old.has_successor(), "it only starts");
         old.tell_held(73).unwrap();
-        let seen = new.others();
+        let seen = new.others().unwrap();
         let [elder] = &seen[..] else { panic!("{seen:?}") };
         assert_eq!((elder.born, elder.is_ready, elder.held), (10, true, 73));
         assert!(new.is_elder(elder));
@@ -181,29 +232,43 @@
     fn who_is_older_is_no_matter_of_the_wall_clock_unless_the_other_says_no_more() {
         let folder = tempfile::tempdir().unwrap();
         let prefix = folder.path().join("cottonnotch-a_1.process");
-        let first = Replacement::begin(prefix.clone(), 20).unwrap();
+        let first = begun(&prefix, 20);
         // The wall clock went back.
-        let mut second = Replacement::begin(prefix.clone(), 10).unwrap();
+        let mut second = begun(&prefix, 10);
         second.say_ready().unwrap();
         assert!(first.has_successor() && !second.has_successor());
         assert!(second.is_elder(&first.others_seen_by(&second)));
         // An older build's file has its descriptors alone.
-        second.file.set_len(HELD_WIDTH as u64).unwrap();
+        second.shown.as_ref().unwrap().file.set_len(HELD_WIDTH as u64).unwrap();
         assert!(!first.has_successor(), "by its name it is the older one");
     }
 
     impl Replacement {
         /// This one, as that other one sees it.
         fn others_seen_by(&self, other: &Replacement) -> Other {
-            other.others().into_iter().find(|seen| seen.born == self.born).unwrap()
+            other.others().unwrap().into_iter().find(|seen| seen.born == self.born).unwrap()
         }
     }
 
+    #[test]
+    fn one_that_cannot_be_shown_sees_the_others_and_is_shown_once_it_can_be() {
+        let folder = tempfile::tempdir().unwrap();
+        let prefix = folder.path().join("later").join("cottonnotch-a_1.process");
+        let mut me = Replacement::new(prefix.clone(), 10);
+        assert!(me.show().is_err() && me.say_ready().is_err(), "there is no folder");
+        assert!(me.others().is_err() && !me.has_successor(), "nor can it be told who is there");
+        fs::create_dir(folder.path().join("later")).unwrap();
+        assert!(me.others().unwrap().is_empty());
+        me.show().unwrap();
+        let other = begun(&prefix, 20);
+        assert!(other.others().unwrap()[0].is_ready, "what could not be said before is said now");
+    }
+
     #[test]
     fn what_a_dead_process_left_is_removed_and_what_is_not_ours_is_left_alone() {
         let folder = tempfile::tempdir().unwrap();
         let prefix = folder.path().join("cottonnotch-a_1.process");
-        let me = Replacement::begin(prefix.clone(), 10).unwrap();
+        let me = begun(&prefix, 10);
         for dead in ["99.ready", "98.starting"] {
             fs::write(folder.path().join(format!("cottonnotch-a_1.process-{dead}")), "rubbish").unwrap();
         }
@@ -216,7 +281,7 @@
             fs::write(folder.path().join(name), "").unwrap();
         }
         fs::create_dir(folder.path().join("cottonnotch-a_1.process-50.ready")).unwrap();
-        assert!(me.others().is_empty());
+        assert!(me.others().unwrap().is_empty());
         let left = fs::read_dir(folder.path()).unwrap().count();
         assert_eq!(left, foreign.len() + 2, "what is foreign, the folder, and this process's own");
     }
--- a/crates/cottonnotch/tests/file_faults.rs
+++ b/crates/cottonnotch/tests/file_faults.rs
@@ -85,6 +85,45 @@
     assert!(old.exited().success());
 }
 
+#[test]
+fn a_call_on_a_successor_that_could_not_read_the_earlier_ones_takes_none_of_them_back() {
+    let shims = Shims::new();
+    let folder = tempfile::tempdir().unwrap();
+    let address = free_address();
+    let nodes = [Scripted::new(), Scripted::new(), Scripted::new()];
+    let known = [&nodes[0], &nodes[1], &nodes[2]];
+    let mut old = Proxy::shared(address, folder.path(), Scripted::new(), &known);
+    assert_eq!(old.call("POST", "/maintenance/enter", "s0").0, 200);
+    shims.set(Setting::FileRead, EIO);
+    let new = beside(&shims, address, folder.path(), &known);
+    std::thread::sleep(FOR_A_WHILE);
+    // The earlier one is gone before the new one could read what it was told.
+    old.kill();
+    let answer = new.call("POST", "/maintenance/enter", "s1");
+    shims.set(Setting::FileRead, 0);
+    skips(&new, if answer.0 == 200 { 2 } else { 1 });
+    drop(new);
+    let third = Proxy::shared(address, folder.path(), Scripted::new(), &known);
+    skips(&third, if answer.0 == 200 { 2 } else { 1 });
+}
+
+#[test]
+fn a_call_that_cannot_be_synced_is_refused_and_changes_nothing() {
+    let shims = Shims::new();
+    let folder = tempfile::tempdir().unwrap();
+    let node = Scripted::new();
+    let proxy = beside(&shims, free_address(), folder.path(), &[&node]);
+    for setting in [Setting::FileSync, Setting::FileWrite] {
+        shims.set(setting, EIO);
+        assert_eq!(proxy.call("POST", "/maintenance/enter", "s0").0, 500, "{setting:?}");
+        assert!(shims.count(setting) > 0, "{setting:?}");
+        assert_eq!(proxy.figure("skipped_render_nodes"), Some(0));
+        shims.set(setting, 0);
+    }
+    assert_eq!(proxy.call("POST", "/maintenance/enter", "s0").0, 200);
+    skips(&proxy, 1);
+}
+
 /// Where calls for maintenance are kept.
 fn maintenance_file(folder: &Path) -> std::path::PathBuf {
     let mut entries = std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
