--- a/crates/cottonnotch/src/net/driver/arrivals.rs
+++ b/crates/cottonnotch/src/net/driver/arrivals.rs
@@ -1,13 +1,15 @@
 //! Clients that arrive, until they ask for something: accepting them, and the descriptors there are for that.
 
 use super::net::{ACCEPT, Net, PART};
+use super::unwatched::UnwatchedClients;
 use crate::net::happening::Happening;
 use crate::net::management::PLACES;
 use crate::net::rpc::Rpc;
 use cottonnotch_decision::Micros;
 use cottonnotch_reactor::Key;
+use cottonnotch_reactor::line::{LineStream, Unwatched};
 use cottonnotch_reactor::listener::{Binding, Listener, turn_away_newcomers};
-use mio::net::TcpListener;
+use mio::net::{TcpListener, TcpStream};
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
@@ -58,6 +60,7 @@
     is_due: bool,
     /// Clients in the order in which they connected, until they are let go or are gone.
     arrived: VecDeque<(Micros, Key)>,
+    unwatched: UnwatchedClients,
 }
 
 impl Arrivals {
@@ -122,7 +125,45 @@
         self.accept(net, rpcs);
     }
 
+    /// Makes an object of an accepted client. Fails if the poll can't take its socket now.
+    fn take_in(&mut self, net: &mut Net, stream: TcpStream) -> Result<(), Unwatched> {
+        let mut given_back = None;
+        let inserted = net.reactor.insert(|key, io| match LineStream::accepted(stream, io, key) {
+            Ok(client) => Ok(Box::new(Rpc::accepted(client, key, io))),
+            Err(unwatched) => {
+                let kind = unwatched.error.kind();
+                given_back = Some(unwatched);
+                Err(kind.into())
+            }
+        });
+        if let Ok(key) = inserted {
+            self.arrived.push_back((net.now(), key));
+        }
+        given_back.map_or(Ok(()), Err)
+    }
+
+    /// Tries again for clients that could not be watched, and answers those that have waited too long.
+    fn look_after_unwatched(&mut self, net: &mut Net) {
+        while let Some((stream, since)) = self.unwatched.pop() {
+            if let Err(Unwatched { stream, .. }) = self.take_in(net, stream) {
+                self.unwatched.push_first(stream, since);
+                break;
+            }
+        }
+        for _ in 0..self.unwatched.give_up(net.now()) {
+            net.records.turned_away(|| "its socket could not be watched".into());
+        }
+        if self.unwatched.are_there() && !self.is_due {
+            self.accept_in(net, ACCEPT_AFTER);
+        }
+    }
+
     fn accept(&mut self, net: &mut Net, rpcs: usize) {
+        self.accept_waiting(net, rpcs);
+        self.look_after_unwatched(net);
+    }
+
+    fn accept_waiting(&mut self, net: &mut Net, rpcs: usize) {
         let now = net.now();
         let Some(door) = &self.door else { return };
         let listener = Rc::clone(&door.listener);
@@ -138,11 +179,9 @@
             }
             match listener.accept() {
                 Ok((stream, _)) => {
-                    match net.reactor.insert(|key, io| Ok(Box::new(Rpc::accepted(stream, key, io)?))) {
-                        Ok(key) => self.arrived.push_back((now, key)),
-                        Err(error) => {
-                            log::warn!(target: PART, error:%; "client lost while it was accepted: {error}");
-                        }
+                    if let Err(Unwatched { stream, error }) = self.take_in(net, stream) {
+                        log::warn!(target: PART, error:%; "a client cannot be watched yet: {error}");
+                        self.unwatched.push(stream, now);
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return self.idle(net),
@@ -172,6 +211,7 @@
 
     /// The proxy goes away: clients that rest are told, or a line that comes when the process has ended would be lost.
     pub fn go_away(&mut self, net: &mut Net) {
+        self.unwatched.answer_all(net.now());
         for (_, key) in self.arrived.drain(..) {
             if net.with_front(key, |front, io| front.go_away(io, 0)) == Some(true) {
                 net.records.turned_away(|| "the proxy leaves, and it had said nothing".into());
@@ -182,7 +222,7 @@
     /// Guards against clients that connect by hundreds and say nothing, or stay when they were answered: they
     /// would hold the descriptors of others.
     fn make_room(&mut self, net: &mut Net, rpcs: usize, wanted: Wanted) -> bool {
-        while !has_room(net, rpcs, wanted) {
+        while !has_room(net, rpcs, self.unwatched.len(), wanted) {
             let now = net.now();
             let Some((at, key)) = self.arrived.front().copied() else { return false };
             if at + DISMISSED_AFTER > now {
@@ -199,8 +239,8 @@
 
 /// For a client, a part is kept for the subchannels of those that ask, and if RPCs have all of it, a few are let
 /// in to be told so.
-fn has_room(net: &Net, rpcs: usize, wanted: Wanted) -> bool {
-    let (connections, sockets) = (net.reactor.connections(), net.config.sockets);
+fn has_room(net: &Net, rpcs: usize, unwatched: usize, wanted: Wanted) -> bool {
+    let (connections, sockets) = (net.reactor.connections() + unwatched, net.config.sockets);
     // An RPC counts two: the client's, which is among the connections, and the subchannel's.
     // Operators' places are kept for them whether they are there or not: a flood of clients must not take them.
     let reserved = RESERVED_SOCKETS + if net.config.mgmt.is_some() { PLACES + 1 } else { 0 };
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -17,11 +17,13 @@
 mod management;
 mod messages;
 mod net;
+mod passing;
 mod peers;
 mod records;
 mod replacement;
 mod shutdown;
 mod subchannels;
+mod unwatched;
 
 use super::happening::{Happening, Object};
 use super::management::figures::Gauges;
@@ -42,6 +44,7 @@
 use management::Management;
 use messages::Messages;
 use net::Net;
+use passing::patiently;
 use peers::{Around, Peers};
 use records::Records;
 use std::collections::VecDeque;
@@ -72,13 +75,15 @@
 impl Driver {
     /// Opens the sockets and starts the module. `reread` gets the configuration anew on SIGHUP.
     pub fn start(config: Config, recorder: Recorder, reread: Reread) -> io::Result<Self> {
-        let mut reactor = Reactor::<dyn Object>::new(Clock::unix())?;
+        let mut reactor = patiently("poll", || Reactor::<dyn Object>::new(Clock::unix()))?;
         reactor.io.buffer_bound = config.buffer_bound;
         // Guards against the system's own answer to a signal, which is to end the process.
         let signals: [(i32, fn() -> Happening); 2] =
             [(SIGTERM, || Happening::Terminate), (SIGHUP, || Happening::Reload)];
         for (signal, happening) in signals {
-            reactor.insert(|key, io| Ok(Box::new(Signals::register(signal, happening, key, io)?)))?;
+            patiently("hear signals", || {
+                reactor.insert(|key, io| Ok(Box::new(Signals::register(signal, happening, key, io)?)))
+            })?;
         }
         let mut balancer = Balancer::new(config.profile.settings.clone(), config.seed, reactor.io.now());
         let known = config.known.clone();
@@ -97,8 +102,8 @@
         }
         let mut driver = Driver {
             messages: Messages::start(&mut net),
-            peers: Peers::start(&mut net, has_elder)?,
-            management: Management::start(&mut net)?,
+            peers: patiently("hear other proxies", || Peers::start(&mut net, has_elder))?,
+            management: patiently("hear operators", || Management::start(&mut net))?,
             net,
             balancer,
             pending: VecDeque::new(),
@@ -115,7 +120,7 @@
         if has_elder {
             log::info!("an earlier process serves, clients are let in once the list is there");
         } else {
-            driver.open()?;
+            patiently("listen for clients", || driver.open())?;
         }
         Ok(driver)
     }
--- /dev/null
+++ b/crates/cottonnotch/src/net/driver/unwatched.rs
@@ -0,0 +1,106 @@
+//! Clients that were accepted and whose sockets the poll could not take, for want of memory. They are owed an answer like any other:
+//! the poll is asked again, and where that goes on failing they are told to come again.
+
+use super::arrivals::FULL_RETRY_AFTER;
+use crate::net::rpc::busy;
+use cottonnotch_decision::Micros;
+use mio::net::TcpStream;
+use std::collections::VecDeque;
+use std::io::{ErrorKind, Read, Write};
+use std::net::Shutdown;
+
+/// The poll is asked again for so long. A client waits for its answer at least as long as this and a second more.
+const ASKED_FOR: Micros = 500_000;
+/// After its answer a client is given this long to read it: a close over unread bytes would take it along.
+const LINGER: Micros = 1_000_000;
+/// Clients that are kept at most; one more is told to come again at once.
+const MOST: usize = 256;
+
+/// A client whose socket is not watched.
+#[derive(Debug)]
+struct Unwatched {
+    stream: TcpStream,
+    since: Micros,
+}
+
+/// All of them, oldest first.
+#[derive(Debug, Default)]
+pub struct UnwatchedClients {
+    waiting: VecDeque<Unwatched>,
+    /// They have had their answer.
+    answered: VecDeque<Unwatched>,
+}
+
+impl UnwatchedClients {
+    /// One more.
+    pub fn push(&mut self, stream: TcpStream, since: Micros) {
+        self.waiting.push_back(Unwatched { stream, since });
+    }
+
+    /// Somebody is left to look after.
+    pub fn are_there(&self) -> bool {
+        !self.waiting.is_empty() || !self.answered.is_empty()
+    }
+
+    /// Descriptors that they hold.
+    pub fn len(&self) -> usize {
+        self.waiting.len() + self.answered.len()
+    }
+
+    /// The one that has waited longest, for another try; it is given back by [`Self::push_first`] if that fails.
+    pub fn pop(&mut self) -> Option<(TcpStream, Micros)> {
+        self.waiting.pop_front().map(|client| (client.stream, client.since))
+    }
+
+    /// The one that was tried in vain.
+    pub fn push_first(&mut self, stream: TcpStream, since: Micros) {
+        self.waiting.push_front(Unwatched { stream, since });
+    }
+
+    /// Answers those that have waited too long, or are too many, and lets go of those that have read their answer. Returns how
+    /// many were answered.
+    pub fn give_up(&mut self, now: Micros) -> usize {
+        let mut given_up = 0;
+        while let Some(first) = self.waiting.front()
+            && (now - first.since >= ASKED_FOR || self.waiting.len() > MOST)
+            && let Some(client) = self.waiting.pop_front()
+        {
+            given_up += 1;
+            self.answered.extend(client.answer(now));
+        }
+        self.answered.retain_mut(|client| now - client.since < LINGER && client.is_reading());
+        given_up
+    }
+
+    /// The process ends: all that wait are answered.
+    pub fn answer_all(&mut self, now: Micros) -> usize {
+        let count = self.waiting.len();
+        let answered = self.waiting.drain(..).filter_map(|client| client.answer(now));
+        self.answered.extend(answered);
+        count
+    }
+}
+
+impl Unwatched {
+    /// Tells the client to come again; `None` if it is gone.
+    fn answer(mut self, now: Micros) -> Option<Unwatched> {
+        // The socket is new and empty: so short a line fits.
+        let told = self.stream.write_all(busy(FULL_RETRY_AFTER).as_bytes());
+        told.and_then(|()| self.stream.shutdown(Shutdown::Write)).ok()?;
+        self.since = now;
+        Some(self)
+    }
+
+    /// Reads away what has come; false once the client has closed.
+    fn is_reading(&mut self) -> bool {
+        let mut bytes = [0; 4096];
+        loop {
+            match self.stream.read(&mut bytes) {
+                Ok(0) => return false,
+                Ok(_) => {}
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return error.kind() == ErrorKind::WouldBlock,
+            }
+        }
+    }
+}
--- a/crates/cottonnotch/src/net/rpc.rs
+++ b/crates/cottonnotch/src/net/rpc.rs
@@ -9,9 +9,7 @@
 use cottonnotch_decision::{Micros, Outcome};
 use cottonnotch_reactor::line::{Fill, LineStream, MAX_LINE, trim_end};
 use cottonnotch_reactor::{Connection, Key, Leg};
-use mio::net::TcpStream;
 use std::fmt::Display;
-use std::io;
 use std::net::SocketAddr;
 
 /// A connection whose first line is not there after this gets an error. Guards against clients that connect
@@ -65,12 +63,11 @@
 
 impl Rpc {
     /// Takes over an accepted connection.
-    pub fn accepted(stream: TcpStream, key: Key, io: &mut Io) -> io::Result<Self> {
-        let client = LineStream::accepted(stream, io, key)?;
+    pub fn accepted(client: LineStream, key: Key, io: &mut Io) -> Self {
         let until = io.now() + FIRST_LINE_WITHIN;
         io.timer(until, key, IDLE);
         let state = State::Reading { until, pinged: false };
-        Ok(Rpc { key, client, state, line: None, deadline: None, at: None })
+        Rpc { key, client, state, line: None, deadline: None, at: None }
     }
 
     /// Writes the client's last line and ends our sending.
@@ -271,7 +268,7 @@
 }
 
 /// The unavailable status on the wire.
-fn busy(retry_after: Micros) -> String {
+pub fn busy(retry_after: Micros) -> String {
     match retry_after {
         0 => "BUSY\r\n".to_owned(),
         after => format!("BUSY {}\r\n", (after + 999) / 1000),
--- a/crates/cottonnotch/tests/call_faults.rs
+++ b/crates/cottonnotch/tests/call_faults.rs
@@ -27,8 +27,8 @@
     let node = Scripted::new();
     let proxy = Proxy::by(shims.command(None), &[&node], 1024, SETTINGS);
     shims.set(Setting::Register, ALWAYS);
-    for _ in 0..20 {
-        let mut client = proxy.open();
+    let mut clients: Vec<Peer> = (0..20).map(|_| proxy.open()).collect();
+    for client in &mut clients {
         let answer = client.rest().expect("an answer and an orderly end");
         assert!(answer.starts_with("BUSY"), "{answer:?}");
     }
@@ -37,6 +37,31 @@
     let _pair = proxy.up(&node);
 }
 
+#[test]
+fn a_client_whose_socket_cannot_be_watched_for_a_moment_is_served() {
+    let shims = Shims::new();
+    let node = Scripted::new();
+    let proxy = Proxy::by(shims.command(None), &[&node], 1024, SETTINGS);
+    shims.set(Setting::Register, ALWAYS);
+    let mut client = proxy.open();
+    within(PATIENCE, "failed calls", || (shims.count(Setting::Register) > 2).then_some(()));
+    shims.set(Setting::Register, 0);
+    node.called().0.say("UP 1\r\n");
+    assert_eq!(client.hear(), "UP 1\r\n");
+}
+
+#[test]
+fn a_process_starts_though_calls_fail_as_it_does() {
+    for setting in [Setting::Socket, Setting::Register, Setting::SocketOption] {
+        let shims = Shims::new();
+        let node = Scripted::new();
+        shims.set(setting, 300);
+        let proxy = Proxy::managed_by(shims.command(None), &[&node], 1024, SETTINGS);
+        shims.set(setting, 0);
+        let _pair = proxy.up(&node);
+    }
+}
+
 #[test]
 fn clients_are_accepted_whatever_accept_fails_with_for_a_moment() {
     let shims = Shims::new();
--- a/crates/kit/src/emulator/clients.rs
+++ b/crates/kit/src/emulator/clients.rs
@@ -170,7 +170,7 @@
     }
 
     fn writable(&mut self, io: &mut Io<Told>, _: Leg) {
-        if let Link::Connecting(stream) = &self.link {
+        if let Link::Connecting(stream) = &mut self.link {
             match stream.connected() {
                 Ok(false) => return,
                 Err(_) => {
--- a/crates/reactor/src/line.rs
+++ b/crates/reactor/src/line.rs
@@ -4,6 +4,7 @@
 use mio::net::TcpStream;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr};
+use std::os::fd::OwnedFd;
 use std::time::Duration;
 
 /// No line is longer, its end included.
@@ -44,14 +45,41 @@
     /// How it broke. The system tells that once, to whoever reads or writes first; whoever reads after that is shown an
     /// orderly end.
     broken: Option<io::ErrorKind>,
+    /// What is written goes out at once (TCP_NODELAY). Until the system has taken that, it is asked at each writing.
+    is_prompt: bool,
+}
+
+/// An accepted socket that the poll could not take.
+#[derive(Debug, thiserror::Error)]
+#[error("an accepted socket cannot be watched: {error}")]
+pub struct Unwatched {
+    /// The socket.
+    pub stream: TcpStream,
+    /// Why.
+    pub error: io::Error,
+}
+
+impl From<Unwatched> for io::Error {
+    fn from(unwatched: Unwatched) -> Self {
+        unwatched.error
+    }
 }
 
 impl LineStream {
-    /// Takes over an accepted socket.
-    pub fn accepted<R: Report>(mut stream: TcpStream, io: &Io<R>, key: Key) -> io::Result<Self> {
-        stream.set_nodelay(true)?;
-        io.register(&mut stream, key, Leg::Near)?;
-        Ok(Self::new(stream, io))
+    /// Takes over an accepted socket. Whoever it belongs to is owed an answer, so it is given back if it can't be watched.
+    pub fn accepted<R: Report>(mut stream: TcpStream, io: &Io<R>, key: Key) -> Result<Self, Unwatched> {
+        if let Err(error) = io.register(&mut stream, key, Leg::Near) {
+            // As a source that no poll has seen: in debug builds mio takes one only once.
+            let fresh = std::net::TcpStream::from(OwnedFd::from(stream));
+            return Err(Unwatched { stream: TcpStream::from_std(fresh), error });
+        }
+        let mut accepted = Self::new(stream, io);
+        accepted.be_prompt();
+        Ok(accepted)
+    }
+
+    fn be_prompt(&mut self) {
+        self.is_prompt = self.is_prompt || self.stream.set_nodelay(true).is_ok();
     }
 
     /// Begins to connect.
@@ -63,16 +91,20 @@
 
     fn new<R: Report>(stream: TcpStream, io: &Io<R>) -> Self {
         let (input, output, bound) = (Vec::new(), Vec::new(), io.buffer_bound);
-        LineStream { stream, input, output, bound, finish: false, finished: false, broken: None }
+        let (finish, finished, broken, is_prompt) = (false, false, None, false);
+        LineStream { stream, input, output, bound, finish, finished, broken, is_prompt }
     }
 
     /// After `writable`: whether the connection stands by now.
-    pub fn connected(&self) -> io::Result<bool> {
+    pub fn connected(&mut self) -> io::Result<bool> {
         if let Some(error) = self.stream.take_error()? {
             return Err(error);
         }
         match self.stream.peer_addr() {
-            Ok(_) => self.stream.set_nodelay(true).map(|()| true),
+            Ok(_) => {
+                self.be_prompt();
+                Ok(true)
+            }
             Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(false),
             Err(error) => Err(error),
         }
@@ -150,6 +182,7 @@
 
     /// Writes what is queued; true once every byte has been written.
     pub fn flush(&mut self) -> io::Result<bool> {
+        self.be_prompt();
         let mut sent = 0;
         let result = loop {
             if sent == self.output.len() {
