--- a/crates/cottonnotch/src/net/driver/lifecycle.rs
+++ b/crates/cottonnotch/src/net/driver/lifecycle.rs
@@ -45,8 +45,8 @@
     shutdown: Option<Shutdown>,
     /// This process among others of its proxy, where they can meet.
     replacement: Option<Replacement>,
-    /// An earlier process serves still, as far as that could be told; until it could, one is taken to.
-    has_elder: bool,
+    /// An earlier process serves still; `None`: that could not be told yet.
+    has_elder: Option<bool>,
     hidden: Seldom,
     began: Micros,
 }
@@ -63,7 +63,7 @@
             reread,
             shutdown,
             replacement,
-            has_elder: true,
+            has_elder: None,
             hidden,
             began,
         };
@@ -105,7 +105,8 @@
             Ok(others) => others,
             Err(error) => {
                 self.say_hidden(net.now(), &error);
-                return self.has_elder;
+                // One is taken to be there until its time to show itself is over.
+                return self.has_elder.unwrap_or(net.now() - self.began < SETTLED_AFTER);
             }
         };
         net.held_elsewhere = others.iter().map(|other| other.held).sum();
@@ -115,8 +116,9 @@
             // What can't be told leaves the other with what it heard before.
             let _ = replacement.tell_held(held);
         }
-        self.has_elder = others.iter().any(|other| replacement.is_elder(other));
-        self.has_elder
+        let has_elder = others.iter().any(|other| replacement.is_elder(other));
+        self.has_elder = Some(has_elder);
+        has_elder
     }
 
     /// Clients that an earlier process serves are to be taken over: the list is discovery's own and calls by hand are known, or
--- a/crates/decision/src/policy/lists.rs
+++ b/crates/decision/src/policy/lists.rs
@@ -51,8 +51,8 @@
         self.release_held(now, out);
     }
 
-    /// A connection came up at a server that drains. Guards against one that comes after the last round: nobody
-    /// would move it, and the server's end would cut it off.
+    /// A connection came up at a server that drains. Guards against one that comes after the last round:
+    /// nobody would move it, and the server's end would cut it off.
     pub(super) fn move_late_comer(&mut self, now: Micros, at: ServerId, out: &mut Vec<Action>) {
         if self.server(at).is_some_and(|s| s.leave_by.is_some()) {
             self.drain(now, out);
--- a/crates/kit/src/rehearse.rs
+++ b/crates/kit/src/rehearse.rs
@@ -20,6 +20,8 @@
 /// From the start of the processes to the run's first moment: a proxy is up within some 20 ms, and the front asks
 /// it by then; the rest is for a machine that is busy.
 const LEAD: Micros = 1500 * MS;
+/// And this much for each pair of render node and proxy: the stand-in for the one opens an address for the other.
+const LEAD_OF_A_PAIR: Micros = 3 * MS;
 /// The stand-ins must have opened their sockets by then.
 const OPEN_WITHIN: Duration = Duration::from_secs(10);
 /// Render nodes, and sessions, that one thread bears.
@@ -92,7 +94,7 @@
     need_descriptors(descriptors(&plan))?;
     let plan = Arc::new(plan);
     let addresses = Arc::new(Addresses::take(plan.seed as u8)?);
-    let board = Arc::new(Board::new(&plan, LEAD));
+    let board = Arc::new(Board::new(&plan, lead(&plan)));
     let temporary = tempfile::tempdir().map_err(CannotRun::Folder)?;
     let folder = setup.keep.as_deref().unwrap_or(temporary.path());
     std::fs::create_dir_all(folder).map_err(CannotRun::Folder)?;
@@ -287,5 +289,11 @@
 
 /// How long a run of this plan takes, in seconds of real time.
 pub fn lasts(plan: &Plan) -> f64 {
-    (LEAD + plan.ends) as f64 / S as f64
+    (lead(plan) + plan.ends) as f64 / S as f64
+}
+
+/// From the start of the processes to the first moment of this run.
+fn lead(plan: &Plan) -> Micros {
+    let pairs = (plan.nodes.len() * plan.proxies.len()) as Micros;
+    LEAD + pairs * LEAD_OF_A_PAIR
 }
--- a/crates/proxy/src/guard/mod.rs
+++ b/crates/proxy/src/guard/mod.rs
@@ -2,7 +2,7 @@
 //! does and ends, knows nothing of how that was decided, and says which step breaks a rule. Sans-io.
 //!
 //! It grows with the requests that are owed an answer or up, and with the servers; no step looks at more than one of each, but
-//! [`Guard::overdue`], which looks at all requests and is meant for once a second.
+//! [`Guard::overdue`], which looks at all requests that are owed an answer and is meant for once a second.
 
 mod request;
 mod server;
@@ -11,9 +11,9 @@
 pub use violation::{Violation, Violations};
 
 use cottonnotch_decision::{Entry, Micros, Outcome, Request, RequestId, ServerId, Settings};
-use request::{AttemptOut, ClassRules, Stage, Tracked};
+use request::{AttemptOut, ClassRules, Tracked};
 use server::Watched;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A final answer that the proxy itself gives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,7 +32,9 @@
     total_weight: f64,
     /// When the last list was taken.
     heard: Option<Micros>,
-    requests: BTreeMap<RequestId, Tracked>,
+    /// Those that are owed an answer, and those that are up.
+    owed: BTreeMap<RequestId, Tracked>,
+    up: BTreeSet<RequestId>,
     violations: Violations,
 }
 
@@ -80,13 +82,12 @@
     /// A client's request was taken: one final answer is owed.
     pub fn requested(&mut self, now: Micros, request: &Request) {
         let deadline = request.left.map(|left| now.saturating_add(left));
-        let tracked = Tracked::new(usize::from(request.class.0), deadline, Stage::Owed);
-        self.requests.insert(request.id, tracked);
+        self.owed.insert(request.id, Tracked::new(usize::from(request.class.0), deadline));
     }
 
     /// A connection from before the start is up again.
     pub fn reopened(&mut self, request: &Request) {
-        self.requests.insert(request.id, Tracked::new(usize::from(request.class.0), None, Stage::Up));
+        self.up.insert(request.id);
     }
 
     /// An attempt is to be sent now. It must not be where this fails; a cold server's budget is counted all the same.
@@ -96,8 +97,7 @@
     }
 
     fn check_send(&mut self, now: Micros, id: RequestId, server: ServerId) -> Checked {
-        let tracked = self.requests.get_mut(&id).filter(|tracked| tracked.stage == Stage::Owed);
-        let tracked = tracked.ok_or(Violation::SentUnowed)?;
+        let tracked = self.owed.get_mut(&id).ok_or(Violation::SentUnowed)?;
         if tracked.out.is_some() {
             return Err(Violation::SecondAttemptOut);
         }
@@ -119,7 +119,7 @@
 
     /// The last byte of the attempt's line is written: from now on it may run.
     pub fn written(&mut self, now: Micros, id: RequestId) -> Checked {
-        let Some(tracked) = self.requests.get(&id) else { return Ok(()) };
+        let Some(tracked) = self.owed.get(&id) else { return Ok(()) };
         let Some(out) = tracked.out else { return Ok(()) };
         let server = self.servers.get(out.server.0 as usize);
         let may_be_reached = server.is_some_and(|server| server.may_be_reached(now));
@@ -131,19 +131,19 @@
 
     /// The attempt that was out has ended without having been up.
     pub fn attempt_ended(&mut self, id: RequestId, outcome: Outcome) {
-        if let Some(tracked) = self.requests.get_mut(&id) {
+        if let Some(tracked) = self.owed.get_mut(&id) {
             tracked.ended(outcome);
         }
     }
 
     /// The attempt that was out brought the connection up, which is the final answer.
     pub fn up(&mut self, now: Micros, id: RequestId) -> Checked {
-        let checked = match self.requests.get_mut(&id) {
-            Some(tracked) if tracked.stage == Stage::Owed => {
-                (tracked.stage, tracked.out) = (Stage::Up, None);
-                on_time(tracked, now)
+        let checked = match self.owed.remove(&id) {
+            Some(tracked) => {
+                self.up.insert(id);
+                on_time(&tracked, now)
             }
-            _ => Err(Violation::AnsweredUnowed),
+            None => Err(Violation::AnsweredUnowed),
         };
         self.counted(checked)
     }
@@ -151,13 +151,12 @@
     /// The proxy gives a final answer now.
     pub fn answered(&mut self, now: Micros, id: RequestId, answer: FinalAnswer) -> Checked {
         let checked = self.check_answer(now, id, answer);
-        self.requests.remove(&id);
+        self.owed.remove(&id);
         self.counted(checked)
     }
 
     fn check_answer(&self, now: Micros, id: RequestId, answer: FinalAnswer) -> Checked {
-        let tracked = self.requests.get(&id).filter(|tracked| tracked.stage == Stage::Owed);
-        let tracked = tracked.ok_or(Violation::AnsweredUnowed)?;
+        let tracked = self.owed.get(&id).ok_or(Violation::AnsweredUnowed)?;
         if tracked.out.is_some() {
             return Err(Violation::AnsweredWhileOut);
         }
@@ -169,18 +168,18 @@
 
     /// The client has left before its answer: nothing is owed any more.
     pub fn client_left(&mut self, id: RequestId) {
-        self.requests.remove(&id);
+        self.owed.remove(&id);
     }
 
     /// A connection that was up has ended, or is ended with `MOVE`.
     pub fn closed(&mut self, id: RequestId) -> Checked {
-        let was_up = self.requests.remove(&id).is_some_and(|tracked| tracked.stage == Stage::Up);
+        let was_up = self.up.remove(&id);
         self.counted(was_up.then_some(()).ok_or(Violation::ClosedUnserved))
     }
 
     /// Requests whose time for an answer has passed by now; each is given and counted once.
     pub fn overdue(&mut self, now: Micros) -> Vec<RequestId> {
-        let late = self.requests.iter_mut().filter_map(|(id, t)| t.newly_overdue(now).then_some(*id));
+        let late = self.owed.iter_mut().filter_map(|(id, t)| t.newly_overdue(now).then_some(*id));
         let late: Vec<RequestId> = late.collect();
         late.iter().for_each(|_| self.violations.count(Violation::Unanswered));
         late
@@ -188,7 +187,7 @@
 
     /// The process ends: requests that are still owed an answer. Those that were overdue before are not counted again.
     pub fn finish(&mut self) -> Vec<RequestId> {
-        let owed = self.requests.iter().filter(|(_, t)| t.stage == Stage::Owed && !t.was_overdue());
+        let owed = self.owed.iter().filter(|(_, tracked)| !tracked.was_overdue());
         let owed: Vec<RequestId> = owed.map(|(id, _)| *id).collect();
         owed.iter().for_each(|_| self.violations.count(Violation::Unanswered));
         owed
--- a/crates/proxy/src/guard/request.rs
+++ b/crates/proxy/src/guard/request.rs
@@ -24,20 +24,10 @@
     pub sent: Micros,
 }
 
-/// How far a request is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Stage {
-    /// One final answer is owed.
-    Owed,
-    /// Its connection is up.
-    Up,
-}
-
-/// One request that is owed an answer or up.
+/// One request that is owed an answer.
 #[derive(Clone, Debug)]
 pub(super) struct Tracked {
     pub class: usize,
-    pub stage: Stage,
     pub attempts: u32,
     pub out: Option<AttemptOut>,
     deadline: Option<Micros>,
@@ -48,8 +38,8 @@
 }
 
 impl Tracked {
-    pub fn new(class: usize, deadline: Option<Micros>, stage: Stage) -> Self {
-        Tracked { class, stage, attempts: 0, out: None, deadline, may_have_run: None, overdue: false }
+    pub fn new(class: usize, deadline: Option<Micros>) -> Self {
+        Tracked { class, attempts: 0, out: None, deadline, may_have_run: None, overdue: false }
     }
 
     /// Whether an attempt may be sent to a server there now, as far as earlier ones tell.
@@ -87,8 +77,7 @@
 
     /// It is overdue; true once.
     pub fn newly_overdue(&mut self, now: Micros) -> bool {
-        let overdue = self.stage == Stage::Owed && self.is_lost_at(now);
-        overdue && !std::mem::replace(&mut self.overdue, true)
+        self.is_lost_at(now) && !std::mem::replace(&mut self.overdue, true)
     }
 
     /// That no answer came in time was counted already.
