A process that starts on a full disk serves, and records once there is space

Cause: Recorder::open ended the start with whatever error the target gave. Change: an error that may pass (no space, quota, EIO) is left to the writer, which opens the target before each batch and counts what is lost; a wrong path or right still ends the start.

--- a/crates/cottonnotch/tests/file_faults.rs
+++ b/crates/cottonnotch/tests/file_faults.rs
@@ -124,6 +124,27 @@
     skips(&proxy, 1);
 }
 
+#[test]
+fn a_process_that_starts_on_a_full_disk_serves_and_records_once_there_is_space() {
+    let shims = Shims::new();
+    let folder = tempfile::tempdir().unwrap();
+    let (records, operator) = (folder.path().join("records"), folder.path().join("operator.toml"));
+    let section = format!("[records]\nfile = \"{}\"\nflush_ms = 10\n", records.display());
+    std::fs::write(&operator, section).unwrap();
+    shims.set(Setting::FileWrite, ENOSPC);
+    let mut command = shims.command(Some(folder.path()));
+    command.arg("--operator").arg(&operator);
+    let node = Scripted::new();
+    let proxy = Proxy::by(command, &[&node], 1024, SETTINGS);
+    let _pair = proxy.up(&node);
+    assert!(shims.count(Setting::FileWrite) > 0);
+    shims.set(Setting::FileWrite, 0);
+    within(PATIENCE, "records", || {
+        let _pair = proxy.up(&node);
+        std::fs::metadata(&records).is_ok_and(|found| found.len() > 0).then_some(())
+    });
+}
+
 /// Where calls for maintenance are kept.
 fn maintenance_file(folder: &Path) -> std::path::PathBuf {
     let mut entries = std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
--- a/crates/records/src/recorder.rs
+++ b/crates/records/src/recorder.rs
@@ -57,6 +57,12 @@
     Thread(io::Error),
 }
 
+/// Whether an error of a file system may be over in a while: it is full, or its device fails. A path or right that is wrong isn't.
+fn passes(error: &io::Error) -> bool {
+    let is_full = matches!(error.kind(), io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded);
+    is_full || error.raw_os_error() == Some(rustix::io::Errno::IO.raw_os_error())
+}
+
 /// How the end is to be.
 struct End {
     until: Instant,
@@ -108,7 +114,13 @@
         let theirs = Arc::clone(&shared);
         let hurry = move || theirs.end.get().is_some_and(|end| Instant::now() >= end.until);
         let mut scribe = Scribe::new(outlet(&settings.target, hurry), format!("{key} '{target}'"));
-        scribe.open().map_err(|error| NoRecorder::Target { key, target, error })?;
+        match scribe.open() {
+            // The writer opens it before each batch, and counts what is lost until then.
+            Err(error) if passes(&error) => {
+                log::warn!(error:%; "records.{key} '{target}' cannot be opened yet: {error}");
+            }
+            opened => opened.map_err(|error| NoRecorder::Target { key, target, error })?,
+        }
 
         let (queue, incoming) = sync_channel(settings.queue_records);
         let (finished, done) = sync_channel(1);
