A process knows of a step of the wall clock before its start from the one before it

Change: each process keeps the offsets that it has seen, in times of the machine's monotonic clock and under its boot's id, in TMPDIR beside the files of replacement; the next one at the address takes them over.

--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -12,6 +12,7 @@
 mod audit;
 mod calls;
 mod clients;
+mod clock_file;
 mod lifecycle;
 mod maintenance;
 mod management;
@@ -33,15 +34,16 @@
 use arrivals::Arrivals;
 use audit::Audit;
 use clients::Clients;
+use clock_file::ClockFile;
 use cottonnotch_decision::{Action, Balancer, Event, Micros, Notice, ServerId};
-use cottonnotch_proxy::{ResolverResult, WallClock};
+use cottonnotch_proxy::ResolverResult;
 use cottonnotch_reactor::listener::Binding;
 use cottonnotch_reactor::seldom::Seldom;
 use cottonnotch_reactor::signals::{SIGHUP, SIGTERM, Signals};
 use cottonnotch_reactor::{Clock, Key, Reactor};
 use cottonnotch_records::{MoveReason, Recorder};
 use lifecycle::{Lifecycle, Reloaded, Reread, Round};
-use management::Management;
+use management::{Management, shared_file};
 use messages::Messages;
 use net::Net;
 use passing::patiently;
@@ -90,8 +92,20 @@
         let names = recorder.is_on();
         let records = Records::new(recorder, &config.profile);
         let audit = Audit::new(config.profile.settings.clone());
-        let wall = WallClock::new(reactor.io.now(), Clock::wall());
-        let mut net = Net { reactor, config, records, audit, wall, rules: None, held_elsewhere: 0, rpcs: 0 };
+        let clock_file = ClockFile::at(shared_file(config.listen, "clock"), reactor.io.now());
+        let wall = clock_file.load(reactor.io.now(), Clock::wall());
+        let mut net = Net {
+            reactor,
+            config,
+            records,
+            audit,
+            wall,
+            clock_file,
+            rules: None,
+            held_elsewhere: 0,
+            rpcs: 0,
+        };
+        net.keep_wall();
         let mut lifecycle = Lifecycle::new(&net, reread);
         let has_elder = lifecycle.has_elder(&mut net);
         if let Some(settings) = net.config.rules.clone() {
--- a/crates/cottonnotch/src/net/driver/net.rs
+++ b/crates/cottonnotch/src/net/driver/net.rs
@@ -1,6 +1,7 @@
 //! What every part of the driver uses: the loop, what the proxy was told, and the records.
 
 use super::audit::Audit;
+use super::clock_file::ClockFile;
 use super::records::Records;
 use crate::config::Config;
 use crate::net::happening::{Front, Io, Object};
@@ -31,8 +32,9 @@
     pub records: Records,
     /// Checks and counts what is done with each request.
     pub audit: Audit,
-    /// The machine's wall clock beside the loop's.
+    /// The machine's wall clock beside the loop's, and where that is kept for the next process.
     pub wall: WallClock,
+    pub clock_file: ClockFile,
     /// The rules, if there are any.
     pub rules: Option<Rulebook>,
     /// Descriptors that other processes of this proxy hold: the limit is for all of them.
@@ -54,6 +56,14 @@
         let now = self.now();
         if now - before <= LOOK_WITHIN && self.wall.observe(now, unix) {
             log::warn!(target: PART, unix; "the wall clock was stepped; times go on by the monotonic clock");
+            self.keep_wall();
+        }
+    }
+
+    /// Keeps what is known of the wall clock for the next process.
+    pub fn keep_wall(&self) {
+        if let Err(error) = self.clock_file.save(&self.wall) {
+            log::info!(target: PART, error:%; "what was seen of the wall clock cannot be kept: {error}");
         }
     }
 
--- a/crates/cottonnotch/tests/clock_steps.rs
+++ b/crates/cottonnotch/tests/clock_steps.rs
@@ -109,6 +109,28 @@
     assert!(at_once <= BEARS, "{at_once} connections at once for a node that bears {BEARS}");
 }
 
+/// A process can't see a step before its start; the one before it at the same address has kept what it saw.
+#[test]
+fn a_node_that_started_just_before_a_step_on_is_cold_to_a_process_that_starts_after_it() {
+    let shims = Shims::new();
+    let folder = tempfile::tempdir().unwrap();
+    let (warm, cold) = (Counting::new(), Counting::new());
+    let settings = COLD.replace("WARM_UP", "9000000");
+    let address = free_address();
+    let start = |known: &[String]| {
+        let mut command = shims.command(None);
+        command.env("TMPDIR", folder.path());
+        Proxy::knowing_at(command, address, known, &settings)
+    };
+    let mut first = start(&[warm.member("s0", 0)]);
+    first.kill();
+    let started = wall_ms(0);
+    shims.set(Setting::WallOffset, HOUR);
+    let second = start(&[warm.member("s0", 0), cold.member("s1", started)]);
+    let _clients = crowd(&second, 40);
+    assert!(cold.came() <= BEARS, "{} connections for a node that bears {BEARS}", cold.came());
+}
+
 /// Who is the earlier of two processes is no matter of the wall clock.
 #[test]
 fn a_process_replaces_an_earlier_one_though_the_clock_went_back_between_their_starts() {
--- a/crates/cottonnotch/tests/peers/mod.rs
+++ b/crates/cottonnotch/tests/peers/mod.rs
@@ -394,8 +394,13 @@
 
     /// As [`Self::knowing`], started by this command.
     pub fn knowing_by(command: Command, known: &[String], settings: &str) -> Self {
-        let (listen, mgmt) = ("127.0.0.1:0", Some("127.0.0.1:0"));
-        let mut proxy = Self::begun_with(command, listen, mgmt, Scripted::new(), known, 1024, settings);
+        Self::knowing_at(command, "127.0.0.1:0".parse().unwrap(), known, settings)
+    }
+
+    /// As [`Self::knowing_by`], at this address.
+    pub fn knowing_at(command: Command, listen: SocketAddr, known: &[String], settings: &str) -> Self {
+        let (listen, mgmt) = (listen.to_string(), Some("127.0.0.1:0"));
+        let mut proxy = Self::begun_with(command, &listen, mgmt, Scripted::new(), known, 1024, settings);
         proxy.address = address_after(&proxy.logged("listens on "), "listens on ");
         proxy
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -28,4 +28,4 @@
 pub use peer_loads::{PeerLoads, Standing};
 pub use peers::{Input, Local, Output, Peers, Roster, Servers};
 pub use resolver_result::{BadResult, Member, ResolverResult};
-pub use wall_clock::WallClock;
+pub use wall_clock::{WallClock, WallEra};
--- a/crates/proxy/src/wall_clock.rs
+++ b/crates/proxy/src/wall_clock.rs
@@ -29,6 +29,17 @@
     until: Option<Micros>,
 }
 
+/// What one process tells the next of a time in which the wall clock was not stepped. The next such time begins where it was seen last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WallEra {
+    /// Wall clock less the process's own.
+    pub offset: Micros,
+    /// When the time before was seen last; `None`: there is none that is known.
+    pub from: Option<Micros>,
+    /// When this one was seen last.
+    pub seen: Micros,
+}
+
 impl Era {
     /// The time of this process's clock at which the wall clock showed that, if it did so in this era.
     fn time(&self, now: Micros, unix: Micros) -> Option<Micros> {
@@ -53,6 +64,33 @@
         WallClock { eras: VecDeque::from([era]) }
     }
 
+    /// As [`Self::new`], for a process that was told what earlier ones saw, by its own clock and oldest first. What can't be true
+    /// is dropped.
+    pub fn after(earlier: Vec<WallEra>, now: Micros, unix: Micros) -> Self {
+        let mut eras: VecDeque<Era> = VecDeque::new();
+        for WallEra { offset, from, seen } in earlier.into_iter().take(MOST_ERAS) {
+            let is_after = eras.back().is_none_or(|before| before.seen <= seen);
+            if !is_after || seen > now {
+                return WallClock::new(now, unix);
+            }
+            if let Some(before) = eras.back_mut() {
+                before.until = Some(seen);
+            }
+            eras.push_back(Era { offset, from, seen, until: None });
+        }
+        if eras.is_empty() {
+            return WallClock::new(now, unix);
+        }
+        let mut clock = WallClock { eras };
+        clock.observe(now, unix);
+        clock
+    }
+
+    /// What is known, for the next process.
+    pub fn eras(&self) -> impl Iterator<Item = WallEra> {
+        self.eras.iter().map(|era| WallEra { offset: era.offset, from: era.from, seen: era.seen })
+    }
+
     /// Both clocks were read. To be called once a second at least, and before a time is asked for. True if the wall clock was stepped
     /// since the last call.
     pub fn observe(&mut self, now: Micros, unix: Micros) -> bool {
@@ -79,7 +117,7 @@
     /// When that Unix time was, by this process's clock: never later than now, and now where it can't be told, since what is
     /// young is treated with more care. Where the wall clock showed it twice, the later one counts for the same reason.
     ///
-    /// A step before this process began can't be known of.
+    /// A step before this process began is known of only if an earlier one told it ([`Self::after`]).
     pub fn time_of(&self, now: Micros, unix: Micros) -> Micros {
         self.eras.iter().filter_map(|era| era.time(now, unix)).max().unwrap_or(now)
     }
--- a/crates/proxy/tests/wall_clock.rs
+++ b/crates/proxy/tests/wall_clock.rs
@@ -1,7 +1,7 @@
 //! Unix times told before, around and after steps of the wall clock.
 
 use cottonnotch_decision::Micros;
-use cottonnotch_proxy::WallClock;
+use cottonnotch_proxy::{WallClock, WallEra};
 use proptest::prelude::*;
 
 const S: Micros = 1_000_000;
@@ -62,6 +62,29 @@
     assert_eq!(clock.time_of(99 * S, UNIX + 98 * S), 98 * S);
 }
 
+#[test]
+fn a_process_that_was_told_knows_of_a_step_before_its_start() {
+    for by in [-HOUR, HOUR] {
+        let earlier = stepped(HOUR, 0, 20 * S);
+        // It ended; the clock was stepped at 25 s; the next process begins at 30 s.
+        let next = WallClock::after(earlier.eras().collect(), 30 * S, UNIX + 30 * S + by);
+        assert_eq!(next.time_of(30 * S, UNIX + 24 * S), 24 * S, "told by the old clock");
+        assert_eq!(next.time_of(30 * S, UNIX + 28 * S + by), 28 * S, "told by the new one");
+        let third = WallClock::after(next.eras().collect(), 40 * S, UNIX + 40 * S + by);
+        assert_eq!(third.time_of(40 * S, UNIX + 24 * S), 24 * S, "as the one after that knows");
+    }
+}
+
+#[test]
+fn what_cannot_be_true_of_earlier_processes_is_dropped() {
+    let era = |seen| WallEra { offset: UNIX - HOUR, from: None, seen };
+    for earlier in [vec![], vec![era(11 * S)], vec![era(5 * S), era(4 * S)]] {
+        let clock = WallClock::after(earlier, 10 * S, UNIX + 10 * S);
+        assert_eq!(clock.eras().count(), 1);
+        assert_eq!(clock.time_of(10 * S, UNIX + 7 * S), 7 * S);
+    }
+}
+
 proptest! {
     /// Whatever the steps: what is told is never taken for older than it is, by more than a look and the tolerance.
     #[test]
