--- a/crates/proxy/src/guard/violation.rs
+++ b/crates/proxy/src/guard/violation.rs
@@ -34,7 +34,7 @@
 }
 
 impl Violation {
-    /// All kinds, in the order of [`Violation::index`].
+    /// All kinds, in the order in which they are declared.
     pub const ALL: [Violation; 14] = [
         Violation::SentUnowed,
         Violation::SecondAttemptOut,
