Tests: a call that waits its turn is looked at before its time is up, not at it

Cause: the test slept 3.5 s, which is just the time after which the resolver gives a call up; whichever came first won. Change: it waits 3.35 s, over the 2.75 s of a silent watch and the 3 s that discovery was seen to take, so it still fails if calls are given up as watches are.

--- a/crates/cottonnotch/tests/lists.rs
+++ b/crates/cottonnotch/tests/lists.rs
@@ -154,7 +154,8 @@
     let node = Scripted::new();
     let proxy = Proxy::start(&[&node]);
     let (mut call, _) = proxy.discovery.called();
-    std::thread::sleep(Duration::from_millis(3_500));
+    // A watch would be silent since 2.75 s; a call is given up after 3.5 s, which a sleep as long as that can't be told from.
+    std::thread::sleep(Duration::from_millis(3_350));
     assert!(proxy.discovery.poll().is_none(), "no second call");
     while call.hear() != "\r\n" {}
     let body = one(2, &node, "draining");
