--- a/crates/soak/src/draw.rs
+++ b/crates/soak/src/draw.rs
@@ -107,7 +107,14 @@
     troubles.shuffle(chance);
     let count = chance.random_range(2..=3);
     let begins = chance.random_range(1.5..5.0);
-    for trouble in &troubles[..count] {
+    let mut chosen: Vec<&str> = Vec::new();
+    for trouble in troubles {
+        // Discovery can be in one trouble at a time, and two of one kind show no more than one.
+        if chosen.iter().all(|other| kind(other) != kind(trouble)) {
+            chosen.push(trouble);
+        }
+    }
+    for trouble in &chosen[..count] {
         let at = begins + chance.random_range(0.0..2.0);
         let trouble = trouble.replace("QUARTER", &(proxies / 4).max(1).to_string());
         text.push_str(&format!("[[fault]]\nat_s = {at:.3}\n{trouble}\n"));
@@ -115,6 +122,11 @@
     text
 }
 
+/// The line of a trouble that names its kind.
+fn kind(trouble: &str) -> &str {
+    trouble.lines().next().unwrap_or(trouble)
+}
+
 /// One step, or one and back again.
 fn wall_steps(chance: &mut ChaCha8Rng, from: Micros) -> Vec<WallStep> {
     let by = WALL_STEPS[chance.random_range(0..WALL_STEPS.len())];
