--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,4 +1,5 @@
-//! Case 1: a client that sends PING commands at full speed keeps the proxy from everything else.
+//! Case 1: a client that sends PING commands at full speed keeps the proxy from everything else. With BAD=wave, hundreds of
+//! clients send hundreds of PING commands each, once, in place of that one client.
 #[path = "../stand_ins/mod.rs"]
 mod stand_ins;
 
@@ -18,10 +19,12 @@
 /// this time, the longest that such a client may have to wait for an error or a close.
 const MOST_BYTES: usize = 24_000_000;
 const MOST_TIME: Duration = Duration::from_secs(6);
+/// Bad clients of a wave: hundreds.
+const WAVE: usize = 900;
 /// Commands that are written at once: hundreds.
 const AT_ONCE: usize = 900;
 /// A render node that is asked without the proxy has to answer within this time. Otherwise the machine is too busy.
-const CONTROL: Duration = Duration::from_millis(400);
+const CONTROL: Duration = Duration::from_millis(1000);
 
 fn main() {
     let record = Record::create("record.txt");
@@ -41,7 +44,9 @@
     for number in 0..50 {
         if number == 10 && trouble() {
             let record = Arc::clone(&record);
-            bad = Some(thread::spawn(move || flood(at.listen, &record)));
+            let is_wave = std::env::var("BAD").is_ok_and(|bad| bad == "wave");
+            let come = if is_wave { wave } else { flood };
+            bad = Some(thread::spawn(move || come(at.listen, &record)));
         }
         let (class, d) = CLASSES[number % CLASSES.len()];
         let (record, lost) = (Arc::clone(&record), Arc::clone(&lost));
@@ -123,5 +128,31 @@
     let ms = began.elapsed().as_millis();
     let _ = client.stream.shutdown(std::net::Shutdown::Both);
     let (read, error_seen) = reading.join().unwrap();
-    record.note(&format!("the bad client goes after {ms} ms: {sent} bytes sent, {read} read, an error among them: {error_seen}"));
+    record.note(&format!(
+        "the bad client goes after {ms} ms: {sent} bytes sent, {read} read, an error among them: {error_seen}"
+    ));
+}
+
+/// Hundreds of bad clients at once: each sends hundreds of commands at once, reads its answers, and goes.
+fn wave(proxy: SocketAddr, record: &Record) {
+    record.note(&format!("{WAVE} bad clients come, each with {AT_ONCE} PING commands"));
+    let began = Instant::now();
+    let commands = "PING\r\n".repeat(AT_ONCE);
+    thread::scope(|scope| {
+        for _ in 0..WAVE {
+            scope.spawn(|| {
+                let Ok(client) = Client::connect(proxy) else { return };
+                let _ = client.send(&commands);
+                let _ = client.stream.set_read_timeout(Some(MOST_TIME));
+                let (mut bytes, mut read) = ([0; 8192], 0);
+                while read < commands.len() {
+                    match (&client.stream).read(&mut bytes) {
+                        Ok(n @ 1..) => read += n,
+                        _ => return,
+                    }
+                }
+            });
+        }
+    });
+    record.note(&format!("the last of the {WAVE} bad clients goes after {} ms", began.elapsed().as_millis()));
 }
--- a/review/stand_ins/mod.rs
+++ b/review/stand_ins/mod.rs
@@ -9,7 +9,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -26,6 +26,8 @@
 
 impl Record {
     pub fn create(path: &str) -> Arc<Record> {
+        // A panic is no verdict on the rule.
+        std::panic::set_hook(Box::new(|panic| give_up(&panic.to_string())));
         let file = File::create(path).unwrap_or_else(|error| give_up(&format!("{path}: {error}")));
         Arc::new(Record { file: Mutex::new(file), started: Instant::now() })
     }
@@ -36,9 +38,17 @@
     }
 }
 
-/// Ends the run as one that could not be played.
+/// The processes that were started, and the folder that they share.
+static STARTED: Mutex<(Vec<u32>, Option<PathBuf>)> = Mutex::new((Vec::new(), None));
+
+/// Ends the run as one that could not be played, and the processes that it started.
 pub fn give_up(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
+    let (processes, folder) = std::mem::take(&mut *STARTED.lock().unwrap_or_else(PoisonError::into_inner));
+    for id in processes {
+        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -KILL {id}")]).status();
+    }
+    folder.into_iter().for_each(|folder| drop(std::fs::remove_dir_all(folder)));
     std::process::exit(COULD_NOT_RUN);
 }
 
@@ -249,6 +259,7 @@
         let run = run.unwrap_or_else(|| give_up("the deploy file has no run"));
         let folder = std::env::temp_dir().join(format!("review-{}-{:x}", std::process::id(), fresh()));
         std::fs::create_dir(&folder).unwrap_or_else(|error| give_up(&error.to_string()));
+        STARTED.lock().unwrap().1 = Some(folder.clone());
         Platform { root, folder, run, children: Vec::new(), record: Arc::clone(record) }
     }
 
@@ -262,7 +273,8 @@
         );
         let path = self.folder.join(format!("config-{number}.json"));
         std::fs::write(&path, config).unwrap_or_else(|error| give_up(&error.to_string()));
-        let log = File::create(self.folder.join(format!("log-{number}"))).unwrap_or_else(|error| give_up(&error.to_string()));
+        let log =
+            File::create(self.folder.join(format!("log-{number}"))).unwrap_or_else(|error| give_up(&error.to_string()));
         let child = Command::new("/bin/sh")
             .args(["-c", &self.run])
             .current_dir(&self.root)
@@ -277,7 +289,9 @@
             .stdout(Stdio::null())
             .stderr(log)
             .spawn();
-        self.children.push(child.unwrap_or_else(|error| give_up(&error.to_string())));
+        let child = child.unwrap_or_else(|error| give_up(&error.to_string()));
+        STARTED.lock().unwrap().0.push(child.id());
+        self.children.push(child);
         self.record.note(&format!("proxy process {number} is started by '{}'", self.run));
         let until = Instant::now() + Duration::from_secs(10);
         while !is_ready(mgmt) {
@@ -293,7 +307,7 @@
 
     pub fn terminate(&mut self, number: usize) {
         let id = self.children[number].id();
-        let _ = Command::new("/bin/kill").args(["-TERM", &id.to_string()]).status();
+        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -TERM {id}")]).status();
         self.record.note(&format!("SIGTERM to proxy process {number}"));
     }
 
@@ -309,6 +323,7 @@
             let _ = child.wait();
         }
         let _ = std::fs::remove_dir_all(&self.folder);
+        *STARTED.lock().unwrap() = (Vec::new(), None);
     }
 }
 
