--- a/review/stand_ins/mod.rs
+++ b/review/stand_ins/mod.rs
@@ -89,13 +89,34 @@
     pub fn start(id: &str, record: &Arc<Record>) -> Node {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| give_up(&error.to_string()));
         let address = listener.local_addr().unwrap();
+        Node::serving(id, record, address, move || listener)
+    }
+
+    /// A render node whose process is dead, and comes back at its address after this time. Until then, connections are
+    /// refused.
+    pub fn start_later(id: &str, record: &Arc<Record>, after: Duration) -> Node {
+        let address = free_address();
+        let (id_there, record_there) = (id.to_owned(), Arc::clone(record));
+        Node::serving(id, record, address, move || {
+            thread::sleep(after);
+            record_there.note(&format!("render node {id_there} is back"));
+            TcpListener::bind(address).unwrap_or_else(|error| give_up(&error.to_string()))
+        })
+    }
+
+    fn serving(
+        id: &str,
+        record: &Arc<Record>,
+        address: SocketAddr,
+        listen: impl FnOnce() -> TcpListener + Send + 'static,
+    ) -> Node {
         let ran = Arc::new(Mutex::new(Vec::new()));
         let (id_there, record, ran_there) = (id.to_owned(), Arc::clone(record), Arc::clone(&ran));
         let open = Arc::new(Mutex::new(HashSet::new()));
         let resets = Arc::new(AtomicU64::new(0));
         let resets_there = Arc::clone(&resets);
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            for stream in listen().incoming().flatten() {
                 let (id, record, ran) = (id_there.clone(), Arc::clone(&record), Arc::clone(&ran_there));
                 let (open, resets) = (Arc::clone(&open), Arc::clone(&resets_there));
                 thread::spawn(move || {
