A socket with more to read is queued for it once, not once more for each event

Callers: beside a peer that sends without pause (a client and its render node with the shortest lines, a render node that reports loads, discovery with heartbeats) usual requests had no attempt within 10 s, or clients were moved.

Cause: Io::call_again queued a socket again although it was queued. An object with more to read asks in each call, and each event calls it too, so a busy peer was called once more in every round than in the one before.

Change: the queue is a set, so a socket is read at most twice a round. With it: take_line moves no bytes, fill says that there is more when its buffer is full, a signal's pipe is read within a bound.

--- a/crates/cottonnotch/tests/endings/floods.rs
+++ b/crates/cottonnotch/tests/endings/floods.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
 
 /// What the system can't take at once waits at the client; a client that goes leaves it to the system, or drops it.
 const MUCH: usize = 100_000;
@@ -159,3 +160,57 @@
     assert_eq!(proxy.metric("skipped_render_nodes"), Some(0), "the render node is not to blame");
     proxy.establish(&node);
 }
+
+/// Plays usual clients beside a flood: no line is held back for a second, and each request is answered in its time.
+fn assert_others_are_served(proxy: &Proxy, node: &ScriptedServer, duration: Duration) {
+    let (mut up, mut far) = proxy.establish(node);
+    let (began, mut pairs) = (Instant::now(), Vec::new());
+    while began.elapsed() < duration || pairs.len() < 20 {
+        let sent = Instant::now();
+        up.send("M 1 x\r\n");
+        assert_eq!(far.receive(), "M 1 x\r\n");
+        far.send("M 1 x\r\n");
+        assert_eq!(up.receive(), "M 1 x\r\n");
+        assert!(sent.elapsed() < Duration::from_secs(1), "a line was held back");
+        pairs.push(proxy.establish(node));
+        assert!(sent.elapsed() < Duration::from_secs(2), "a request got no answer in its time");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Each other kind of peer that may send at full speed; `docs/design/turns.md` lists them.
+const FLOODS: [fn(&Proxy, &ScriptedServer) -> Vec<Flood>; 6] = [
+    // A client whose line never ends, and one that goes on sending after its answer.
+    |proxy, _| vec![proxy.connect().into_flood("x"), proxy.connect().into_flood("rubbish\r\n")],
+    // A client that is up and its render node send each other the shortest lines.
+    |proxy, node| {
+        let (client, far) = proxy.establish(node);
+        vec![client.into_flood("\n"), far.into_flood("\n")]
+    },
+    // A render node reports loads, and its client reads them.
+    |proxy, node| {
+        let (client, far) = proxy.establish(node);
+        vec![client.into_flood(""), far.into_flood("LOAD 0.5\r\n")]
+    },
+    // An operator's head never ends.
+    |proxy, _| vec![operator(proxy).into_flood("X-Header: 1\r\n")],
+    // An operator goes on sending after the response.
+    |proxy, _| vec![operator(proxy).into_flood("GET /status HTTP/1.1\r\n\r\n")],
+    // Discovery sends heartbeats without pause.
+    |proxy, _| vec![proxy.discovery.accept_watch().0.into_flood("1\r\n\n\r\n")],
+];
+
+fn operator(proxy: &Proxy) -> ScriptedPeer {
+    ScriptedPeer::new(TcpStream::connect(proxy.admin_address()).unwrap())
+}
+
+/// No peer that sends at full speed has more than its turn.
+#[test]
+fn no_peer_at_full_speed_delays_others() {
+    for start in FLOODS {
+        let node = ScriptedServer::new();
+        let proxy = Proxy::with_admin(&[&node], 1024, SETTINGS);
+        let _floods = start(&proxy, &node);
+        assert_others_are_served(&proxy, &node, Duration::from_millis(700));
+    }
+}
--- a/crates/cottonnotch/tests/peers/mod.rs
+++ b/crates/cottonnotch/tests/peers/mod.rs
@@ -1,6 +1,7 @@
 //! The test rig: a proxy process, and peers that a test scripts line by line. Ports are ephemeral and every wait is bounded.
 #![allow(dead_code, reason = "each test file uses its part")]
 
+mod flood;
 pub mod full_backlog;
 mod messages;
 mod process;
@@ -8,6 +9,7 @@
 mod scripted;
 pub mod shims;
 
+pub use flood::Flood;
 pub use messages::*;
 pub use process::*;
 pub use proxy::Proxy;
--- a/crates/cottonnotch/tests/peers/scripted.rs
+++ b/crates/cottonnotch/tests/peers/scripted.rs
@@ -1,6 +1,6 @@
 //! Peers of a proxy that a test scripts line by line: clients, operators, render nodes and discovery.
 
-use super::{TIMEOUT, wait_for};
+use super::{Flood, TIMEOUT, wait_for};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
@@ -22,6 +22,11 @@
         self.0.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
+    /// Sends this text over and over at full speed; an empty text makes a peer that only reads.
+    pub fn into_flood(self, text: &str) -> Flood {
+        Flood::start(self.0.into_inner(), text)
+    }
+
     /// Sends this text, or returns why that can't be done.
     pub fn try_send(&mut self, text: &str) -> std::io::Result<()> {
         self.0.get_mut().write_all(text.as_bytes())
--- a/crates/reactor/src/line.rs
+++ b/crates/reactor/src/line.rs
@@ -16,9 +16,9 @@
 /// The result of a call of [`LineStream::fill`].
 #[derive(Debug)]
 pub enum Fill {
-    /// The socket has no more data, or the input buffer is full.
+    /// The socket has no more data.
     Blocked,
-    /// The socket may have more data; the caller must call again.
+    /// The socket may have more data; the caller must take input and call again.
     More,
     /// The peer has shut down its sending side.
     Ended,
@@ -36,6 +36,9 @@
 pub struct LineStream {
     stream: TcpStream,
     input: Vec<u8>,
+    /// Number of bytes at the start of `input` that were taken as lines. They are removed before the next read, since moving
+    /// the rest of the buffer for each of many short lines would take quadratic time.
+    taken: usize,
     output: Vec<u8>,
     /// Size in bytes above which a buffer is full. While the output buffer is full, the other side of a relayed connection is
     /// not read; while the input buffer is full, this socket is not read.
@@ -101,6 +104,7 @@
         LineStream {
             stream,
             input,
+            taken: 0,
             output,
             buffer_limit,
             shutdown_requested,
@@ -127,19 +131,18 @@
 
     /// Reads received data into the input buffer, at most `MAX_READ_PER_CALL` bytes or up to the buffer's limit.
     pub fn fill(&mut self) -> Fill {
+        self.input.drain(..self.taken);
+        self.taken = 0;
         let mut chunk = [0; MAX_LINE];
-        let mut taken = 0;
-        while taken < MAX_READ_PER_CALL.min(self.buffer_limit) {
-            // Bounds the memory for a client that keeps sending before it is answered. The buffered bytes go to
-            // whoever takes the buffer over, and the rest stays in the socket.
-            if self.input.len() >= self.buffer_limit {
-                return Fill::Blocked;
-            }
+        let mut received = 0;
+        // The buffer's limit bounds the memory for a client that keeps sending before it is answered. The buffered bytes
+        // go to whoever takes the buffer over, and the rest stays in the socket.
+        while received < MAX_READ_PER_CALL && self.input.len() < self.buffer_limit {
             match self.stream.read(&mut chunk) {
                 Ok(0) => return self.broken.map_or(Fill::Ended, |kind| Fill::Broken(kind.into())),
                 Ok(n) => {
                     self.input.extend_from_slice(&chunk[..n]);
-                    taken += n;
+                    received += n;
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Fill::Blocked,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -154,22 +157,32 @@
 
     /// Takes the next complete line, including the line end.
     pub fn take_line(&mut self) -> Result<Option<Vec<u8>>, TooLong> {
-        let end = self.input.iter().take(MAX_LINE).position(|b| *b == b'\n');
+        let input = &self.input[self.taken..];
+        let end = input.iter().take(MAX_LINE).position(|b| *b == b'\n');
         match end {
-            Some(end) => Ok(Some(self.input.drain(..=end).collect())),
-            None if self.input.len() >= MAX_LINE => Err(TooLong),
+            Some(end) => {
+                let line = input[..=end].to_vec();
+                self.taken += line.len();
+                Ok(Some(line))
+            }
+            None if input.len() >= MAX_LINE => Err(TooLong),
             None => Ok(None),
         }
     }
 
     /// Reads received data and discards it.
     pub fn discard(&mut self) -> Fill {
-        self.input.clear();
+        self.clear_input();
         let fill = self.fill();
-        self.input.clear();
+        self.clear_input();
         fill
     }
 
+    fn clear_input(&mut self) {
+        self.input.clear();
+        self.taken = 0;
+    }
+
     /// Whether the socket has a pending error. After the peer has shut down its sending side, reads keep returning the end of the
     /// stream and do not show that the connection was broken later.
     pub fn is_broken(&self) -> bool {
@@ -178,12 +191,15 @@
 
     /// Whether the input buffer holds bytes that were not taken.
     pub fn has_input(&self) -> bool {
-        !self.input.is_empty()
+        self.input.len() > self.taken
     }
 
     /// Takes all bytes of the input buffer.
     pub fn take_rest(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.input)
+        let taken = std::mem::take(&mut self.taken);
+        let mut rest = std::mem::take(&mut self.input);
+        rest.drain(..taken);
+        rest
     }
 
     /// Queues bytes for [`flush`](Self::flush).
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -9,12 +9,12 @@
 use mio::{Events, Interest, Poll, Registry, Token};
 use slab::Slab;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BTreeSet, BinaryHeap, VecDeque};
 use std::io;
 use std::time::Duration;
 
 /// Identifies one of an object's sockets. Most objects have one socket; a relayed connection has two.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Half {
     /// The client's socket, or the only socket.
     Near,
@@ -78,7 +78,9 @@
     clock: Clock,
     timers: BinaryHeap<Reverse<(Micros, u64, Owner, u32)>>,
     timer_number: u64,
-    pending_reads: VecDeque<(Key, Half)>,
+    /// Sockets to be read again in the next round, each once: an object that a new event makes readable too would otherwise be
+    /// called once more in every round.
+    pending_reads: BTreeSet<(Key, Half)>,
     /// Reports that the owner has not handled yet.
     pub reports: VecDeque<R>,
     /// Size of the buffer for each direction of a connection, in bytes.
@@ -117,9 +119,9 @@
     }
 
     /// Schedules another call of `readable` in the next round. To be used by an object that stops reading before the socket
-    /// would block, so that one busy connection does not delay the others.
+    /// would block, so that one busy connection does not delay the others. Several calls for one socket count as one.
     pub fn call_again(&mut self, key: Key, half: Half) {
-        self.pending_reads.push_back((key, half));
+        self.pending_reads.insert((key, half));
     }
 
     /// Sends a report to the loop's owner.
@@ -152,7 +154,7 @@
             clock,
             timers: BinaryHeap::new(),
             timer_number: 0,
-            pending_reads: VecDeque::new(),
+            pending_reads: BTreeSet::new(),
             reports: VecDeque::new(),
             buffer_bound: 16 * 1024,
         };
--- a/crates/reactor/src/signals.rs
+++ b/crates/reactor/src/signals.rs
@@ -12,6 +12,8 @@
 /// Time between two checks for a signal whose handler could not write to the pipe, in microseconds. It is well below the
 /// shortest time in which a process must react to a signal, and long enough that the cost is negligible.
 const POLL_INTERVAL: Micros = 250_000;
+/// Maximum number of reads from the pipe in one callback, so that a sender of many signals does not delay the connections.
+const MAX_READS_PER_CALL: usize = 16;
 
 /// The reading end of the pipe that the signal handler writes to, and the report that a signal causes.
 #[derive(Debug)]
@@ -38,31 +40,31 @@
         Ok(Signals { pipe, pending, report, key })
     }
 
-    /// Reports signals that have arrived, whether or not their handler could write to the pipe.
+    /// Reports that a signal has arrived, whether or not its handler could write to the pipe. Signals that arrive together
+    /// cause one report: the report is handled after all of them.
     fn report_pending(&mut self, io: &mut Io<R>) {
         let is_pending = self.pending.swap(false, Ordering::AcqRel);
-        let was_reported = self.drain_pipe(io);
-        if is_pending && !was_reported {
+        let was_written = self.drain_pipe(io);
+        if is_pending || was_written {
             io.report((self.report)());
         }
     }
 
-    /// Drains the pipe and reports a signal for each successful read. Returns whether any was reported.
+    /// Drains the pipe, up to the limit of one callback. Returns whether a signal handler had written to it.
     fn drain_pipe(&mut self, io: &mut Io<R>) -> bool {
         let mut bytes = [0; 16];
-        let mut was_reported = false;
-        loop {
+        let mut was_written = false;
+        for _ in 0..MAX_READS_PER_CALL {
             match self.pipe.read(&mut bytes) {
-                Ok(0) => return was_reported,
-                Ok(_) => {
-                    was_reported = true;
-                    io.report((self.report)());
-                }
+                Ok(0) => return was_written,
+                Ok(_) => was_written = true,
                 // Readiness is edge-triggered: after an interrupted read, unread bytes would wait for the next signal.
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return was_reported,
+                Err(_) => return was_written,
             }
         }
+        io.call_again(self.key, Half::Near);
+        was_written
     }
 }
 
