A client that sends PINGs at full speed has its turn, and then an error

Cause: read_first_line read, answered a PING by a write of its own and began again until the socket had no more data, and nothing limited the PINGs of a connection.

Why it works: no callback goes on for as long as its peer sends. docs/design/turns.md lists every callback that loops on what a peer sends, with its bound and its test.

--- a/crates/cottonnotch/src/net/client_connection/commands.rs
+++ b/crates/cottonnotch/src/net/client_connection/commands.rs
@@ -97,16 +97,16 @@
             self.read_first_line(io);
         }
         match self.state {
-            State::ReadingFirstLine { pinged: false, .. } => {
-                self.send_final_line(io, &busy_line(retry_after));
-                true
-            }
             // The client has received its PONG and has sent no request, so it could mistake a BUSY for another
             // answer.
-            State::ReadingFirstLine { pinged: true, .. } => {
+            State::ReadingFirstLine { pings, .. } if pings.any() => {
                 self.finish_client(io);
                 false
             }
+            State::ReadingFirstLine { .. } => {
+                self.send_final_line(io, &busy_line(retry_after));
+                true
+            }
             _ => false,
         }
     }
--- a/crates/cottonnotch/src/net/client_connection/first_line.rs
+++ b/crates/cottonnotch/src/net/client_connection/first_line.rs
@@ -6,43 +6,50 @@
 use crate::net::network_event::{ClientEvent, Io};
 use crate::net::open_line::OpenLine;
 use crate::net::request_error::RequestError;
-use cottonnotch_decision::Outcome;
+use cottonnotch_decision::{Micros, Outcome};
 use cottonnotch_reactor::Half;
 use cottonnotch_reactor::line::{Fill, trim_end};
 
 impl ClientConnection {
+    /// Reads what has arrived, up to the limit of one callback.
     pub(super) fn read_first_line(&mut self, io: &mut Io) {
-        loop {
-            let fill = self.client.fill();
-            match self.client.take_line() {
-                Ok(Some(line)) if trim_end(&line) == b"PING" => {
-                    if !self.answer_ping(io) {
-                        return;
-                    }
-                }
-                Ok(Some(line)) => return self.handle_first_line(io, trim_end(&line)),
-                Err(error) => return self.reject_client(io, error.into()),
-                Ok(None) => match fill {
-                    Fill::Blocked => return,
-                    Fill::More => return io.call_again(self.key, Half::Near),
-                    Fill::Ended | Fill::Broken(_) => {
-                        self.state = State::Closed;
-                        return;
-                    }
-                },
+        let fill = self.client.fill();
+        let line = match self.answer_pings(io) {
+            Ok(line) => line,
+            Err(error) => return self.reject_client(io, error),
+        };
+        if self.client.flush().is_err() {
+            self.state = State::Closed;
+            return;
+        }
+        match (line, fill) {
+            (Some(line), _) => self.handle_first_line(io, trim_end(&line)),
+            (None, Fill::Blocked) => {}
+            (None, Fill::More) => io.call_again(self.key, Half::Near),
+            (None, Fill::Ended | Fill::Broken(_)) => self.state = State::Closed,
+        }
+    }
+
+    /// Queues the answers to the PINGs that have arrived, and returns the first line that is not a PING.
+    fn answer_pings(&mut self, io: &Io) -> Result<Option<Vec<u8>>, RequestError> {
+        while let Some(line) = self.client.take_line()? {
+            if trim_end(&line) != b"PING" {
+                return Ok(Some(line));
             }
+            self.answer_ping(io.now())?;
         }
+        Ok(None)
     }
 
-    /// Answers a PING. Returns false if the connection is broken, and closes it.
-    fn answer_ping(&mut self, io: &mut Io) -> bool {
-        self.client.push(b"PONG\r\n");
-        if self.client.flush().is_err() {
-            self.state = State::Closed;
-            return false;
+    /// Queues the answer to a PING. Fails if the client sends PINGs too fast or does not read the answers.
+    fn answer_ping(&mut self, now: Micros) -> Result<(), RequestError> {
+        let State::ReadingFirstLine { until, pings } = &mut self.state else { return Ok(()) };
+        if !pings.admit(now) || self.client.is_full() {
+            return Err(RequestError::TooManyPings);
         }
-        self.state = State::ReadingFirstLine { until: io.now() + PING_TIMEOUT, pinged: true };
-        true
+        *until = now + PING_TIMEOUT;
+        self.client.push(b"PONG\r\n");
+        Ok(())
     }
 
     fn handle_first_line(&mut self, io: &mut Io, line: &[u8]) {
--- a/crates/cottonnotch/src/net/client_connection/mod.rs
+++ b/crates/cottonnotch/src/net/client_connection/mod.rs
@@ -3,6 +3,7 @@
 mod attempting;
 mod commands;
 mod first_line;
+mod ping_limit;
 mod relaying;
 
 use super::attempt::Attempt;
@@ -16,6 +17,7 @@
 use cottonnotch_decision::Micros;
 use cottonnotch_reactor::line::{Fill, LineStream};
 use cottonnotch_reactor::{Connection, Half, Key};
+use ping_limit::PingLimit;
 use std::net::SocketAddr;
 
 /// The time limit for the first line; a client that exceeds it gets an error. A client that connects and sends
@@ -46,9 +48,8 @@
 
 #[derive(Debug)]
 enum State {
-    /// The first line has not arrived; the client is rejected at `until`. `pinged` tells whether the client has
-    /// sent a PING.
-    ReadingFirstLine { until: Micros, pinged: bool },
+    /// The first line has not arrived; the client is rejected at `until`. `pings` counts the PINGs that came instead.
+    ReadingFirstLine { until: Micros, pings: PingLimit },
     /// The client is owed a final answer, and no attempt is in flight.
     Queued,
     /// An attempt is in flight.
@@ -81,7 +82,7 @@
     pub fn accepted(client: LineStream, key: Key, io: &mut Io) -> Self {
         let until = io.now() + FIRST_LINE_TIMEOUT;
         io.timer(until, key, FIRST_LINE_TIMER);
-        let state = State::ReadingFirstLine { until, pinged: false };
+        let state = State::ReadingFirstLine { until, pings: PingLimit::default() };
         ClientConnection { key, client, state, line: None, deadline: None, endpoint_address: None }
     }
 
--- a/crates/cottonnotch/src/net/driver/golden_tests.rs
+++ b/crates/cottonnotch/src/net/driver/golden_tests.rs
@@ -193,6 +193,7 @@
         RequestError::UnknownClass,
         RequestError::UnknownTenant,
         RequestError::DuplicateId,
+        RequestError::TooManyPings,
     ];
     texts.extend(others.iter().map(RequestError::to_string));
     assert_text(&golden_path!("client_errors.txt"), &(texts.join("\n") + "\n"));
--- a/crates/cottonnotch/src/net/request_error.rs
+++ b/crates/cottonnotch/src/net/request_error.rs
@@ -14,6 +14,8 @@
     TooLong(#[from] TooLong),
     #[error("no first line came")]
     NoFirstLine,
+    #[error("too many PINGs")]
+    TooManyPings,
     #[error("more than one line before the answer")]
     DataBeforeAnswer,
     #[error("the class is unknown")]
--- a/crates/cottonnotch/tests/endings/floods.rs
+++ b/crates/cottonnotch/tests/endings/floods.rs
@@ -161,6 +161,11 @@
     proxy.establish(&node);
 }
 
+/// PINGs that a flood writes at once.
+const PINGS_AT_ONCE: usize = 900;
+/// How long a flood lasts while others are served: a bad client is owed its error within this time.
+const FLOOD_DURATION: Duration = Duration::from_secs(3);
+
 /// Plays usual clients beside a flood: no line is held back for a second, and each request is answered in its time.
 fn assert_others_are_served(proxy: &Proxy, node: &ScriptedServer, duration: Duration) {
     let (mut up, mut far) = proxy.establish(node);
@@ -178,6 +183,16 @@
     }
 }
 
+/// One client that sends PINGs at full speed once kept the proxy in a single callback: nobody else was served meanwhile.
+#[test]
+fn ping_flood_delays_no_other_client() {
+    let node = ScriptedServer::new();
+    let proxy = Proxy::with(&[&node], 1024, SETTINGS);
+    let flood = proxy.connect().into_flood("PING\r\n");
+    assert_others_are_served(&proxy, &node, FLOOD_DURATION);
+    assert!(flood.has_error(), "the flood is answered with an error");
+}
+
 /// Each other kind of peer that may send at full speed; `docs/design/turns.md` lists them.
 const FLOODS: [fn(&Proxy, &ScriptedServer) -> Vec<Flood>; 6] = [
     // A client whose line never ends, and one that goes on sending after its answer.
@@ -214,3 +229,27 @@
         assert_others_are_served(&proxy, &node, Duration::from_millis(700));
     }
 }
+
+/// A client that sends hundreds of PINGs without waiting once had them all answered, and then the request behind them served.
+#[test]
+fn rejects_client_with_many_pings_at_once() {
+    let node = ScriptedServer::new();
+    let proxy = Proxy::with(&[&node], 1024, SETTINGS);
+    proxy.pause();
+    let mut flood = proxy.connect();
+    flood.send(&("PING\r\n".repeat(PINGS_AT_ONCE) + &with_fresh_id(OPEN)));
+    let mut check = proxy.connect();
+    check.send(&"PING\r\n".repeat(20));
+    check.send(&with_fresh_id(OPEN));
+    proxy.resume_after_arrival();
+    let answers = flood.receive_rest().unwrap();
+    assert!(answers.ends_with("ERR too many PINGs\r\n"), "{answers:?}");
+    assert!(answers.lines().filter(|line| *line == "PONG").count() < 100, "{answers:?}");
+    for _ in 0..20 {
+        assert_eq!(check.receive(), "PONG\r\n", "a health check may have waited for the process to go on");
+    }
+    let (mut far, _) = node.accept_attempt();
+    far.send("UP 1\r\n");
+    assert_eq!(check.receive(), "UP 1\r\n");
+    assert!(node.poll().is_none(), "the request behind the flood goes nowhere");
+}
