A client whose socket cannot be registered is read within a bound

Callers: where registering sockets fails for a while, a client that sends at full speed kept the proxy reading from it alone until it went.

Cause: the answered client's input was discarded until the socket had no more data.

Change: at most four reads in a call; what is left is read by the next call or dropped at the close.

--- a/crates/cottonnotch/src/net/driver/unregistered_clients.rs
+++ b/crates/cottonnotch/src/net/driver/unregistered_clients.rs
@@ -15,6 +15,8 @@
 const LINGER_TIMEOUT: Micros = 1_000_000;
 /// Maximum number of waiting clients. A client in excess of it causes the oldest one to be rejected at once.
 const MAX_WAITING: usize = 256;
+/// Maximum number of reads from one client in one call. What is left is read by the next call or dropped at the close.
+const MAX_READS_PER_CALL: usize = 4;
 
 /// A client whose socket is not registered.
 #[derive(Debug)]
@@ -93,10 +95,11 @@
         Some(self)
     }
 
-    /// Discards received input. Returns false once the client has closed the connection.
+    /// Discards received input, at most [`MAX_READS_PER_CALL`] reads of it. Returns false once the client has closed the
+    /// connection.
     fn discard_input(&mut self) -> bool {
         let mut bytes = [0; 4096];
-        loop {
+        for _ in 0..MAX_READS_PER_CALL {
             match self.stream.read(&mut bytes) {
                 Ok(0) => return false,
                 Ok(_) => {}
@@ -104,5 +107,6 @@
                 Err(error) => return error.kind() == ErrorKind::WouldBlock,
             }
         }
+        true
     }
 }
--- a/crates/cottonnotch/tests/call_faults.rs
+++ b/crates/cottonnotch/tests/call_faults.rs
@@ -10,7 +10,7 @@
 use cottonnotch_shim_control::Setting;
 use peers::shims::Shims;
 use peers::*;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Every call.
 const ALWAYS: i64 = 1000;
@@ -45,6 +45,23 @@
     let _pair = proxy.establish(&node);
 }
 
+/// A client whose socket cannot be watched, and that sends at full speed, once kept the proxy reading from it alone.
+#[test]
+fn unregistered_flood_delays_no_other_client() {
+    let shims = Shims::new();
+    let node = ScriptedServer::new();
+    let proxy = Proxy::by(shims.command(None), &[&node], 1024, SETTINGS);
+    shims.set(Setting::Register, ALWAYS);
+    let _floods = [proxy.connect().into_flood("x"), proxy.connect().into_flood("x")];
+    // The flood is answered after half a second; its input is discarded from then on.
+    std::thread::sleep(Duration::from_millis(700));
+    assert!(shims.count(Setting::Register) > 0);
+    shims.set(Setting::Register, 0);
+    let since = Instant::now();
+    let _pair = proxy.establish(&node);
+    assert!(since.elapsed() < Duration::from_secs(1));
+}
+
 /// A client whose socket cannot be watched for a moment is served.
 #[test]
 fn serves_client_after_transient_registration_failure() {
