An id that is open at one process of a proxy is refused by the other

Cause: the ids of open requests were in one process's request table.

Change: while others are alive, a thread publishes this process's ids in a file and looks for each new id in the others' files; the request waits meanwhile. A claim is published before the others' are read, so of two in the same instant one is granted at most. A process listens once all others have acknowledged it. A lock tells which are alive: a killed one's ids are free. What can't be settled in 0.4 s is told BUSY.

Two tests of file_faults rested on a takeover by a process that can't read the shared folder, beside one that serves. It can't know that one's ids, so it waits now until the folder is readable or nobody else listens. The tests ask for both, for longer than the 2 s after which it took over.

--- a/crates/cottonnotch/src/net/connection_request.rs
+++ b/crates/cottonnotch/src/net/connection_request.rs
@@ -22,3 +22,11 @@
     /// The endpoint on which the connection is already open; `None` if the client names none.
     pub current_endpoint: Option<String>,
 }
+
+impl ConnectionRequest {
+    /// The request after it has waited for this long.
+    pub fn after(self, waited: Micros) -> Self {
+        // A request without any time left is rejected like one with little time, so at least a microsecond stays.
+        ConnectionRequest { time_left: self.time_left.map(|left| (left - waited).max(1)), ..self }
+    }
+}
--- a/crates/cottonnotch/src/net/driver/clients/admission.rs
+++ b/crates/cottonnotch/src/net/driver/clients/admission.rs
@@ -9,11 +9,12 @@
 use crate::net::driver::endpoints::Endpoints;
 use crate::net::driver::log_target::LOG_TARGET;
 use crate::net::driver::message_latency::MessageLatency;
+use crate::net::driver::open_ids::{ClaimOutcome, ClaimedRequest};
 use crate::net::driver::request_table::{Stage, TrackedRequest};
 use crate::net::final_answer::FULL_RETRY_AFTER;
 use crate::net::request_error::RequestError;
 use cottonnotch_decision::settings::Profile;
-use cottonnotch_decision::{ClassId, Event, Request, RequestId, TenantId};
+use cottonnotch_decision::{ClassId, Event, Micros, Request, RequestId, TenantId};
 use cottonnotch_reactor::Key;
 
 impl Clients {
@@ -31,6 +32,59 @@
             self.reject_invalid(context, key, &connection_request, &error);
             return None;
         }
+        let claimed = self.open_ids.claim(context, key, connection_request)?;
+        self.admit(context, acceptor, endpoints, key, claimed)
+    }
+
+    /// Handles a request whose claim of its id has ended. Returns the same as [`Self::handle_connection_request`].
+    pub fn handle_claimed_request(
+        &mut self,
+        context: &mut Context,
+        acceptor: &mut Acceptor,
+        endpoints: &Endpoints,
+        ClaimedRequest { key, request, outcome }: ClaimedRequest,
+    ) -> Option<Event> {
+        match outcome {
+            ClaimOutcome::Taken => self.reject_invalid(context, key, &request, &RequestError::DuplicateId),
+            ClaimOutcome::Unavailable => self.reject_unverified(context, key, &request),
+            ClaimOutcome::Granted => {
+                // The settings may have changed during the claim.
+                if let Some(error) = unknown_name(&context.config, &request) {
+                    self.open_ids.release(request.id);
+                    self.reject_invalid(context, key, &request, &error);
+                } else {
+                    return self.admit(context, acceptor, endpoints, key, request);
+                }
+            }
+        }
+        None
+    }
+
+    /// Admits a request whose id is claimed, and releases the id if the request is answered here.
+    fn admit(
+        &mut self,
+        context: &mut Context,
+        acceptor: &mut Acceptor,
+        endpoints: &Endpoints,
+        key: Key,
+        connection_request: ConnectionRequest,
+    ) -> Option<Event> {
+        let id = connection_request.id;
+        let event = self.track(context, acceptor, endpoints, key, connection_request);
+        if self.requests.get(key).is_none() {
+            self.open_ids.release(id);
+        }
+        event
+    }
+
+    fn track(
+        &mut self,
+        context: &mut Context,
+        acceptor: &mut Acceptor,
+        endpoints: &Endpoints,
+        key: Key,
+        connection_request: ConnectionRequest,
+    ) -> Option<Event> {
         if !acceptor.ensure_descriptor_for_attempt(context, self.requests.len()) {
             self.reject_for_sockets(context, key, &connection_request);
             return None;
@@ -69,17 +123,8 @@
 
     /// The error with which a client is answered without an attempt, or `None` if its request may go to an endpoint.
     fn validate(&self, config: &Config, connection_request: &ConnectionRequest) -> Option<RequestError> {
-        let Profile { tenants, settings, .. } = &config.profile;
-        let is_unknown = |tenant: &String| !settings.tenants.is_empty() && tenants.find(tenant).is_none();
-        if config.profile.class(&connection_request.class).is_none() {
-            Some(RequestError::UnknownClass)
-        } else if connection_request.tenant.as_ref().is_some_and(is_unknown) {
-            Some(RequestError::UnknownTenant)
-        } else if self.requests.has_wire_id(connection_request.id) {
-            Some(RequestError::DuplicateId)
-        } else {
-            None
-        }
+        let is_open = self.open_ids.contains(connection_request.id);
+        unknown_name(config, connection_request).or(is_open.then_some(RequestError::DuplicateId))
     }
 
     fn reject_invalid(
@@ -111,10 +156,30 @@
             );
         }
         let class = context.config.profile.classes.find(&connection_request.class);
-        context.records.rejected_for_sockets(class, || "out of sockets".into());
+        context.records.rejected_before_request(class, || "out of sockets".into());
         context.with_client(key, |client, io| client.reject(io, FULL_RETRY_AFTER));
     }
 
+    /// Rejects a client because it is unknown whether its id is open at another process of this proxy.
+    fn reject_unverified(&mut self, context: &mut Context, key: Key, connection_request: &ConnectionRequest) {
+        if let Some(left_out) = self.unverified_log.due(context.now()) {
+            log::warn!(
+                target: LOG_TARGET, left_out;
+                "client rejected: it is unknown whether its id is open at another process ({left_out} more since)"
+            );
+        }
+        let class = context.config.profile.classes.find(&connection_request.class);
+        context.records.rejected_before_request(class, || "its id may be open".into());
+        context.with_client(key, |client, io| client.reject(io, FULL_RETRY_AFTER));
+    }
+
+    /// Rejects the requests whose claims take too long.
+    pub fn expire_claims(&mut self, context: &mut Context, now: Micros) {
+        for ClaimedRequest { key, request, .. } in self.open_ids.expire(now) {
+            self.reject_unverified(context, key, &request);
+        }
+    }
+
     /// Handles a client that was rejected with an error. If the client had a request already, the error was its
     /// answer.
     pub fn handle_rejected(
@@ -142,6 +207,19 @@
     }
 }
 
+/// The error if the settings do not have the request's class or tenant.
+fn unknown_name(config: &Config, connection_request: &ConnectionRequest) -> Option<RequestError> {
+    let Profile { tenants, settings, .. } = &config.profile;
+    let is_unknown = |tenant: &String| !settings.tenants.is_empty() && tenants.find(tenant).is_none();
+    if config.profile.class(&connection_request.class).is_none() {
+        Some(RequestError::UnknownClass)
+    } else if connection_request.tenant.as_ref().is_some_and(is_unknown) {
+        Some(RequestError::UnknownTenant)
+    } else {
+        None
+    }
+}
+
 /// Converts a request to the numbers that the settings assign. Returns `None` if the class has no number.
 fn to_request(profile: &Profile, id: RequestId, connection_request: &ConnectionRequest) -> Option<Request> {
     let class = profile.class(&connection_request.class)?;
--- a/crates/cottonnotch/src/net/driver/clients/mod.rs
+++ b/crates/cottonnotch/src/net/driver/clients/mod.rs
@@ -8,6 +8,7 @@
 pub use attempts::AttemptPlan;
 
 use super::message_latency::MessageLatency;
+use super::open_ids::OpenIds;
 use super::request_table::{RequestTable, TrackedRequest};
 use cottonnotch_reactor::Key;
 use cottonnotch_reactor::rate_limited_log::RateLimitedLog;
@@ -16,9 +17,11 @@
 #[derive(Default)]
 pub struct Clients {
     requests: RequestTable,
+    open_ids: OpenIds,
     /// Connections that were open before this process started and wait for another attempt to reopen them.
     reopening: Vec<Key>,
     socket_shortage_log: RateLimitedLog,
+    unverified_log: RateLimitedLog,
     rejection_log: RateLimitedLog,
 }
 
@@ -28,6 +31,11 @@
         &self.requests
     }
 
+    /// The ids of open requests.
+    pub fn open_ids(&mut self) -> &mut OpenIds {
+        &mut self.open_ids
+    }
+
     /// The number of requests in progress.
     pub fn in_progress(&self) -> usize {
         self.requests.len()
@@ -35,6 +43,7 @@
 
     fn remove(&mut self, latency: &mut MessageLatency, key: Key) -> Option<TrackedRequest> {
         let tracked = self.requests.remove(key)?;
+        self.open_ids.release(tracked.wire_id);
         latency.remove_request(&tracked);
         Some(tracked)
     }
--- a/crates/cottonnotch/src/net/driver/context.rs
+++ b/crates/cottonnotch/src/net/driver/context.rs
@@ -28,6 +28,8 @@
 pub const ACCEPT_ADMINS_TIMER: u32 = TICK_TIMER + 5;
 /// Timer to look for other processes of this proxy.
 pub const POLL_SIBLINGS_TIMER: u32 = TICK_TIMER + 6;
+/// Timer to reject requests whose claims of their ids take too long.
+pub const CLAIM_TIMER: u32 = TICK_TIMER + 7;
 
 /// A sample of the wall clock is discarded if the readings of the event loop's clock before and after it are further
 /// apart than this.
--- a/crates/cottonnotch/src/net/driver/dispatch.rs
+++ b/crates/cottonnotch/src/net/driver/dispatch.rs
@@ -32,6 +32,7 @@
                 let event = self.endpoints.handle_watch_lost(context, watch, loss, &reason);
                 self.handle_event(event);
             }
+            NetworkEvent::ClaimsEnded => self.settle_claims(),
             NetworkEvent::Terminate => self.terminate(),
             NetworkEvent::Reload => self.reload(),
             NetworkEvent::Timer(timer) => self.dispatch_timer(timer),
@@ -50,6 +51,7 @@
             context::ACCEPT_ADMINS_TIMER => self.management.on_accept_timer(context),
             context::PEERS_TIMER => self.handle_peers_timer(),
             context::POLL_SIBLINGS_TIMER => self.poll_siblings(),
+            context::CLAIM_TIMER => self.expire_claims(),
             token => self.handle_event(Some(Event::Timer(token))),
         }
     }
--- a/crates/cottonnotch/src/net/driver/hot_restart.rs
+++ b/crates/cottonnotch/src/net/driver/hot_restart.rs
@@ -15,6 +15,8 @@
 
 const STARTING: &str = "starting";
 const READY: &str = "ready";
+/// The last part of the name of the file with a process's open ids (`open_ids`), where process files have their state.
+const ID_TABLE: &str = "ids";
 /// Width of the number of descriptors, in bytes.
 const DESCRIPTORS_WIDTH: usize = 8;
 /// Width of the monotonic start time, which follows the number of descriptors, in bytes.
@@ -65,6 +67,21 @@
         }
     }
 
+    /// When this process started, in microseconds of Unix time.
+    pub fn started_unix(&self) -> Micros {
+        self.started_unix
+    }
+
+    /// Whether the file of this process is published.
+    pub fn is_published(&self) -> bool {
+        self.published_file.is_some()
+    }
+
+    /// The path of the file with the open ids of the process with this start time.
+    pub fn id_table_path(&self, started_unix: Micros) -> PathBuf {
+        file_path(&self.prefix, started_unix, ID_TABLE)
+    }
+
     /// Publishes the file of this process, if that has not been done yet. Fails if the folder cannot be written to;
     /// the caller may retry.
     pub fn publish(&mut self) -> io::Result<()> {
@@ -144,8 +161,9 @@
             Err(TryLockError::WouldBlock) => {}
             Err(TryLockError::Error(error)) => return Err(error),
             Ok(()) => {
-                // The process has ended. If its file cannot be removed now, the next call tries again.
-                let _ = fs::remove_file(path);
+                // The process has ended. If its files cannot be removed now, the next call tries again.
+                let removed = ignore_not_found(fs::remove_file(self.id_table_path(started_unix)));
+                let _ = removed.and_then(|_| fs::remove_file(path));
                 return Ok(None);
             }
         }
@@ -200,8 +218,10 @@
 
 impl Drop for HotRestart {
     fn drop(&mut self) {
-        // The system releases the lock in any case; removing the file only cleans up the folder.
+        // The system releases the locks in any case; removing the files only cleans up the folder. In this order, no process
+        // file is left without its table: it would be taken for that of a build without tables.
         let _ = self.published_file.as_ref().map(|published_file| fs::remove_file(&published_file.path));
+        let _ = fs::remove_file(self.id_table_path(self.started_unix));
     }
 }
 
--- a/crates/cottonnotch/src/net/driver/lifecycle.rs
+++ b/crates/cottonnotch/src/net/driver/lifecycle.rs
@@ -5,23 +5,26 @@
 use super::log_target::LOG_TARGET;
 use super::management::shared_file_path;
 use super::message_latency::MessageLatency;
+use super::open_ids::{OpenIds, Sibling, TableFile};
 use super::request_table::RequestTable;
 use super::shutdown::{self, Shutdown};
 use crate::config::{Config, ConfigError};
 use cottonnotch_decision::settings::Profile;
 use cottonnotch_decision::{Event, Micros, RequestId};
+use cottonnotch_reactor::listener::is_address_in_use;
 use cottonnotch_reactor::rate_limited_log::RateLimitedLog;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Reads the whole configuration again, from both files.
 pub type ReadConfig = Box<dyn Fn() -> Result<Config, ConfigError>>;
 
 /// How long a process that starts beside a predecessor waits for discovery. The predecessor serves in the meantime.
 const TAKEOVER_TIMEOUT: Micros = 2_000_000;
-/// Descriptors other than those of reactor objects and of connections to endpoints: standard streams, the poll, and
-/// the other ends of the signal pipes.
-const UNCOUNTED_DESCRIPTORS: usize = 10;
+/// Descriptors other than those of reactor objects and of connections to endpoints: standard streams, the poll, the
+/// other ends of the signal pipes and of the waker, the process file, and the tables of open ids.
+const UNCOUNTED_DESCRIPTORS: usize = 14;
 
 /// The result of applying a new configuration.
 pub struct Reloaded {
@@ -56,6 +59,12 @@
     shutdown: Option<Shutdown>,
     /// Finds other processes of this proxy. `None` if no operators' address or no shared folder is configured.
     hot_restart: Option<HotRestart>,
+    /// The file in which this process publishes its open ids, or `None` if it could not be created yet.
+    id_table: Option<Arc<TableFile>>,
+    /// The other processes of this proxy that were alive at the last successful search.
+    siblings: Vec<Sibling>,
+    /// Whether the last search for other processes succeeded.
+    knows_siblings: bool,
     /// The result of the last successful search for a predecessor, or `None` before the first one.
     predecessor: Option<Predecessor>,
     hot_restart_failure_log: RateLimitedLog,
@@ -76,11 +85,14 @@
             read_config,
             shutdown,
             hot_restart,
+            id_table: None,
+            siblings: Vec::new(),
+            knows_siblings: false,
             predecessor: None,
             hot_restart_failure_log,
             started_at,
         };
-        lifecycle.publish_process_file(started_at);
+        lifecycle.publish_process_files(context);
         lifecycle
     }
 
@@ -89,14 +101,24 @@
         self.address = address;
     }
 
-    /// Publishes this process's file, if that has not been done yet. This may fail for a while, for example because
+    /// Publishes this process's files, if that has not been done yet. This may fail for a while, for example because
     /// the folder is full.
-    fn publish_process_file(&mut self, now: Micros) {
-        if let Some(Err(error)) = self.hot_restart.as_mut().map(HotRestart::publish) {
-            self.log_hot_restart_failure(now, &error);
+    fn publish_process_files(&mut self, context: &Context) {
+        if let Err(error) = self.try_publish(context.config.sockets) {
+            self.log_hot_restart_failure(context.now(), &error);
         }
     }
 
+    fn try_publish(&mut self, sockets: usize) -> io::Result<()> {
+        let Some(hot_restart) = &mut self.hot_restart else { return Ok(()) };
+        // In this order: a process whose file is there without a table is one that has none.
+        if self.id_table.is_none() {
+            let path = hot_restart.id_table_path(hot_restart.started_unix());
+            self.id_table = Some(Arc::new(TableFile::create(&path, sockets)?));
+        }
+        hot_restart.publish()
+    }
+
     fn log_hot_restart_failure(&mut self, now: Micros, error: &io::Error) {
         if let Some(left_out) = self.hot_restart_failure_log.due(now) {
             log::warn!(
@@ -113,15 +135,21 @@
 
     /// Looks for other processes of this proxy, and publishes how many descriptors this one holds.
     pub fn find_predecessor(&mut self, context: &mut Context) -> Predecessor {
-        self.publish_process_file(context.now());
+        self.publish_process_files(context);
         let Some(hot_restart) = &self.hot_restart else { return Predecessor::None };
         let siblings = match hot_restart.siblings() {
             Ok(siblings) => siblings,
             Err(error) => {
+                self.knows_siblings = false;
                 self.log_hot_restart_failure(context.now(), &error);
                 return self.assumed_predecessor(context.now());
             }
         };
+        self.knows_siblings = true;
+        let table_path = |started_unix| hot_restart.id_table_path(started_unix);
+        self.siblings =
+            siblings.iter().map(|sibling| Sibling::new(sibling.started_unix, table_path)).collect();
+        self.siblings.sort();
         context.sibling_descriptors = siblings.iter().map(|sibling| sibling.descriptors).sum();
         if !siblings.is_empty() {
             // Each request uses two descriptors: one of its own object, which is among the connections, and one of
@@ -145,6 +173,27 @@
         self.predecessor.unwrap_or(assumed)
     }
 
+    /// Tells the exchange of open ids which other processes are alive. This may fail for a while; the next call retries.
+    pub fn update_open_ids(&mut self, context: &mut Context, open_ids: &mut OpenIds) {
+        let Some(hot_restart) = &self.hot_restart else { return };
+        let (started_unix, file) = (hot_restart.started_unix(), self.id_table.as_ref());
+        if let Err(error) = open_ids.set_siblings(context, started_unix, file, &self.siblings) {
+            self.log_hot_restart_failure(context.now(), &error);
+        }
+    }
+
+    /// Whether no client of this process can have an id that is open at another process without either noticing. While this
+    /// process cannot show itself to others or not see them, that is so if nobody else listens at its address.
+    pub fn is_exchanging_ids(&self, open_ids: &OpenIds) -> bool {
+        match &self.hot_restart {
+            None => true,
+            Some(hot_restart) if hot_restart.is_published() && self.knows_siblings => {
+                open_ids.is_acknowledged_by(&self.siblings)
+            }
+            Some(_) => !is_address_in_use(self.address),
+        }
+    }
+
     /// Whether this process may take over the clients of its predecessor. `is_informed` means that discovery has sent
     /// its list and the manual overrides are loaded; otherwise the timeout for both must have passed.
     pub fn can_take_over(&self, now: Micros, is_informed: bool) -> bool {
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -26,6 +26,7 @@
 mod maintenance_file;
 mod management;
 mod message_latency;
+mod open_ids;
 mod peers;
 mod process;
 mod records;
--- /dev/null
+++ b/crates/cottonnotch/src/net/driver/open_ids/sibling_table.rs
@@ -0,0 +1,68 @@
+//! The table of another process of this proxy, as this process reads it.
+
+use super::layout::{BUCKET_BYTES, HEADER_BYTES, Layout, acknowledges, decode_slot};
+use cottonnotch_decision::Micros;
+use std::fs::{self, File};
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::Path;
+
+/// The published file of another process.
+#[derive(Debug)]
+pub struct SiblingTable {
+    file: File,
+    layout: Layout,
+}
+
+impl SiblingTable {
+    /// Opens the file. Returns `None` if there is none or if it has another format: the process is of another build, which does
+    /// not publish its ids in this way.
+    pub fn open(path: &Path) -> io::Result<Option<Self>> {
+        let metadata = match fs::symlink_metadata(path) {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+            metadata => metadata?,
+        };
+        // Skips anything that is not a regular file: opening a pipe with this name would block.
+        if !metadata.is_file() || metadata.len() < HEADER_BYTES as u64 {
+            return Ok(None);
+        }
+        let file = match File::open(path) {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+            file => file?,
+        };
+        let layout = Layout::decode_header(&read_header(&file)?);
+        let layout = layout.filter(|layout| layout.file_bytes() == metadata.len());
+        Ok(layout.map(|layout| SiblingTable { file, layout }))
+    }
+
+    /// Whether the process respects the ids of the process with this start time.
+    pub fn acknowledges(&self, start: Micros) -> io::Result<bool> {
+        Ok(acknowledges(&read_header(&self.file)?, start))
+    }
+
+    /// Whether the id is open at the process. An id that it has published before this call is found.
+    pub fn contains(&self, id: u64) -> io::Result<bool> {
+        Ok(self.search(id)? && self.is_alive()?)
+    }
+
+    fn search(&self, id: u64) -> io::Result<bool> {
+        let mut bucket = [0; BUCKET_BYTES];
+        self.file.read_exact_at(&mut bucket, self.layout.offset(self.layout.first_slot(id)))?;
+        Ok(bucket.as_chunks().0.iter().any(|slot| decode_slot(slot) == Some(id)))
+    }
+
+    /// Whether the process is alive: it holds a lock on its file, which the system releases when the process ends.
+    fn is_alive(&self) -> io::Result<bool> {
+        match self.file.try_lock_shared() {
+            Ok(()) => self.file.unlock().map(|()| false),
+            Err(fs::TryLockError::WouldBlock) => Ok(true),
+            Err(fs::TryLockError::Error(error)) => Err(error),
+        }
+    }
+}
+
+fn read_header(file: &File) -> io::Result<[u8; HEADER_BYTES]> {
+    let mut header = [0; HEADER_BYTES];
+    file.read_exact_at(&mut header, 0)?;
+    Ok(header)
+}
--- a/crates/cottonnotch/src/net/driver/process.rs
+++ b/crates/cottonnotch/src/net/driver/process.rs
@@ -6,7 +6,7 @@
 use super::log_target::LOG_TARGET;
 use super::peers::{PeerInputs, Peers};
 use crate::rules::RulesService;
-use cottonnotch_decision::Event;
+use cottonnotch_decision::{Event, Micros};
 use cottonnotch_reactor::listener::Binding;
 use cottonnotch_records::MoveReason;
 use std::io;
@@ -20,11 +20,21 @@
         self.sync_maintenance();
         self.context.requests_in_progress = self.clients.in_progress();
         let predecessor = self.lifecycle.find_predecessor(&mut self.context);
+        self.lifecycle.update_open_ids(&mut self.context, self.clients.open_ids());
+        self.settle_claims();
         self.peers.retry_start(&mut self.context);
         if self.lifecycle.is_shutting_down() {
             self.hand_over_listener();
-        } else if !self.acceptor.is_listening()
+        } else {
+            self.take_over(predecessor);
+        }
+    }
+
+    /// Begins to listen beside other processes, if this process may and does not yet.
+    fn take_over(&mut self, predecessor: Predecessor) {
+        if !self.acceptor.is_listening()
             && (predecessor == Predecessor::None || self.can_take_over())
+            && self.lifecycle.is_exchanging_ids(self.clients.open_ids())
             && let Err(error) = self.listen()
         {
             // The next poll retries; the predecessor keeps serving.
@@ -32,6 +42,22 @@
         }
     }
 
+    /// Handles the requests whose claims of their ids have ended.
+    pub(super) fn settle_claims(&mut self) {
+        let now = self.context.now();
+        for claimed in self.clients.open_ids().settle(now) {
+            let (context, acceptor, endpoints) = (&mut self.context, &mut self.acceptor, &self.endpoints);
+            let event = self.clients.handle_claimed_request(context, acceptor, endpoints, claimed);
+            self.handle_event(event);
+        }
+    }
+
+    /// Rejects the requests whose claims of their ids take too long.
+    pub(super) fn expire_claims(&mut self) {
+        let now = self.context.now();
+        self.clients.expire_claims(&mut self.context, now);
+    }
+
     fn log_listen_failure(&mut self, error: &io::Error) {
         if let Some(left_out) = self.listen_failure_log.due(self.context.now()) {
             let address = self.context.config.listen;
@@ -113,6 +139,7 @@
     /// connect.
     fn end_remaining(&mut self) {
         self.with_peers(|peers, context, inputs| peers.leave(context, inputs));
+        self.clients.expire_claims(&mut self.context, Micros::MAX);
         self.handle_event(Some(Event::ShuttingDown));
         self.clients.cancel_all_attempts(&mut self.context, &mut self.latency);
         self.acceptor.reject_idle_clients(&mut self.context);
--- a/crates/cottonnotch/src/net/driver/records.rs
+++ b/crates/cottonnotch/src/net/driver/records.rs
@@ -189,7 +189,7 @@
 
     /// Records a rejection of a client before it had a request; `class` is `None` if the settings do not have the
     /// class.
-    pub fn rejected_for_sockets(&mut self, class: Option<u32>, reason: impl FnOnce() -> Reason) {
+    pub fn rejected_before_request(&mut self, class: Option<u32>, reason: impl FnOnce() -> Reason) {
         class.into_iter().for_each(|class| self.metrics.rejected(class));
         self.client_rejected(reason);
     }
--- a/crates/cottonnotch/src/net/driver/request_table.rs
+++ b/crates/cottonnotch/src/net/driver/request_table.rs
@@ -2,7 +2,7 @@
 
 use cottonnotch_decision::{Micros, Outcome, Request, RequestId, ServerId};
 use cottonnotch_reactor::Key;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 
 /// The driver's state of a client's request.
 #[derive(Debug)]
@@ -62,13 +62,11 @@
     Established,
 }
 
-/// All requests, indexed by the key of the client's connection, by the decision module's id, and by the id on the
-/// wire.
+/// All requests, indexed by the key of the client's connection and by the decision module's id.
 #[derive(Debug, Default)]
 pub struct RequestTable {
     by_key: BTreeMap<Key, TrackedRequest>,
     keys: BTreeMap<RequestId, Key>,
-    wire_ids: HashSet<u64>,
     last_id: u64,
 }
 
@@ -79,10 +77,9 @@
         RequestId(self.last_id)
     }
 
-    /// Adds a request. No other request in the table may have the same id or the same id on the wire.
+    /// Adds a request. No other request in the table may have the same id.
     pub fn insert(&mut self, key: Key, tracked: TrackedRequest) {
         self.keys.insert(tracked.id, key);
-        self.wire_ids.insert(tracked.wire_id);
         self.by_key.insert(key, tracked);
     }
 
@@ -90,7 +87,6 @@
     pub fn remove(&mut self, key: Key) -> Option<TrackedRequest> {
         let tracked = self.by_key.remove(&key)?;
         self.keys.remove(&tracked.id);
-        self.wire_ids.remove(&tracked.wire_id);
         Some(tracked)
     }
 
@@ -109,11 +105,6 @@
         self.keys.get(&request).copied()
     }
 
-    /// Whether a request has this id on the wire.
-    pub fn has_wire_id(&self, wire_id: u64) -> bool {
-        self.wire_ids.contains(&wire_id)
-    }
-
     /// The number of requests.
     pub fn len(&self) -> usize {
         self.by_key.len()
--- a/crates/cottonnotch/src/net/driver/startup.rs
+++ b/crates/cottonnotch/src/net/driver/startup.rs
@@ -62,11 +62,10 @@
         // Must precede the first list: no request may go to an endpoint in maintenance.
         driver.sync_maintenance();
         driver.apply_endpoint_update(initial_endpoints, UpdateSource::Configuration);
-        match predecessor {
-            Predecessor::Serving => {
-                log::info!(target: LOG_TARGET, "an earlier process serves, clients are accepted once the list is there")
-            }
-            Predecessor::None => retry_transient("listen for clients", || driver.listen())?,
+        if predecessor == Predecessor::Serving {
+            log::info!(target: LOG_TARGET, "an earlier process serves, clients are accepted once the list is there");
+        } else if driver.lifecycle.is_exchanging_ids(driver.clients.open_ids()) {
+            retry_transient("listen for clients", || driver.listen())?;
         }
         Ok(driver)
     }
--- a/crates/cottonnotch/src/net/network_event.rs
+++ b/crates/cottonnotch/src/net/network_event.rs
@@ -26,6 +26,8 @@
     AdminsWaiting,
     /// An operator has sent a request, and the connection waits for the response.
     AdminRequested(Key, AdminRequest),
+    /// It is known of some requests whether their ids are open at another process of this proxy.
+    ClaimsEnded,
     /// The process was asked to stop.
     Terminate,
     /// The process was asked to reload its configuration.
--- a/crates/cottonnotch/src/net/object.rs
+++ b/crates/cottonnotch/src/net/object.rs
@@ -6,6 +6,7 @@
 use cottonnotch_reactor::Connection;
 use cottonnotch_reactor::listener::Listener;
 use cottonnotch_reactor::signals::Signals;
+use cottonnotch_reactor::waker::WakerSource;
 use std::net::SocketAddr;
 
 /// An object on the event loop.
@@ -26,6 +27,7 @@
 
 impl Object for Listener<NetworkEvent> {}
 impl Object for Signals<NetworkEvent> {}
+impl Object for WakerSource<NetworkEvent> {}
 
 /// A connection on which an operator waits for a response.
 pub trait AdminResponder {
--- a/crates/cottonnotch/tests/file_faults.rs
+++ b/crates/cottonnotch/tests/file_faults.rs
@@ -25,6 +25,19 @@
     Proxy::shared_by(shims.command(Some(folder)), address, folder, ScriptedServer::new(), nodes)
 }
 
+/// A process beside one that serves, while files in the folder cannot be read: it cannot know which ids are open there, so it
+/// accepts no clients for as long as both are so.
+fn beside_unreadable(shims: &Shims, address: SocketAddr, folder: &Path, nodes: &[&ScriptedServer]) -> Proxy {
+    /// Longer than a process waits for an earlier one that it cannot look for.
+    const LONG: Duration = Duration::from_millis(2600);
+    let command = shims.command(Some(folder));
+    let new = Proxy::shared_unlistening_by(command, address, folder, ScriptedServer::new(), nodes);
+    std::thread::sleep(LONG);
+    assert!(shims.count(Setting::FileRead) > 0);
+    assert_eq!(new.admin_request("GET", "/status", "").0, 503);
+    new
+}
+
 fn skips(proxy: &Proxy, nodes: u64) {
     wait_for(TIMEOUT, "the bans to be known", || {
         (proxy.metric("skipped_render_nodes") == Some(nodes)).then_some(())
@@ -42,11 +55,10 @@
     let old = Proxy::shared(address, folder.path(), ScriptedServer::new(), &known);
     assert_eq!(old.admin_request("POST", "/maintenance/enter", "s0").0, 200);
     shims.set(Setting::FileRead, EIO);
-    let new = beside(&shims, address, folder.path(), &known);
-    std::thread::sleep(FOR_A_WHILE);
-    assert!(shims.count(Setting::FileRead) > 0);
+    let new = beside_unreadable(&shims, address, folder.path(), &known);
     shims.set(Setting::FileRead, 0);
     skips(&new, 1);
+    new.wait_for_log("listens on");
 }
 
 /// A merged state that could not be written is written once it can be.
@@ -112,10 +124,10 @@
     let mut old = Proxy::shared(address, folder.path(), ScriptedServer::new(), &known);
     assert_eq!(old.admin_request("POST", "/maintenance/enter", "s0").0, 200);
     shims.set(Setting::FileRead, EIO);
-    let new = beside(&shims, address, folder.path(), &known);
-    std::thread::sleep(FOR_A_WHILE);
-    // The earlier one is gone before the new one could read what it was told.
+    let new = beside_unreadable(&shims, address, folder.path(), &known);
+    // The earlier one is gone before the new one could read what it was told. Nobody else listens now.
     old.kill();
+    new.wait_for_log("listens on");
     let answer = new.admin_request("POST", "/maintenance/enter", "s1");
     shims.set(Setting::FileRead, 0);
     skips(&new, if answer.0 == 200 { 2 } else { 1 });
@@ -142,6 +154,33 @@
     skips(&proxy, 1);
 }
 
+/// While the processes of a proxy cannot tell each other their open ids, requests are refused and none is served twice; what is
+/// up goes on.
+#[test]
+fn refuses_requests_while_ids_cannot_be_exchanged() {
+    let shims = Shims::new();
+    let folder = tempfile::tempdir().unwrap();
+    let (address, node) = (free_address(), ScriptedServer::new());
+    let old = beside(&shims, address, folder.path(), &[&node]);
+    let (mut client, mut far) = old.establish(&node);
+    let new = beside(&shims, address, folder.path(), &[&node]);
+    for setting in [Setting::FileRead, Setting::FileWrite] {
+        shims.set(setting, EIO);
+        for _ in 0..10 {
+            let answer = old.open().receive_rest().unwrap();
+            assert!(answer.starts_with("BUSY "), "{setting:?}: {answer:?}");
+            client.send("M 1 x\r\n");
+            assert_eq!(far.receive(), "M 1 x\r\n");
+            far.send("M 1 x\r\n");
+            assert_eq!(client.receive(), "M 1 x\r\n");
+        }
+        shims.set(setting, 0);
+        let _pair = old.establish(&node);
+    }
+    drop(new);
+    let _pair = old.establish(&node);
+}
+
 /// A process that starts on a full disk serves and records once there is space.
 #[test]
 fn records_once_disk_has_space() {
--- a/crates/cottonnotch/tests/peers/proxy.rs
+++ b/crates/cottonnotch/tests/peers/proxy.rs
@@ -67,6 +67,21 @@
         Self::at(command, &listen, Some("127.0.0.1:0"), discovery, nodes, 1024, SETTINGS)
     }
 
+    /// As [`Self::shared_by`], but it may not listen for clients yet: it waits while it cannot know of an earlier process's ids.
+    pub fn shared_unlistening_by(
+        mut command: Command,
+        address: SocketAddr,
+        folder: &std::path::Path,
+        discovery: ScriptedServer,
+        nodes: &[&ScriptedServer],
+    ) -> Self {
+        command.env("TMPDIR", folder);
+        let (listen, mgmt) = (address.to_string(), Some("127.0.0.1:0"));
+        let mut proxy = Self::start_unlistening(command, &listen, mgmt, discovery, nodes, 1024, SETTINGS);
+        proxy.address = address;
+        proxy
+    }
+
     /// As [`Self::shared`], with no render node to begin with: it has an admin address, clients can't connect yet.
     pub fn start_without_nodes(address: SocketAddr, folder: &std::path::Path) -> Self {
         let command = Command::new(env!("CARGO_BIN_EXE_cottonnotch"));
--- a/crates/cottonnotch/tests/peers/scripted.rs
+++ b/crates/cottonnotch/tests/peers/scripted.rs
@@ -50,6 +50,15 @@
         assert_eq!(self.0.get_ref().peek(&mut [0]).expect("something in time"), 1);
     }
 
+    /// Whether something has come that is not read.
+    pub fn has_unread(&self) -> bool {
+        let stream = self.0.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let peeked = stream.peek(&mut [0]);
+        stream.set_nonblocking(false).unwrap();
+        peeked.is_ok()
+    }
+
     /// What is left, up to the end; the error if it ends in a reset.
     pub fn receive_rest(&mut self) -> std::io::Result<String> {
         let mut text = String::new();
--- a/crates/cottonnotch/tests/replacement.rs
+++ b/crates/cottonnotch/tests/replacement.rs
@@ -165,6 +165,98 @@
     assert_eq!(accept_attempt_at(&nodes).0, 0);
 }
 
+/// Answers to clients that come one after another with this line, so that each process of the proxy gets some.
+fn answers_to(address: SocketAddr, line: &str, clients: usize) -> Vec<String> {
+    let once = |_| {
+        let mut client = ScriptedPeer::new(TcpStream::connect(address).unwrap());
+        client.send(line);
+        client.receive()
+    };
+    (0..clients).map(once).collect()
+}
+
+/// A client whose connection is established with this line, and the line.
+fn owner_of(proxy: &Proxy, line: &str) -> (ScriptedPeer, String) {
+    let mut owner = proxy.connect();
+    owner.send(line);
+    assert_eq!(owner.receive(), "UP 1\r\n");
+    (owner, line.to_owned())
+}
+
+/// An id that was open at one process of a proxy was once served a second time by the other.
+#[test]
+fn open_id_is_refused_by_both_processes() {
+    const THIEVES: usize = 40;
+    const REFUSAL: &str = "ERR the id is open already\r\n";
+    let folder = tempfile::tempdir().unwrap();
+    let address = free_address();
+    let known = ScriptedServer::alias(obliging(ScriptedServer::new()));
+    let mut old = Proxy::shared(address, folder.path(), ScriptedServer::new(), &[&known]);
+    // Clients are moved in the order in which they came, so the last one stays longest.
+    let mut owners: Vec<_> = (0..6).map(|_| owner_of(&old, &with_fresh_id(OPEN))).collect();
+    let (mut owner, line) = owners.pop().unwrap();
+    let new = Proxy::shared(address, folder.path(), ScriptedServer::new(), &[&known]);
+    let answers = answers_to(address, &line, THIEVES);
+    assert!(answers.iter().all(|answer| answer == REFUSAL), "{answers:?}");
+    let refused = [&old, &new].map(|proxy| proxy.metric("handled.look.bad_gateway").unwrap());
+    assert!(refused.iter().all(|refused| *refused > 0), "each process refused some: {refused:?}");
+    // An id that the new one has is refused by the old one as well.
+    let (_owner_at_new, line_at_new) = std::iter::repeat_with(|| owner_of(&old, &with_fresh_id(OPEN)))
+        .take(THIEVES)
+        .find(|_| new.metric("handled.look.passed").unwrap() > 0)
+        .expect("the new process gets a client");
+    let answers = answers_to(address, &line_at_new, THIEVES);
+    assert!(answers.iter().all(|answer| answer == REFUSAL), "{answers:?}");
+    // While the old process drains, its ids are refused until their owners are moved.
+    assert_eq!(new.admin_request("GET", "/status", "").0, 200);
+    old.terminate();
+    old.wait_for_log("the listener is closed");
+    assert_eq!(answers_to(address, &line, 1), [REFUSAL]);
+    owner.send("M 1 x\r\n");
+    let heard = std::iter::repeat_with(|| owner.receive()).find(|line| line != "M 1 x\r\n");
+    assert_eq!(heard.unwrap(), "MOVE\r\n");
+    assert_eq!(answers_to(address, &line, 1), ["UP 1\r\n"], "its owner is moved");
+    assert!(old.wait_for_exit().success());
+}
+
+/// An id may be used again at either process as soon as its owner's connection has ended at one of them.
+#[test]
+fn id_is_free_once_its_connection_has_ended() {
+    let folder = tempfile::tempdir().unwrap();
+    let (address, node) = (free_address(), ScriptedServer::new());
+    let _old = Proxy::shared(address, folder.path(), ScriptedServer::new(), &[&node]);
+    let _new = Proxy::shared(address, folder.path(), ScriptedServer::new(), &[&node]);
+    let line = with_fresh_id(OPEN);
+    for round in 0..40 {
+        let mut client = ScriptedPeer::new(TcpStream::connect(address).unwrap());
+        client.send(&line);
+        let mut far = wait_for(TIMEOUT, &format!("the attempt of round {round}"), || node.poll());
+        assert!(far.receive().starts_with("OPEN "));
+        far.send("UP 1\r\nBYE\r\n");
+        drop(far);
+        assert_eq!(client.receive_rest().unwrap(), "UP 1\r\nBYE\r\n");
+    }
+}
+
+/// The ids of a process that is killed are free at the other one.
+#[test]
+fn ids_of_killed_process_are_free() {
+    let folder = tempfile::tempdir().unwrap();
+    let address = free_address();
+    let known = ScriptedServer::alias(obliging(ScriptedServer::new()));
+    let mut old = Proxy::shared(address, folder.path(), ScriptedServer::new(), &[&known]);
+    let owners: Vec<_> = (0..5).map(|_| owner_of(&old, &with_fresh_id(OPEN))).collect();
+    let new = Proxy::shared(address, folder.path(), ScriptedServer::new(), &[&known]);
+    old.kill();
+    for (_, line) in &owners {
+        assert_eq!(answers_to(new.address(), line, 1), ["UP 1\r\n"]);
+    }
+    wait_for(TIMEOUT, "the killed process's files to be removed", || {
+        let names = std::fs::read_dir(folder.path()).unwrap().map(|entry| entry.unwrap().file_name());
+        (names.filter(|name| name.to_string_lossy().ends_with(".ids")).count() == 1).then_some(())
+    });
+}
+
 /// A successor that never gets ready or dies leaves the old process serving.
 #[test]
 fn failed_successor_leaves_predecessor_serving() {
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod rate_limited_log;
 mod reactor;
 pub mod signals;
+pub mod waker;
 
 pub use clock::{Clock, Micros};
 pub use reactor::{Connection, Half, Io, Key, Reactor, Report};
--- a/crates/reactor/src/listener.rs
+++ b/crates/reactor/src/listener.rs
@@ -63,6 +63,15 @@
     }
 }
 
+/// Whether another socket listens on this address, with either binding. An error counts as yes.
+pub fn is_address_in_use(address: SocketAddr) -> bool {
+    let bound = Socket::new(Domain::for_address(address), Type::STREAM, None).and_then(|socket| {
+        socket.set_reuse_address(true)?;
+        socket.bind(&address.into())
+    });
+    bound.is_err()
+}
+
 /// Makes the operating system drop the SYNs of new connections to the listener. Connections whose handshake has begun can still
 /// be completed and accepted. Without this, closing the listener would reset all connections in its backlog. A client whose SYN
 /// is dropped sends it again a second later, to the process that listens then. Fails if the operating system does not support
--- a/crates/shim-control/src/lib.rs
+++ b/crates/shim-control/src/lib.rs
@@ -45,11 +45,13 @@
     Broken = 11,
     /// Rate of `epoll_ctl` additions that fail with ENOMEM.
     Register = 12,
+    /// Milliseconds by which each call on a file of the folder is delayed; 0: none.
+    FileDelay = 13,
 }
 
 impl Setting {
     /// All of them.
-    pub const ALL: [Setting; 13] = [
+    pub const ALL: [Setting; 14] = [
         Setting::WallOffset,
         Setting::Accept,
         Setting::Socket,
@@ -63,6 +65,7 @@
         Setting::FileRead,
         Setting::Broken,
         Setting::Register,
+        Setting::FileDelay,
     ];
 
     /// Its word in the file.
--- a/crates/shims/src/control.rs
+++ b/crates/shims/src/control.rs
@@ -6,6 +6,7 @@
 use std::ptr;
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicI64, AtomicU8, AtomicU64, Ordering};
+use std::time::Duration;
 
 /// Descriptors that are told apart; higher ones are left alone.
 const DESCRIPTORS: usize = 1 << 16;
@@ -107,8 +108,13 @@
     errors.get(count(setting) as usize % errors.len()).copied()
 }
 
-/// The error that is set for files, if any; counted if so.
+/// The error that is set for files, if any; counted if so. The call is delayed first, if that is set.
 pub fn file_failure(setting: Setting) -> Option<c_int> {
+    let delay = value(Setting::FileDelay);
+    if delay > 0 {
+        count(Setting::FileDelay);
+        std::thread::sleep(Duration::from_millis(delay as u64));
+    }
     let error = value(setting);
     (error > 0).then(|| {
         count(setting);
--- a/crates/shims/src/files.rs
+++ b/crates/shims/src/files.rs
@@ -12,6 +12,7 @@
 real!(read(descriptor: c_int, buffer: *mut c_void, length: size_t) -> ssize_t);
 real!(write(descriptor: c_int, buffer: *const c_void, length: size_t) -> ssize_t);
 real!(pwrite64(descriptor: c_int, buffer: *const c_void, length: size_t, at: off64_t) -> ssize_t);
+real!(pread64(descriptor: c_int, buffer: *mut c_void, length: size_t, at: off64_t) -> ssize_t);
 real!(fsync(descriptor: c_int) -> c_int);
 real!(fdatasync(descriptor: c_int) -> c_int);
 
@@ -138,6 +139,26 @@
     unsafe { pwrite64::call(descriptor, buffer, length, at) }
 }
 
+/// Stands in front of the C library's call.
+///
+/// # Safety
+///
+/// As the C library's call.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn pread64(
+    descriptor: c_int,
+    buffer: *mut c_void,
+    length: size_t,
+    at: off64_t,
+) -> ssize_t {
+    if let Some(error) = failing(descriptor, Setting::FileRead) {
+        fail(error);
+        return -1;
+    }
+    // SAFETY: as the caller promises.
+    unsafe { pread64::call(descriptor, buffer, length, at) }
+}
+
 /// Stands in front of the C library's call.
 ///
 /// # Safety
