Two processes of a proxy divide its share of a warming server's budget

Each process took its proxy's whole share. While all proxies are replaced, cold servers get more than they bear: 64 connections at N = 40.0, which bears 54.6.

Cause: the decision module knows how many proxies there are and not that its proxy is two processes.

Change: the module gets the event Processes and divides its share by the number.

--- a/crates/cottonnotch/src/net/driver/lifecycle.rs
+++ b/crates/cottonnotch/src/net/driver/lifecycle.rs
@@ -63,6 +63,8 @@
     id_table: Option<Arc<TableFile>>,
     /// The other processes of this proxy that were alive at the last successful search.
     siblings: Vec<Sibling>,
+    /// The number of processes that the decision module was last told.
+    announced_processes: u32,
     /// Whether the last search for other processes succeeded.
     knows_siblings: bool,
     /// The result of the last successful search for a predecessor, or `None` before the first one.
@@ -87,6 +89,7 @@
             hot_restart,
             id_table: None,
             siblings: Vec::new(),
+            announced_processes: 1,
             knows_siblings: false,
             predecessor: None,
             hot_restart_failure_log,
@@ -173,6 +176,14 @@
         self.predecessor.unwrap_or(assumed)
     }
 
+    /// Returns an event if the number of processes of this proxy has changed. Every process that is alive counts: one that
+    /// starts or drains may still have requests to place.
+    pub fn process_count_change(&mut self) -> Option<Event> {
+        let count = 1 + self.siblings.len() as u32;
+        let has_changed = std::mem::replace(&mut self.announced_processes, count) != count;
+        has_changed.then_some(Event::Processes(count))
+    }
+
     /// Tells the exchange of open ids which other processes are alive. This may fail for a while; the next call retries.
     pub fn update_open_ids(&mut self, context: &mut Context, open_ids: &mut OpenIds) {
         let Some(hot_restart) = &self.hot_restart else { return };
--- a/crates/cottonnotch/src/net/driver/process.rs
+++ b/crates/cottonnotch/src/net/driver/process.rs
@@ -20,6 +20,8 @@
         self.sync_maintenance();
         self.context.requests_in_progress = self.clients.in_progress();
         let predecessor = self.lifecycle.find_predecessor(&mut self.context);
+        let process_count = self.lifecycle.process_count_change();
+        self.handle_event(process_count);
         self.lifecycle.update_open_ids(&mut self.context, self.clients.open_ids());
         self.settle_claims();
         self.peers.retry_start(&mut self.context);
--- a/crates/cottonnotch/src/net/driver/startup.rs
+++ b/crates/cottonnotch/src/net/driver/startup.rs
@@ -59,6 +59,8 @@
             no_endpoint_log: RateLimitedLog::default(),
             listen_failure_log: RateLimitedLog::default(),
         };
+        let process_count = driver.lifecycle.process_count_change();
+        driver.handle_event(process_count);
         // Must precede the first list: no request may go to an endpoint in maintenance.
         driver.sync_maintenance();
         driver.apply_endpoint_update(initial_endpoints, UpdateSource::Configuration);
--- a/crates/cottonnotch/tests/replacement.rs
+++ b/crates/cottonnotch/tests/replacement.rs
@@ -238,6 +238,25 @@
     }
 }
 
+/// The processes of a proxy divide its share of what belongs to the fleet, for as long as there are two.
+#[test]
+fn processes_divide_share_of_proxy() {
+    let folder = tempfile::tempdir().unwrap();
+    let (address, node) = (free_address(), ScriptedServer::new());
+    let operator = folder.path().join("operator.toml");
+    std::fs::write(&operator, "[log]\nfilter = \"debug\"\n").unwrap();
+    let start = || {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_cottonnotch"));
+        command.env("COTTONNOTCH_OPERATOR", &operator);
+        Proxy::shared_by(command, address, folder.path(), ScriptedServer::new(), &[&node])
+    };
+    let mut old = start();
+    let new = start();
+    old.wait_for_log("event Processes(2)");
+    old.kill();
+    new.wait_for_log("event Processes(1)");
+}
+
 /// The ids of a process that is killed are free at the other one.
 #[test]
 fn ids_of_killed_process_are_free() {
--- a/crates/decision/src/interface/event.rs
+++ b/crates/decision/src/interface/event.rs
@@ -184,6 +184,9 @@
     },
     /// A new status of the whole fleet has arrived.
     Fleet(FleetStatus),
+    /// The number of processes that are this node together, this one included, has changed: they divide the node's share of
+    /// what belongs to the whole fleet. It is 1 unless the process is being replaced.
+    Processes(u32),
     /// The groups whose affinity subset has more than [`MIN_SUBSET_SIZE`](crate::affinity::MIN_SUBSET_SIZE)
     /// servers: pairs of [`Request::group`] and subset size. They replace all earlier pairs; the subsets of
     /// all other groups have the minimum size.
--- a/crates/decision/src/policy/balancer.rs
+++ b/crates/decision/src/policy/balancer.rs
@@ -91,6 +91,7 @@
             Event::Timer(token) => self.timer_fired(now, token, out),
             Event::Settings(settings) => self.replace_settings(*settings),
             Event::Fleet(status) => self.fleet_status_changed(now, status),
+            Event::Processes(count) => self.processes_changed(now, count),
             Event::AffinitySubsets(sizes) => self.affinity_subsets.set(sizes),
             Event::RulesChanged => self.dispatch_queued(now, out),
             Event::ShuttingDown => {
--- a/crates/decision/src/policy/setup_rates.rs
+++ b/crates/decision/src/policy/setup_rates.rs
@@ -52,12 +52,23 @@
     /// Handles a new status of the fleet. The time that has passed by now still refills the budgets at the
     /// rate of the old share.
     pub(super) fn fleet_status_changed(&mut self, now: Micros, status: FleetStatus) {
+        self.refill_budgets(now);
+        self.quota.update(now, status);
+    }
+
+    /// Handles a change of the number of processes that are this node together, like a new status of the
+    /// fleet.
+    pub(super) fn processes_changed(&mut self, now: Micros, count: u32) {
+        self.refill_budgets(now);
+        self.quota.set_processes(count);
+    }
+
+    fn refill_budgets(&mut self, now: Micros) {
         let usual = self.usual_rates(now);
         for s in self.servers.iter_mut() {
             let limit = s.setup_limit(&self.settings, now, usual);
             s.budget.refill(limit, now);
         }
-        self.quota.update(now, status);
     }
 
     /// Returns how many set-ups per second this node may send; infinite if they are not limited. In a large
--- a/crates/decision/src/quota.rs
+++ b/crates/decision/src/quota.rs
@@ -25,6 +25,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Quota {
     nodes: f64,
+    /// Number of processes that are this node together, and divide its share evenly.
+    processes: f64,
     status: Option<(FleetStatus, Micros)>,
 }
 
@@ -37,7 +39,7 @@
 impl Quota {
     /// Returns an even share among `nodes`; 0 nodes count as 1.
     pub fn even(nodes: u32) -> Self {
-        Quota { nodes: f64::from(nodes.max(1)), status: None }
+        Quota { nodes: f64::from(nodes.max(1)), processes: 1.0, status: None }
     }
 
     /// Sets the number of nodes. The status of the fleet stays in force.
@@ -45,6 +47,11 @@
         self.nodes = f64::from(nodes.max(1));
     }
 
+    /// Sets the number of processes that are this node together, this one included; 0 counts as 1.
+    pub fn set_processes(&mut self, processes: u32) {
+        self.processes = f64::from(processes.max(1));
+    }
+
     /// Records a new status of the fleet.
     pub fn update(&mut self, now: Micros, fleet: FleetStatus) {
         self.status = Some((fleet, now));
@@ -77,7 +84,8 @@
         match self.fleet_status(now) {
             Some(fleet) if fleet.demand_share.is_finite() && fleet.nodes.is_finite() => {
                 let coverage = fleet.nodes.clamp(1.0, self.nodes) / self.nodes;
-                total * (fleet.demand_share.clamp(0.0, 1.0) * coverage + 1.0 / self.nodes) / 2.0
+                let share = (fleet.demand_share.clamp(0.0, 1.0) * coverage + 1.0 / self.nodes) / 2.0;
+                total * share / self.processes
             }
             Some(_) => self.share_of(now, total),
             None => self.share_of(now, total).max(own),
@@ -94,7 +102,7 @@
             }
             _ => 1.0 / self.nodes,
         };
-        total * share
+        total * share / self.processes
     }
 }
 
--- a/crates/decision/tests/slow_start_fleet.rs
+++ b/crates/decision/tests/slow_start_fleet.rs
@@ -287,10 +287,12 @@
                 self.counted[node] = std::mem::take(&mut self.connections[node]);
             }
             Due::Started { node } => {
-                let settings = Settings { ordinal: node as u32, ..self.plan.settings.clone() };
+                let proxies = self.plan.settings.nodes;
+                let settings = Settings { ordinal: node as u32 % proxies, ..self.plan.settings.clone() };
                 self.nodes[node] = Some(Balancer::new(settings, self.plan.seed ^ now as u64, now));
                 self.incarnations[node] += 1;
                 self.counted[node] = 0.0;
+                self.notify(node, now, Event::Processes(self.plan.nodes / proxies));
                 let listed =
                     (0..self.plan.servers).filter(|server| self.servers[*server as usize].state != REMOVED);
                 let entries =
@@ -422,11 +424,15 @@
 
 /// Plays so many seeds; the worst of all.
 fn hold(nodes: u32, seeds: std::ops::Range<u64>) {
+    hold_plans(nodes, seeds, |seed| plan(seed, nodes));
+}
+
+fn hold_plans(nodes: u32, seeds: std::ops::Range<u64>, plan: impl Fn(u64) -> Plan) {
     let mut worst = (0.0, String::new());
     let (mut sum, mut over) = (0.0, 0);
     let count = seeds.end - seeds.start;
     for seed in seeds {
-        let fleet = Fleet::play(plan(seed, nodes));
+        let fleet = Fleet::play(plan(seed));
         sum += fleet.worst.0;
         if fleet.worst.0 > 1.0 {
             over += 1;
@@ -449,6 +455,13 @@
     );
 }
 
+/// The fleet while all its proxies are replaced: each is two processes, and the settings count it once.
+fn replaced_plan(seed: u64, proxies: u32) -> Plan {
+    let plan = plan(seed, 2 * proxies);
+    let settings = Settings { nodes: proxies, ..plan.settings };
+    Plan { settings, ..plan }
+}
+
 fn seeds(count: u64) -> std::ops::Range<u64> {
     let from = std::env::var("COLD_SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(1);
     let count = std::env::var("COLD_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(count);
@@ -479,3 +492,11 @@
 fn four_hundred_forty_nodes_do_not_overload_warming_server() {
     hold(440, seeds(60));
 }
+
+/// Each of two processes of a proxy once used the proxy's whole share: with all proxies being replaced, cold servers got too much.
+#[test]
+fn replaced_proxies_do_not_overload_warming_server() {
+    for proxies in [1, 2, 5, 20, 50, 100] {
+        hold_plans(proxies, seeds(100), |seed| replaced_plan(seed, proxies));
+    }
+}
