Timers that become due during callbacks wait until the loop has polled again

Callers: an operator's call that came in time was answered 408, after the process had stood still for longer than its limit.

Cause: a round of the loop fired every timer that was due after its callbacks, before polling for what had come meanwhile.

Evidence: admin_connection_tests request_that_arrived_in_time_is_not_late forces the order of events; it failed on the code before.

Change: a round fires the timers that were due when its poll returned.

--- a/crates/cottonnotch/src/net/management/admin_connection.rs
+++ b/crates/cottonnotch/src/net/management/admin_connection.rs
@@ -134,3 +134,7 @@
         Some(self)
     }
 }
+
+#[cfg(test)]
+#[path = "admin_connection_tests.rs"]
+mod tests;
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -215,6 +215,9 @@
             Err(error) if error.kind() == io::ErrorKind::Interrupted => return Ok(()),
             other => other?,
         }
+        // Timers that become due during the callbacks wait for the next round: what arrives before a time limit must be read
+        // before the limit counts, also if the process is suspended in a callback.
+        let now = self.io.now();
         let ready: Vec<(Token, bool, bool)> = self
             .events
             .iter()
@@ -235,7 +238,6 @@
         for (key, half) in std::mem::take(&mut self.io.pending_reads) {
             self.with(key, |c, io| c.readable(io, half));
         }
-        let now = self.io.now();
         while self.io.timers.peek().is_some_and(|Reverse((at, ..))| *at <= now) {
             let Some(Reverse((_, _, owner, timer))) = self.io.timers.pop() else { break };
             match owner {
