A reload reads what the old discovery has sent before it asks the new one

Callers: after SIGHUP with another address of discovery, the new one was asked from 1 though revision 9 had reached the proxy.

Cause: the reload closed the old watch with what it had not read, and dropped its updates that were read and not handled.

Evidence: reload_tests reload_keeps_list_that_has_arrived plays the loop's steps in this order; it failed on the code before.

Change: at a move the old watch is read once more, and its updates are applied before the new watch starts.

--- a/crates/cottonnotch/src/net/driver/endpoints.rs
+++ b/crates/cottonnotch/src/net/driver/endpoints.rs
@@ -256,6 +256,11 @@
         })
     }
 
+    /// The current watch, or `None` if there is none.
+    pub fn current_watch(&self) -> Option<Key> {
+        self.watch
+    }
+
     /// Whether this is the current watch. Reports of any other watch are outdated.
     pub fn is_current_watch(&self, watch: Key) -> bool {
         self.watch == Some(watch)
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -30,6 +30,8 @@
 mod peers;
 mod process;
 mod records;
+#[cfg(test)]
+mod reload_tests;
 mod request_table;
 mod shutdown;
 mod startup;
--- a/crates/cottonnotch/src/net/driver/process.rs
+++ b/crates/cottonnotch/src/net/driver/process.rs
@@ -5,8 +5,10 @@
 use super::lifecycle::{DrainRound, Predecessor, Reloaded};
 use super::log_target::LOG_TARGET;
 use super::peers::{PeerInputs, Peers};
+use crate::net::network_event::NetworkEvent;
 use crate::rules::RulesService;
 use cottonnotch_decision::{Event, Micros};
+use cottonnotch_reactor::Half;
 use cottonnotch_reactor::listener::Binding;
 use cottonnotch_records::MoveReason;
 use std::io;
@@ -106,13 +108,29 @@
         self.handle_events(events);
         if discovery_moved {
             // The watch starts at once and from the last accepted revision, because the old address may already have
-            // sent its last update. The end of the old watch is not a failure, so the module is told only about the
-            // new watch.
+            // sent its last update. What has arrived of it is read first.
+            self.apply_arrived_updates();
+            // The end of the old watch is not a failure, so the module is told only about the new watch.
             let event = self.endpoints.start_watch(&mut self.context);
             self.handle_event(event);
         }
     }
 
+    /// Reads the current watch once more and applies its updates that are not handled yet.
+    fn apply_arrived_updates(&mut self) {
+        let Some(current) = self.endpoints.current_watch() else { return };
+        self.context.reactor.with(current, |watch, io| watch.readable(io, Half::Near));
+        let reports = std::mem::take(&mut self.context.reactor.io.reports);
+        let (updates, others): (Vec<NetworkEvent>, Vec<NetworkEvent>) = reports.into_iter().partition(
+            |report| matches!(report, NetworkEvent::EndpointUpdate { watch, .. } if *watch == current),
+        );
+        // Reports that the updates cause come behind those that were there before.
+        self.context.reactor.io.reports.extend(others);
+        for update in updates {
+            self.dispatch(update);
+        }
+    }
+
     // ---- shutdown ----
 
     pub(super) fn terminate(&mut self) {
