Known red: slow files hold up the loop that looks for other processes; a test with an earlier build

Cause: the loop looks into TMPDIR ten times a second. With 100 ms for each call on a file, answers come after 2.4 s where 2 are allowed.

--- a/crates/cottonnotch/tests/file_faults.rs
+++ b/crates/cottonnotch/tests/file_faults.rs
@@ -12,7 +12,7 @@
 use peers::*;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 // As the system numbers them.
 const EIO: i64 = 5;
@@ -181,6 +181,64 @@
     let _pair = old.establish(&node);
 }
 
+/// While each call on a file takes long, no line is held back for a second, each request is answered in its time, and an open id
+/// is served by nobody else.
+#[test]
+fn slow_files_hold_nothing_back() {
+    const DELAY_MS: i64 = 100;
+    const DURATION: Duration = Duration::from_secs(3);
+    let shims = Shims::new();
+    let folder = tempfile::tempdir().unwrap();
+    let (address, node) = (free_address(), ScriptedServer::new());
+    let old = beside(&shims, address, folder.path(), &[&node]);
+    let mut owner = old.connect();
+    let line = with_fresh_id(OPEN);
+    owner.send(&line);
+    let mut far = node.accept_attempt().0;
+    far.send("UP 1\r\n");
+    assert_eq!(owner.receive(), "UP 1\r\n");
+    let _new = beside(&shims, address, folder.path(), &[&node]);
+    shims.set(Setting::FileDelay, DELAY_MS);
+    let (began, mut up) = (Instant::now(), Vec::new());
+    while began.elapsed() < DURATION {
+        let sent = Instant::now();
+        owner.send("M 1 x\r\n");
+        assert_eq!(far.receive(), "M 1 x\r\n");
+        far.send("M 1 x\r\n");
+        assert_eq!(owner.receive(), "M 1 x\r\n");
+        assert!(sent.elapsed() < Duration::from_secs(1), "a line was held back for {:?}", sent.elapsed());
+        for line in [line.clone(), with_fresh_id(OPEN)] {
+            let (mut client, sent) = (old.connect(), Instant::now());
+            client.send(&line);
+            if let Some(mut far) = attempt_or_answer(&node, &client) {
+                assert_eq!(id_of(&far.receive()), id_of(&line));
+                far.send("UP 1\r\n");
+                up.push((client, far));
+            } else {
+                let answer = client.receive();
+                assert!(
+                    answer.starts_with("BUSY ") || answer.starts_with("ERR the id is open"),
+                    "{answer:?}"
+                );
+            }
+            assert!(sent.elapsed() < Duration::from_secs(2), "answered after {:?}", sent.elapsed());
+        }
+    }
+    let ids = up.len();
+    shims.set(Setting::FileDelay, 0);
+    assert!(shims.count(Setting::FileDelay) > 0);
+    println!("{ids} requests served meanwhile");
+    let _pair = old.establish(&node);
+}
+
+/// The attempt that a client's request leads to, or `None` if the client is answered without one.
+fn attempt_or_answer(node: &ScriptedServer, client: &ScriptedPeer) -> Option<ScriptedPeer> {
+    wait_for(TIMEOUT, "an attempt or an answer", || match node.poll() {
+        Some(far) => Some(Some(far)),
+        None => client.has_unread().then_some(None),
+    })
+}
+
 /// A process that starts on a full disk serves and records once there is space.
 #[test]
 fn records_once_disk_has_space() {
--- a/crates/cottonnotch/tests/replacement.rs
+++ b/crates/cottonnotch/tests/replacement.rs
@@ -238,6 +238,31 @@
     }
 }
 
+/// An earlier build, which publishes no ids, is replaced by this one and put back.
+#[test]
+fn earlier_build_is_replaced_and_put_back() {
+    let Some(build) = earlier_build() else { return };
+    let folder = tempfile::tempdir().unwrap();
+    let address = free_address();
+    let known = ScriptedServer::alias(obliging(ScriptedServer::new()));
+    let start = |program: &std::path::Path| {
+        let command = std::process::Command::new(program);
+        Proxy::shared_by(command, address, folder.path(), ScriptedServer::new(), &[&known])
+    };
+    let this_build = std::path::Path::new(env!("CARGO_BIN_EXE_cottonnotch"));
+    let mut serving = start(&build);
+    for program in [this_build, &build, this_build] {
+        let successor = start(program);
+        assert_eq!(successor.admin_request("GET", "/status", "").0, 200);
+        let _owners: Vec<_> = (0..20).map(|_| owner_of(&successor, &with_fresh_id(OPEN))).collect();
+        serving.terminate();
+        serving.wait_for_log("the listener is closed");
+        let _owners: Vec<_> = (0..20).map(|_| owner_of(&successor, &with_fresh_id(OPEN))).collect();
+        assert!(serving.wait_for_exit().success());
+        serving = successor;
+    }
+}
+
 /// The processes of a proxy divide its share of what belongs to the fleet, for as long as there are two.
 #[test]
 fn processes_divide_share_of_proxy() {
