--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -198,10 +198,19 @@
     }
 }
 
+/// Ends the test as one that could not run if the process may not hold this many descriptors.
+fn needs_descriptors(count: u64) {
+    let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
+    let line = limits.lines().find(|line| line.starts_with("Max open files")).unwrap_or_default();
+    let soft = line.split_whitespace().nth(3).unwrap_or_default();
+    assert!(soft == "unlimited" || soft.parse().is_ok_and(|soft: u64| soft >= count), "too few descriptors");
+}
+
 /// A new render node is switched on in a loaded fleet whose list tells live sizes, and 55% of the clients drop and come again.
 fn live_sizes(record: &Arc<Record>) -> bool {
     const NODES: usize = 16;
     const CLIENTS: usize = 570;
+    needs_descriptors(4096);
     let nodes = start_nodes(record, NODES);
     // The size divided by 1 + requests held per core.
     let live = |node: &Node| Member { size: CORES / (1.0 + node.held() as f64 / CORES), ..node.member() };
@@ -277,6 +286,7 @@
 fn idle_crowd(record: &Arc<Record>) -> bool {
     const IDLE: usize = 800;
     const WAIT: Duration = Duration::from_millis(200);
+    needs_descriptors(4096);
     // A request may be answered half a second after its time.
     let latest = WAIT + ms(500) + SLACK;
     let nodes = start_nodes(record, 4);
