--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -65,11 +65,14 @@
     late.len()
 }
 
-/// Discovery answers each call, after 4.5 s. A render node begins to drain.
+/// Discovery answers each call, after 4.5 s; with HOW=head, its list comes 3.2 s behind the head. A render node begins to drain.
 fn slow_discovery(record: &Arc<Record>) -> bool {
     let nodes = start_nodes(record, 4);
     let discovery = Discovery::start(record, 41, &members(&nodes));
-    if trouble() {
+    if trouble() && std::env::var("HOW").is_ok_and(|how| how == "head") {
+        discovery.send_heads_first();
+        discovery.set_answer_after(ms(3200));
+    } else if trouble() {
         discovery.set_answer_after(ms(4500));
     }
     let known = list_json(41, true, &discovery.members());
--- a/review/stand_ins_2/stand_ins.rs
+++ b/review/stand_ins_2/stand_ins.rs
@@ -85,6 +85,9 @@
 
 // ---- discovery ----
 
+const HEAD: &[u8] =
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 #[derive(Clone)]
 pub struct Member {
     pub id: String,
@@ -116,6 +119,8 @@
     changes: Vec<(u64, Member)>,
     /// How long a call waits for its answer.
     answer_after: Duration,
+    /// Whether the head of an answer does not wait, only the object behind it.
+    is_head_first: bool,
     is_down: bool,
 }
 
@@ -137,6 +142,7 @@
             members,
             changes: Vec::new(),
             answer_after: Duration::ZERO,
+            is_head_first: false,
             is_down: false,
         };
         let discovery = Arc::new(Discovery {
@@ -169,6 +175,11 @@
         self.state.lock().unwrap().answer_after = delay;
     }
 
+    /// From now on the head of an answer comes at once, and only the object behind it later.
+    pub fn send_heads_first(&self) {
+        self.state.lock().unwrap().is_head_first = true;
+    }
+
     /// Takes discovery down: open watches end, and calls are answered 503. Or brings it back.
     pub fn set_down(&self, is_down: bool) {
         self.state.lock().unwrap().is_down = is_down;
@@ -213,9 +224,9 @@
             .split(|c| c == '?' || c == '&' || c == ' ')
             .find_map(|part| part.strip_prefix("from=")?.parse().ok())
             .unwrap_or(0);
-        let (is_down, delay) = {
+        let (is_down, delay, is_head_first) = {
             let state = self.state.lock().unwrap();
-            (state.is_down, state.answer_after)
+            (state.is_down, state.answer_after, state.is_head_first)
         };
         self.record.note(format!("discovery: call {number}, from {from}"));
         if is_down {
@@ -225,6 +236,9 @@
             )?;
             return Ok(());
         }
+        if is_head_first {
+            stream.write_all(HEAD)?;
+        }
         thread::sleep(delay);
         let mut sent;
         let first = {
@@ -244,9 +258,9 @@
                 list_json(state.revision, true, &members)
             }
         };
-        stream.write_all(
-            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n",
-        )?;
+        if !is_head_first {
+            stream.write_all(HEAD)?;
+        }
         write_chunk(&mut stream, &format!("{first}\n"))?;
         self.record.note(format!("discovery: call {number} answered with revision {sent}"));
         loop {
