--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -93,12 +93,12 @@
 
 /// Lists are pushed. Discovery is down for 8 s, and render nodes drain when it is back.
 fn pushed_return(record: &Arc<Record>) -> bool {
-    let nodes = start_nodes(record, 8);
+    let nodes = start_nodes(record, 20);
     let discovery = Discovery::start(record, 41, &members(&nodes));
     let known = list_json(41, true, &discovery.members());
     let mut proxy = Proxy::start(record, discovery.address, &settings("pushed"), &known);
     let begin = record.now();
-    let rounds = 3;
+    let rounds = 4;
     let names = "c=page-view,t=editora-pampa,d=1800";
     let end = begin + ms(4000) + ms(15_000) * rounds;
     let clients = load(record, proxy.address, names, ms(60), end, ms(1500));
@@ -110,7 +110,7 @@
             discovery.set_down(true);
         }
         record.wait_until(down + ms(8000));
-        let draining = &nodes[2 * round as usize..2 * round as usize + 2];
+        let draining = &nodes[4 * round as usize..4 * round as usize + 4];
         for node in draining {
             node.drain();
             discovery.set_phase(&node.id, "draining");
