Idle clients are evicted sooner while others wait in the backlog

Cause: a request's time is counted from when it is read. Idle clients were evicted only when they were 0.1 s old, and the proxy looked again every 20 ms, so that 800 went through 80 descriptors in ten rounds of 0.12 s. Where the system refused a descriptor, nobody was evicted at all.

Change: once clients have waited in the backlog for 0.1 s, idle ones are evicted 5 ms after they were accepted, and accepting goes on when the oldest reaches that age. A refused descriptor evicts a batch, too. A client that waited in the backlog has sent its line by the time it is accepted, so it is read and spared.

--- a/crates/cottonnotch/src/net/driver/acceptor.rs
+++ b/crates/cottonnotch/src/net/driver/acceptor.rs
@@ -29,10 +29,13 @@
 /// Maximum number of clients accepted in one iteration of the event loop, so that other events are handled in
 /// between.
 const ACCEPT_BATCH: usize = 32;
-/// Delay before accepting again when no descriptor is free.
+/// Longest delay before accepting again when no descriptor is free.
 const ACCEPT_RETRY_DELAY: Micros = 20_000;
 /// Minimum age of a connection before it may be evicted: a normal client has sent its line by then.
 const MIN_AGE_FOR_EVICTION: Micros = 100_000;
+/// Minimum age of a connection before it may be evicted once other clients have waited in the backlog for
+/// `MIN_AGE_FOR_EVICTION`: the time of their requests runs while the proxy has not read them.
+const MIN_AGE_UNDER_PRESSURE: Micros = 5_000;
 /// A closing listener stays open this long for clients whose handshake has begun. A handshake on one machine takes
 /// microseconds.
 const LISTENER_CLOSE_DELAY: Micros = 5_000;
@@ -66,6 +69,9 @@
     /// oldest first and spares clients that have sent a request.
     accepted_clients: VecDeque<(Micros, Key)>,
     unregistered: UnregisteredClients,
+    /// Since when clients have waited in the backlog because no descriptor was free; `None` since the backlog was last
+    /// empty.
+    waiting_since: Option<Micros>,
 }
 
 impl Acceptor {
@@ -193,7 +199,7 @@
         }
         for _ in 0..ACCEPT_BATCH {
             if !self.ensure_descriptor(context, requests, SocketUse::Client) {
-                return self.accept_after(context, ACCEPT_RETRY_DELAY);
+                return self.accept_after_eviction(context);
             }
             match listener.accept() {
                 Ok((stream, _)) => {
@@ -203,6 +209,7 @@
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.waiting_since = None;
                     return self.on_backlog_empty(context);
                 }
                 Err(error) if is_transient_accept_error(&error) => {}
@@ -211,7 +218,8 @@
                     // waiting clients would never be accepted.
                     let (connections, sockets) = (context.reactor.connections(), context.config.sockets);
                     log::error!(target: LOG_TARGET, connections, sockets, error:%; "cannot accept: {error}");
-                    return self.accept_after(context, ACCEPT_RETRY_DELAY);
+                    self.evict_batch(context);
+                    return self.accept_after_eviction(context);
                 }
             }
         }
@@ -223,6 +231,24 @@
         context.set_timer(wait, ACCEPT_CLIENTS_TIMER);
     }
 
+    /// Resumes accepting once the oldest accepted client may be evicted.
+    fn accept_after_eviction(&mut self, context: &mut Context) {
+        let now = context.now();
+        self.waiting_since.get_or_insert(now);
+        let wait = match self.accepted_clients.front() {
+            Some((accepted_at, _)) => accepted_at + self.min_age_for_eviction(now) - now,
+            None => ACCEPT_RETRY_DELAY,
+        };
+        self.accept_after(context, wait.clamp(MIN_AGE_UNDER_PRESSURE, ACCEPT_RETRY_DELAY));
+    }
+
+    fn min_age_for_eviction(&self, now: Micros) -> Micros {
+        match self.waiting_since {
+            Some(since) if now - since >= MIN_AGE_FOR_EVICTION => MIN_AGE_UNDER_PRESSURE,
+            _ => MIN_AGE_FOR_EVICTION,
+        }
+    }
+
     /// Evicts clients that have not sent a request until a descriptor is free for the connection to an endpoint.
     /// Returns false if none can be freed.
     pub fn ensure_descriptor_for_attempt(&mut self, context: &mut Context, requests: usize) -> bool {
@@ -244,18 +270,36 @@
     /// of other clients.
     fn ensure_descriptor(&mut self, context: &mut Context, requests: usize, socket_use: SocketUse) -> bool {
         while !has_free_descriptor(context, requests, self.unregistered.len(), socket_use) {
-            let now = context.now();
-            let Some((accepted_at, key)) = self.accepted_clients.front().copied() else { return false };
-            if accepted_at + MIN_AGE_FOR_EVICTION > now {
+            if !self.evict_oldest(context) {
                 return false;
             }
-            self.accepted_clients.pop_front();
-            if context.with_client(key, |client, io| client.evict_idle(io, FULL_RETRY_AFTER)) == Some(true) {
-                context.records.client_rejected(|| "no room for clients that say nothing".into());
-            }
         }
         true
     }
+
+    /// Evicts the oldest accepted client unless it has sent a request. Returns false if none is old enough.
+    fn evict_oldest(&mut self, context: &mut Context) -> bool {
+        let now = context.now();
+        let min_age = self.min_age_for_eviction(now);
+        let Some((accepted_at, key)) = self.accepted_clients.front().copied() else { return false };
+        if accepted_at + min_age > now {
+            return false;
+        }
+        self.accepted_clients.pop_front();
+        if context.with_client(key, |client, io| client.evict_idle(io, FULL_RETRY_AFTER)) == Some(true) {
+            context.records.client_rejected(|| "no room for clients that say nothing".into());
+        }
+        true
+    }
+
+    /// Evicts a batch of idle clients after the operating system has refused a descriptor.
+    fn evict_batch(&mut self, context: &mut Context) {
+        for _ in 0..ACCEPT_BATCH {
+            if !self.evict_oldest(context) {
+                return;
+            }
+        }
+    }
 }
 
 /// Whether a descriptor is free for this use. A share of the descriptors is reserved for connections to endpoints. If
