Live weights are not taken for sizes of render nodes

Cause: the settings' `weights` was read as "none" or not, and each listed weight as a size. A live weight is the size divided by the load, so an empty node was listed with 2.00 beside loaded ones with 0.10, and its budget was that part of the fleet.

Change: what a weight states is a type, with one question for sizes and one for turns. Budgets, shares, totals, homes of groups, capacities and the guard go by the size, which is 1 where the list does not tell it. New settings that say something else count at once.

--- a/crates/decision/src/budget.rs
+++ b/crates/decision/src/budget.rs
@@ -10,12 +10,12 @@
 /// unequal shares of the nodes.
 const WARM_UP_BUDGET_USED: f64 = 0.5;
 
-/// How long servers that left the list still count towards the weight of the fleet. Processes that die
+/// How long servers that left the list still count towards the size of the fleet. Processes that die
 /// together are back after half a minute at most, according to the operators; this is twice as long.
 /// Without this end, a fleet that was made smaller would fill slowly forever.
 const LOST_SERVERS_COUNT_FOR: Micros = 60 * SECOND;
 
-/// The total weight of the servers, including those that left the list recently.
+/// The total size of the servers, including those that left the list recently.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct FleetTotal {
     highest: f64,
@@ -25,18 +25,27 @@
 }
 
 impl FleetTotal {
-    /// Records the total weight of the ready servers after a change of the list.
-    pub(crate) fn record(&mut self, now: Micros, weight: f64) {
-        if weight >= self.highest || self.is_reduction_permanent(now) {
-            (self.highest, self.reduced_since) = (weight, None);
+    /// Records the total size of the ready servers after a change of the list.
+    pub(crate) fn record(&mut self, now: Micros, size: f64) {
+        if size >= self.highest || self.is_reduction_permanent(now) {
+            (self.highest, self.reduced_since) = (size, None);
         } else {
             self.reduced_since = self.reduced_since.or(Some(now));
         }
-        self.current = weight;
+        self.current = size;
     }
 
-    /// Returns the weight over which a budget of the whole fleet is distributed.
-    pub(crate) fn weight(&self, now: Micros) -> f64 {
+    /// Records the total size of the same ready servers in other units. Servers that left the list count in the
+    /// same proportion as before.
+    pub(crate) fn restate(&mut self, size: f64) {
+        if self.current > 0.0 {
+            self.highest *= size / self.current;
+        }
+        self.current = size;
+    }
+
+    /// Returns the size over which a budget of the whole fleet is distributed.
+    pub(crate) fn size(&self, now: Micros) -> f64 {
         if self.is_reduction_permanent(now) { self.current } else { self.highest }
     }
 
@@ -45,11 +54,11 @@
     }
 }
 
-/// Rates of new connections from this node to a server of weight 1, per second.
+/// Rates of new connections from this node to a server of size 1, per second.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct UsualRates {
     /// The average rate.
-    pub(crate) per_weight: f64,
+    pub(crate) per_size: f64,
     /// The rate at which the server fills up within its warm-up.
     pub(crate) fill: f64,
 }
@@ -66,13 +75,13 @@
 }
 
 impl SetupLimit {
-    /// Returns the limit for a server of this weight that started at `started` and was last overloaded or
+    /// Returns the limit for a server of this size that started at `started` and was last overloaded or
     /// failed at `last_tripped_at`; `None` if its rate is not limited.
     pub(crate) fn of(
         settings: &Settings,
         now: Micros,
         usual: UsualRates,
-        weight: f64,
+        size: f64,
         started: Option<Micros>,
         last_tripped_at: Option<Micros>,
     ) -> Option<SetupLimit> {
@@ -81,9 +90,9 @@
             capacity_share * settings.overload_multiple.max(1.0) * WARM_UP_BUDGET_USED * usual.fill,
         );
         let elapsed = last_tripped_at.map(|at| (now - at).max(0)).filter(|elapsed| *elapsed < RECOVERY_RAMP);
-        let recovery_rate = elapsed.map(|elapsed| usual.per_weight * (1.0 + elapsed as f64 / SECOND as f64));
+        let recovery_rate = elapsed.map(|elapsed| usual.per_size * (1.0 + elapsed as f64 / SECOND as f64));
         let rate = warm_up_rate.unwrap_or(f64::INFINITY).min(recovery_rate.unwrap_or(f64::INFINITY));
-        let per_s = rate * weight;
+        let per_s = rate * size;
         // Without a configured window, tokens do not expire. A window below 100 ms is treated as 100 ms,
         // because timers are no finer than that.
         let window_s = settings.overload_window.max(SECOND / 10) as f64 / SECOND as f64;
--- a/crates/decision/src/budget_tests.rs
+++ b/crates/decision/src/budget_tests.rs
@@ -12,26 +12,26 @@
     }
 }
 
-/// Servers that left the list count towards the weight of the fleet for a minute and no longer.
+/// Servers that left the list count towards the size of the fleet for a minute and no longer.
 #[test]
 fn fleet_total_counts_lost_servers_for_a_minute() {
     let mut total = FleetTotal::default();
     total.record(0, 16.0);
     total.record(S, 12.0);
     total.record(2 * S, 8.0);
-    assert_eq!(total.weight(2 * S), 16.0);
+    assert_eq!(total.size(2 * S), 16.0);
     total.record(30 * S, 16.0);
-    assert_eq!(total.weight(200 * S), 16.0, "all servers are back");
+    assert_eq!(total.size(200 * S), 16.0, "all servers are back");
     total.record(200 * S, 8.0);
     assert_eq!(
-        (total.weight(259 * S), total.weight(260 * S)),
+        (total.size(259 * S), total.size(260 * S)),
         (16.0, 8.0),
         "lost servers stop counting after a minute, also without a new list"
     );
     total.record(300 * S, 6.0);
-    assert_eq!(total.weight(300 * S), 6.0);
+    assert_eq!(total.size(300 * S), 6.0);
     total.record(301 * S, 5.0);
-    assert_eq!(total.weight(301 * S), 6.0, "a server that is lost later counts again");
+    assert_eq!(total.size(301 * S), 6.0, "a server that is lost later counts again");
 }
 
 /// A warming server still gets connections if the settings state no overload window, or one shorter than
@@ -39,7 +39,7 @@
 #[test]
 fn short_or_missing_window_admits_connections_to_warming_server() {
     for window in [0, 1, S / 100, S] {
-        let usual = UsualRates { per_weight: 1.0, fill: 0.2 };
+        let usual = UsualRates { per_size: 1.0, fill: 0.2 };
         let limit = |now| SetupLimit::of(&settings(window), now, usual, 1.0, Some(0), None);
         let (mut budget, mut taken) = (SetupBudget::new(0.0, 0), 0);
         for step in 1..160_i64 {
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -10,7 +10,8 @@
 
 pub use action::{Action, Notification, RejectionReason, ServerHealth};
 pub use event::{Entry, Event, FleetStatus, Outcome, PeerVerdict, Request, ServerState};
-pub use settings::{Class, Idempotency, Scope, Settings, Tenant};
+pub(crate) use settings::usable_weight;
+pub use settings::{Class, Idempotency, Scope, Settings, Tenant, WeightMeaning};
 
 /// A point in time or a duration, in microseconds.
 pub type Micros = i64;
--- a/crates/decision/src/interface/event.rs
+++ b/crates/decision/src/interface/event.rs
@@ -28,7 +28,7 @@
     pub cell: u32,
     /// When the server last started; `None`: long ago.
     pub started: Option<Micros>,
-    /// Size of the server relative to other servers (see [`Settings::weighted`]).
+    /// The weight of the server according to the list (see [`Settings::weights`]).
     pub weight: f64,
 }
 
--- a/crates/decision/src/interface/settings.rs
+++ b/crates/decision/src/interface/settings.rs
@@ -85,6 +85,36 @@
     pub allowance_open: f64,
 }
 
+/// What the weight of a server in the list states.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum WeightMeaning {
+    /// Nothing.
+    #[default]
+    Nothing,
+    /// The size of the server relative to other servers.
+    Size,
+    /// The size divided by the load of a moment ago. It differs from list to list, and says nothing about the
+    /// size: a server that has just started has a far higher weight than a loaded one of the same size.
+    Live,
+}
+
+impl WeightMeaning {
+    /// Returns the size of a server relative to other servers; 1 if its listed weight does not state it.
+    pub fn size(self, listed_weight: f64) -> f64 {
+        if self == WeightMeaning::Size { usable_weight(listed_weight) } else { 1.0 }
+    }
+
+    /// Returns the part of the turns that a server gets, relative to other servers.
+    pub fn turn_weight(self, listed_weight: f64) -> f64 {
+        if self == WeightMeaning::Nothing { 1.0 } else { usable_weight(listed_weight) }
+    }
+}
+
+/// Returns the weight, or 1 if it is no positive number.
+pub(crate) fn usable_weight(listed_weight: f64) -> f64 {
+    if listed_weight.is_finite() && listed_weight > 0.0 { listed_weight } else { 1.0 }
+}
+
 /// The settings of an instance.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
@@ -111,8 +141,8 @@
     /// Changes of the server list count as notified from the start, even if the list was not polled yet. The
     /// first poll is therefore not delayed.
     pub list_pushed: bool,
-    /// The `weight` of list entries states the relative size of servers.
-    pub weighted: bool,
+    /// What the `weight` of list entries states.
+    pub weights: WeightMeaning,
     /// Rejections state a time after which the client may retry (Retry-After).
     pub retry_after: bool,
     /// The longest retry time that clients honour.
--- a/crates/decision/src/policy/balancer.rs
+++ b/crates/decision/src/policy/balancer.rs
@@ -123,7 +123,10 @@
     fn replace_settings(&mut self, settings: Settings) {
         self.quota.set_nodes(settings.nodes);
         self.list_poller.set_nodes(settings.nodes);
-        self.settings = settings;
+        let previous = std::mem::replace(&mut self.settings, settings);
+        if self.settings.weights != previous.weights {
+            self.servers.evaluate_weights(self.settings.weights);
+        }
     }
 
     /// Dispatches a client's request. The request counts as an arrival unless the client came back.
--- a/crates/decision/src/policy/rotation.rs
+++ b/crates/decision/src/policy/rotation.rs
@@ -36,7 +36,7 @@
 
 impl Affinity {
     fn contains(&self, s: &Server) -> bool {
-        affinity::score(self.group, s.listing.digest, s.listing.weight) >= self.min_score
+        affinity::score(self.group, s.listing.digest, s.listing.size()) >= self.min_score
     }
 }
 
@@ -118,7 +118,7 @@
     }
 
     fn affinity(&self, group: u64, verdict: &RoutingVerdict) -> Affinity {
-        let score = |s: &Server| affinity::score(group, s.listing.digest, s.listing.weight);
+        let score = |s: &Server| affinity::score(group, s.listing.digest, s.listing.size());
         let min_score = self.affinity_subsets.min_score(group, self.allowed(verdict).map(score));
         Affinity { group, min_score }
     }
@@ -126,7 +126,7 @@
     /// Counts the set-up that is about to be sent, and sets when the next one may be sent if most set-ups
     /// fail.
     fn pace_setups(&mut self, now: Micros, usual: UsualRates) {
-        let own_rate = usual.per_weight * self.servers.ready_weight;
+        let own_rate = usual.per_size * self.servers.ready_size;
         let rate = own_rate.max(self.quota.share_of(now, LEAST_PACE));
         self.setups.tokens.take();
         self.setups.next_send_at = now + (SECOND as f64 / rate) as Micros;
@@ -138,7 +138,7 @@
         let virtual_time = self.rotation.virtual_time.max(first_due);
         self.rotation.virtual_time = virtual_time;
         let s = self.servers.get_mut(server)?;
-        let step = 1.0 / s.listing.weight;
+        let step = 1.0 / s.listing.turn_weight();
         s.turn.next_due = s.turn.next_due.max(virtual_time - step) + step;
         s.breaker.trial = s.breaker.half_open.then_some(id);
         s.budget.spend();
@@ -184,7 +184,7 @@
 /// rotation order, so that the nodes do not all try the server at the same full second.
 fn schedule_trial_if_lapsed(s: &mut Server, rotation: &Rotation) {
     if s.breaker.half_open_if_lapsed() {
-        let trial_due = rotation.virtual_time + s.turn.ring_position / s.listing.weight;
+        let trial_due = rotation.virtual_time + s.turn.ring_position / s.listing.turn_weight();
         s.turn.next_due = s.turn.next_due.max(trial_due);
     }
 }
@@ -203,7 +203,7 @@
     // rejected (incident i118c6b).
     let is_unobserved = constraints.affinity.is_none() && s.connections.open.is_empty();
     if rotation.mostly_overloaded && limit.is_none() && is_unobserved {
-        return Some(SetupLimit::at_rate(usual.per_weight * s.listing.weight * UNOBSERVED_RATE_FACTOR));
+        return Some(SetupLimit::at_rate(usual.per_size * s.listing.size() * UNOBSERVED_RATE_FACTOR));
     }
     limit
 }
--- a/crates/decision/src/policy/server.rs
+++ b/crates/decision/src/policy/server.rs
@@ -13,9 +13,9 @@
     all: Vec<Server>,
     /// Servers that take new connections according to the list, in the order of their numbers.
     pub(super) ready: Vec<ServerId>,
-    /// Total weight of the ready servers.
-    pub(super) ready_weight: f64,
-    /// Total weight of the fleet, including servers that left the list recently.
+    /// Total size of the ready servers.
+    pub(super) ready_size: f64,
+    /// Total size of the fleet, including servers that left the list recently.
     pub(super) fleet_total: FleetTotal,
 }
 
@@ -45,12 +45,23 @@
         self.all.iter_mut()
     }
 
-    /// Recomputes, after a change of the list, which servers are ready and their total weight.
+    /// Recomputes, after a change of the list, which servers are ready and their total size.
     pub(super) fn update_ready(&mut self, now: Micros) {
         let ids = (0..self.all.len() as u32).map(ServerId);
         self.ready = ids.filter(|id| self.get(*id).is_some_and(Server::is_ready)).collect();
-        self.ready_weight = self.ready.iter().filter_map(|id| self.get(*id)).map(|s| s.listing.weight).sum();
-        self.fleet_total.record(now, self.ready_weight);
+        self.ready_size = self.total_ready_size();
+        self.fleet_total.record(now, self.ready_size);
+    }
+
+    /// Evaluates all listed weights again after a change of what they state.
+    pub(super) fn evaluate_weights(&mut self, weights: WeightMeaning) {
+        self.all.iter_mut().for_each(|s| s.listing.weight_meaning = weights);
+        self.ready_size = self.total_ready_size();
+        self.fleet_total.restate(self.ready_size);
+    }
+
+    fn total_ready_size(&self) -> f64 {
+        self.ready.iter().filter_map(|id| self.get(*id)).map(|s| s.listing.size()).sum()
     }
 
     /// Reports the health of each server whose health has changed.
@@ -83,8 +94,10 @@
     pub(super) state: ServerState,
     /// The server's zone and cell.
     pub(super) locality: Locality,
-    /// Size relative to the other servers; 0 until the server is first listed.
+    /// The weight as listed, positive; 0 until the server is first listed.
     pub(super) weight: f64,
+    /// What the weight states.
+    pub(super) weight_meaning: WeightMeaning,
     pub(super) started: Option<Micros>,
     /// Digest of the server's name, the same on every node.
     pub(super) digest: u64,
@@ -93,7 +106,20 @@
 impl Default for Listing {
     fn default() -> Self {
         let locality = Locality::default();
-        Listing { state: ServerState::Removed, locality, weight: 0.0, started: None, digest: 0 }
+        let (state, started, digest) = (ServerState::Removed, None, 0);
+        Listing { state, locality, weight: 0.0, weight_meaning: WeightMeaning::Nothing, started, digest }
+    }
+}
+
+impl Listing {
+    /// Returns the size relative to the other servers. Limits and shares go by it.
+    pub(super) fn size(&self) -> f64 {
+        self.weight_meaning.size(self.weight)
+    }
+
+    /// Returns the part of the turns relative to the other servers.
+    pub(super) fn turn_weight(&self) -> f64 {
+        self.weight_meaning.turn_weight(self.weight)
     }
 }
 
--- a/crates/decision/src/policy/server_list.rs
+++ b/crates/decision/src/policy/server_list.rs
@@ -77,7 +77,8 @@
     }
 
     fn apply_entry(&mut self, now: Micros, entry: Entry) {
-        let weight = self.weight_of(&entry);
+        let weight_meaning = self.settings.weights;
+        let turn_weight = weight_meaning.turn_weight(entry.weight);
         let known = self.servers.get_or_create(entry.server);
         // A server that is put back after a drain gets the next turn. At low traffic, it would otherwise
         // wait long for its turn.
@@ -88,7 +89,7 @@
             let (open, reported_health) =
                 (std::mem::take(&mut known.connections.open), known.reported_health);
             let connections = Connections { open, drain_deadline: None };
-            let (turn, budget) = self.first_turn(now, &entry, weight, is_back);
+            let (turn, budget) = self.first_turn(now, &entry, turn_weight, is_back);
             let listing = Listing { digest: entry.digest, ..Listing::default() };
             let fresh = Server { listing, turn, budget, connections, reported_health, ..Server::default() };
             *self.servers.get_or_create(entry.server) = fresh;
@@ -101,12 +102,8 @@
             connections.drain_deadline.or(deadline).filter(|_| entry.state != ServerState::Ready);
         let locality = (entry.zone, entry.cell);
         let (state, started, digest) = (entry.state, entry.started, known.listing.digest);
-        known.listing = Listing { state, locality, weight, started, digest };
-    }
-
-    fn weight_of(&self, entry: &Entry) -> f64 {
-        let is_weighted = self.settings.weighted && entry.weight.is_finite() && entry.weight > 0.0;
-        if is_weighted { entry.weight } else { 1.0 }
+        let weight = usable_weight(entry.weight);
+        known.listing = Listing { state, locality, weight, weight_meaning, started, digest };
     }
 
     /// Returns where a new server enters the rotation, and the budget with which it starts.
@@ -114,13 +111,13 @@
     /// All nodes use one hashed order of the servers, and each node enters it at its own phase,
     /// ordinal/nodes. If the rotations ran in step, the next connections of all nodes would go to the same
     /// server.
-    fn first_turn(&self, now: Micros, entry: &Entry, weight: f64, is_back: bool) -> (Turn, SetupBudget) {
+    fn first_turn(&self, now: Micros, entry: &Entry, turn_weight: f64, is_back: bool) -> (Turn, SetupBudget) {
         let phase = f64::from(self.settings.ordinal) / f64::from(self.settings.nodes.max(1));
         let ring_position = (hash_to_unit(entry.digest) - phase).rem_euclid(1.0);
         let (next_due, tokens) = if is_back {
             (0.0, (ring_position + self.quota.share_of(now, 1.0)).min(1.0))
         } else {
-            (self.rotation.virtual_time + ring_position / weight, ring_position)
+            (self.rotation.virtual_time + ring_position / turn_weight, ring_position)
         };
         (Turn { ring_position, next_due }, SetupBudget::new(tokens, now))
     }
--- a/crates/decision/src/policy/setup_rates.rs
+++ b/crates/decision/src/policy/setup_rates.rs
@@ -21,20 +21,20 @@
         now: Micros,
         usual: UsualRates,
     ) -> Option<SetupLimit> {
-        let (weight, started) = (self.listing.weight, self.listing.started);
-        SetupLimit::of(settings, now, usual, weight, started, self.breaker.last_tripped_at)
+        let (size, started) = (self.listing.size(), self.listing.started);
+        SetupLimit::of(settings, now, usual, size, started, self.breaker.last_tripped_at)
     }
 }
 
 impl Balancer {
-    /// Returns this node's rates of new connections to a server of weight 1, per second: the usual rate,
+    /// Returns this node's rates of new connections to a server of size 1, per second: the usual rate,
     /// and the rate that fills the server within its warm-up. Without an allowance, a server is full at the
     /// level of the other servers. With one, it is full at the level that tenants may hold, because a fleet
     /// that is a third full has room for more.
     pub(super) fn usual_rates(&self, now: Micros) -> UsualRates {
         let rate = self.arrivals.per_s(now);
         // Queued requests do not show that there is room, so with an allowance only open connections count.
-        // The remaining servers get no larger share when others leave the list, since the total weight
+        // The remaining servers get no larger share when others leave the list, since the total size
         // still includes those.
         let allowed = self.settings.allowance_open();
         let open: usize = self.servers.iter().map(|s| s.connections.open.len()).sum();
@@ -44,8 +44,8 @@
         let fill = full_level * SECOND as f64 / self.settings.slow_start_window.max(SECOND) as f64;
         let fill = if allowed > 0.0 { fill } else { fill.max(rate) };
         UsualRates {
-            per_weight: rate / self.servers.ready_weight.max(1e-9),
-            fill: fill / self.servers.fleet_total.weight(now).max(1e-9),
+            per_size: rate / self.servers.ready_size.max(1e-9),
+            fill: fill / self.servers.fleet_total.size(now).max(1e-9),
         }
     }
 
--- a/crates/decision/src/settings/read.rs
+++ b/crates/decision/src/settings/read.rs
@@ -2,7 +2,7 @@
 
 use super::Profile;
 use super::pairs::{InvalidSetting, MAX_TIME_US, Pairs};
-use crate::interface::{Class, Idempotency, Micros, Scope, Settings, Tenant, ZoneId};
+use crate::interface::{Class, Idempotency, Micros, Scope, Settings, Tenant, WeightMeaning, ZoneId};
 use crate::names::Names;
 use std::collections::BTreeSet;
 
@@ -90,6 +90,15 @@
     Ok((names, tenants))
 }
 
+/// Reads what the weights in the list state. An unknown kind counts as sizes.
+fn read_weights(pairs: &Pairs) -> WeightMeaning {
+    match pairs.text("weights") {
+        None | Some("none") => WeightMeaning::Nothing,
+        Some("live") => WeightMeaning::Live,
+        Some(_) => WeightMeaning::Size,
+    }
+}
+
 fn read_settings(
     pairs: &Pairs,
     zones: &mut Names,
@@ -110,7 +119,7 @@
         step: pairs.time("step", 1_000)?,
         list_on_request,
         list_pushed: !list_on_request,
-        weighted: pairs.text("weights").is_some_and(|w| w != "none"),
+        weights: read_weights(pairs),
         retry_after: pairs.flag("policyLimits.retryAfter")?,
         max_retry_after: pairs.time("policyLimits.maxRetryAfter", 0)?,
         slow_start_from: pairs.number_at_least(0.0, "rules.coldFrom", 1.0)?,
--- a/crates/decision/tests/affinity.rs
+++ b/crates/decision/tests/affinity.rs
@@ -68,6 +68,21 @@
     );
 }
 
+/// Where weights tell loads, they differ from list to list, and a group once moved with each list.
+#[test]
+fn subset_does_not_follow_live_weights() {
+    let settings =
+        Settings { groups: true, weights: WeightMeaning::Live, ..settings(Idempotency::Idempotent) };
+    let mut node = Node::new(settings, 40);
+    let before = members(&mut node, GROUP, 0);
+    let weigh = |server: u32| Entry {
+        weight: if server.is_multiple_of(3) { 0.1 } else { 2.0 },
+        ..entry(server, ServerState::Ready)
+    };
+    node.notify(Event::List { full: true, copy: false, entries: (0..40).map(weigh).collect() });
+    assert_eq!(members(&mut node, GROUP, 1_000), before);
+}
+
 /// A subset has no fewer than five servers, and no more than there are.
 #[test]
 fn subset_size_is_bounded() {
--- a/crates/decision/tests/balancer.rs
+++ b/crates/decision/tests/balancer.rs
@@ -24,7 +24,8 @@
 
 #[test]
 fn rotation_follows_weights() {
-    let mut node = Node::new(Settings { weighted: true, ..settings(Idempotency::Idempotent) }, 0);
+    let mut node =
+        Node::new(Settings { weights: WeightMeaning::Size, ..settings(Idempotency::Idempotent) }, 0);
     let mut large = entry(0, ServerState::Ready);
     large.weight = 3.0;
     node.notify(Event::List { full: true, copy: false, entries: vec![large, entry(1, ServerState::Ready)] });
@@ -32,6 +33,23 @@
     assert!((29..=31).contains(&large_turns), "{large_turns} of 40 turns for a server three times as large");
 }
 
+/// New settings say at once what the weights in the last list state.
+#[test]
+fn new_settings_evaluate_listed_weights_again() {
+    let weighted = |weights| Settings { weights, ..settings(Idempotency::Idempotent) };
+    let mut node = Node::new(weighted(WeightMeaning::Nothing), 0);
+    let large = Entry { weight: 3.0, ..entry(0, ServerState::Ready) };
+    node.notify(Event::List { full: true, copy: false, entries: vec![large, entry(1, ServerState::Ready)] });
+    let mut ids = 0..;
+    for (weights, turns) in
+        [(WeightMeaning::Nothing, 20), (WeightMeaning::Size, 30), (WeightMeaning::Nothing, 20)]
+    {
+        node.notify(Event::Settings(Box::new(weighted(weights))));
+        let large_turns = ids.by_ref().take(40).filter(|id| node.place(*id) == ServerId(0)).count();
+        assert!((turns - 2..=turns + 2).contains(&large_turns), "{weights:?}: {large_turns} of 40 turns");
+    }
+}
+
 #[test]
 fn nodes_start_rotation_at_different_phases() {
     let first: Vec<u32> = (0..8)
--- a/crates/decision/tests/settings.rs
+++ b/crates/decision/tests/settings.rs
@@ -240,3 +240,18 @@
     let pushed = read_with(&[("registryMode", None)]).expect("valid settings").settings;
     assert_eq!((pushed.list_on_request, pushed.list_pushed), (false, true));
 }
+
+#[test]
+fn only_registered_weights_state_sizes() {
+    for (stated, meaning) in [
+        (None, WeightMeaning::Nothing),
+        (Some("none"), WeightMeaning::Nothing),
+        (Some("nominal"), WeightMeaning::Size),
+        (Some("rough"), WeightMeaning::Size),
+        (Some("live"), WeightMeaning::Live),
+    ] {
+        let weights = read_with(&[("weights", stated)]).expect("valid settings").settings.weights;
+        assert_eq!(weights, meaning, "{stated:?}");
+    }
+    assert_eq!((WeightMeaning::Live.size(0.1), WeightMeaning::Live.turn_weight(0.1)), (1.0, 0.1));
+}
--- a/crates/decision/tests/slow_start_fleet.rs
+++ b/crates/decision/tests/slow_start_fleet.rs
@@ -81,8 +81,17 @@
     churn: bool,
     /// Servers are replaced: while they are out, the list is short of them.
     out: f64,
+    /// What lists state, and the part of their connections that servers hold from before.
+    weights: WeightMeaning,
+    standing: f64,
 }
 
+/// Cores of each server, and connections that fill one core.
+const CORES: f64 = 2.0;
+const FULL_LOAD_PER_CORE: f64 = 20.0;
+
+/// Time between two whole lists, where these tell loads.
+const LIST_INTERVAL: Micros = 3 * S;
 const END: Micros = 30 * S;
 
 fn plan(seed: u64, nodes: u32) -> Plan {
@@ -105,19 +114,67 @@
     let status_mode = STATUS_MODES[random.below(STATUS_MODES.len())];
     let (are_returning, churn) = (random.one_in(2), random.one_in(2));
     let out = if random.one_in(2) { random.within(0.0, 0.6) } else { 0.0 };
-    Plan { seed, nodes, status_mode, full_connections, servers, settings, burst, are_returning, churn, out }
+    let (weights, standing) = (settings.weights, 0.0);
+    Plan {
+        seed,
+        nodes,
+        status_mode,
+        full_connections,
+        servers,
+        settings,
+        burst,
+        are_returning,
+        churn,
+        out,
+        weights,
+        standing,
+    }
+}
+
+/// The fleet is nearly full, and lists tell the size of each server divided by its load.
+fn live_plan(seed: u64, nodes: u32) -> Plan {
+    let plan = plan(seed, nodes);
+    let settings = Settings { weights: WeightMeaning::Live, ..plan.settings };
+    Plan { settings, weights: WeightMeaning::Live, standing: 0.9, ..plan }
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
-    Request { client: usize, attempts: u32 },
-    Up { node: usize, incarnation: u32, request: u64, server: u32, sent: Micros },
-    Timer { node: usize, incarnation: u32, token: u32 },
-    ListUpdate { node: usize, incarnation: u32, server: u32, state: u8 },
-    Phase { server: u32, state: u8 },
+    Request {
+        client: usize,
+        attempts: u32,
+    },
+    Up {
+        node: usize,
+        incarnation: u32,
+        request: u64,
+        server: u32,
+        sent: Micros,
+    },
+    Timer {
+        node: usize,
+        incarnation: u32,
+        token: u32,
+    },
+    ListUpdate {
+        node: usize,
+        incarnation: u32,
+        server: u32,
+        state: u8,
+    },
+    Phase {
+        server: u32,
+        state: u8,
+    },
     SendStatus,
-    Killed { node: usize },
-    Started { node: usize },
+    /// All nodes receive the whole list.
+    List,
+    Killed {
+        node: usize,
+    },
+    Started {
+        node: usize,
+    },
 }
 
 const REMOVED: u8 = 0;
@@ -129,6 +186,8 @@
     started: Option<Micros>,
     /// What came since its last start.
     arrivals: Vec<Micros>,
+    /// Connections that it holds.
+    held: f64,
 }
 
 struct Fleet {
@@ -162,7 +221,8 @@
             sum
         });
         let front: Vec<f64> = front.collect();
-        let server = |_| Server { state: READY, started: None, arrivals: Vec::new() };
+        let held = plan.standing * plan.full_connections;
+        let server = |_| Server { state: READY, started: None, arrivals: Vec::new(), held };
         let mut fleet = Fleet {
             nodes: (0..count).map(|_| None).collect(),
             incarnations: vec![0; count],
@@ -227,6 +287,9 @@
             };
             self.push(at, Due::Request { client, attempts: u32::from(self.plan.are_returning) });
         }
+        if self.plan.weights == WeightMeaning::Live {
+            self.push(LIST_INTERVAL, Due::List);
+        }
         match status_mode {
             StatusMode::Nothing => {}
             StatusMode::Stale => self.push((from - S / 2).max(0), Due::SendStatus),
@@ -281,6 +344,10 @@
             Due::Timer { .. } | Due::ListUpdate { .. } => {}
             Due::Phase { server, state } => self.phase(now, server, state),
             Due::SendStatus => self.status_mode(now),
+            Due::List => {
+                (0..self.nodes.len()).for_each(|node| self.send_list(now, node));
+                self.push(now + LIST_INTERVAL, Due::List);
+            }
             Due::Killed { node } => {
                 self.nodes[node] = None;
                 self.incarnations[node] += 1;
@@ -293,24 +360,30 @@
                 self.incarnations[node] += 1;
                 self.counted[node] = 0.0;
                 self.notify(node, now, Event::Processes(self.plan.nodes / proxies));
-                let listed =
-                    (0..self.plan.servers).filter(|server| self.servers[*server as usize].state != REMOVED);
-                let entries =
-                    listed.map(|server| self.entry(server, self.servers[server as usize].state)).collect();
-                self.notify(node, now, Event::List { full: true, copy: false, entries });
+                self.send_list(now, node);
             }
         }
     }
 
+    fn send_list(&mut self, now: Micros, node: usize) {
+        let listed = (0..self.plan.servers).filter(|server| self.servers[*server as usize].state != REMOVED);
+        let entries = listed.map(|server| self.entry(server, self.servers[server as usize].state)).collect();
+        self.notify(node, now, Event::List { full: true, copy: false, entries });
+    }
+
     fn entry(&self, server: u32, state: u8) -> Entry {
         let listed = [ServerState::Removed, ServerState::Draining, ServerState::Ready][usize::from(state)];
-        Entry { started: self.servers[server as usize].started, ..entry(server, listed) }
+        let Server { started, held, .. } = self.servers[server as usize];
+        let load = held / self.plan.full_connections * FULL_LOAD_PER_CORE;
+        let weight = if self.plan.weights == WeightMeaning::Live { CORES / (1.0 + load) } else { 1.0 };
+        Entry { started, weight, ..entry(server, listed) }
     }
 
     fn phase(&mut self, now: Micros, server: u32, state: u8) {
         if state == READY {
             self.judge(server as usize);
             self.servers[server as usize].started = Some(now);
+            self.servers[server as usize].held = 0.0;
         }
         self.servers[server as usize].state = state;
         for node in 0..self.nodes.len() {
@@ -372,6 +445,7 @@
         for action in out {
             match action {
                 Action::Send { request: RequestId(request), server: ServerId(server), .. } => {
+                    self.servers[server as usize].held += 1.0;
                     if self.servers[server as usize].started.is_some() {
                         self.servers[server as usize].arrivals.push(now);
                     }
@@ -500,3 +574,11 @@
         hold_plans(proxies, seeds(100), |seed| replaced_plan(seed, proxies));
     }
 }
+
+/// Lists that tell the size divided by the load once made a cold server, which is empty, count for many times its size.
+#[test]
+fn live_weights_do_not_overload_warming_server() {
+    for nodes in [1, 5, 20, 100] {
+        hold_plans(nodes, seeds(60), |seed| live_plan(seed, nodes));
+    }
+}
--- a/crates/proxy-core/src/guard/checks.rs
+++ b/crates/proxy-core/src/guard/checks.rs
@@ -29,8 +29,8 @@
 pub struct Guard {
     settings: Settings,
     servers: Vec<TrackedServer>,
-    /// Sum of the weights of all ready servers.
-    total_weight: f64,
+    /// Sum of the sizes of all ready servers.
+    total_size: f64,
     /// When the latest list was applied.
     latest_list: Option<Micros>,
     /// Requests that await their final answer.
@@ -52,6 +52,12 @@
     /// Applies changed settings. The numbers of existing classes must not change.
     pub fn configure(&mut self, settings: Settings) {
         self.settings = settings;
+        self.update_total_size();
+    }
+
+    fn update_total_size(&mut self) {
+        let ready = self.servers.iter().filter(|server| server.is_ready);
+        self.total_size = ready.map(|server| self.settings.weights.size(server.weight)).sum();
     }
 
     /// Returns the number of violations of each kind.
@@ -73,9 +79,7 @@
             }
             self.servers[index].listed(now, entry, self.latest_list);
         }
-        let ready = self.servers.iter().filter(|server| server.is_ready);
-        let weighted = self.settings.weighted;
-        self.total_weight = ready.map(|server| if weighted { server.weight } else { 1.0 }).sum();
+        self.update_total_size();
         self.latest_list = Some(now);
     }
 
@@ -113,7 +117,7 @@
         request.check_retry(rules, tracked.locality, now)?;
         request.attempts += 1;
         request.attempt = Some(PendingAttempt { server, locality: tracked.locality, sent: now });
-        if tracked.count_attempt(now, &self.settings, self.total_weight) {
+        if tracked.count_attempt(now, &self.settings, self.total_size) {
             Ok(())
         } else {
             Err(Violation::SlowStartOverBudget)
--- a/crates/proxy-core/src/guard/server.rs
+++ b/crates/proxy-core/src/guard/server.rs
@@ -19,7 +19,7 @@
     pub is_ready: bool,
     /// When the server stopped accepting new attempts.
     stopped_at: Micros,
-    /// The server's size; 0 until a list has named the server.
+    /// The server's weight as listed; 0 until a list has named the server.
     pub weight: f64,
     /// When the server's process started, according to the list.
     started: Option<Micros>,
@@ -65,7 +65,7 @@
 
     /// Counts an attempt to the server. Returns false if this proxy alone has sent more than all proxies together may send to a
     /// server of this age. The age is bounded by monotonic time only.
-    pub fn count_attempt(&mut self, now: Micros, settings: &Settings, total_weight: f64) -> bool {
+    pub fn count_attempt(&mut self, now: Micros, settings: &Settings, total_size: f64) -> bool {
         let Some(capacity_share) = self.slow_start_share(now, settings) else {
             self.sent.clear();
             return true;
@@ -75,8 +75,7 @@
             self.sent.pop_front();
         }
         self.sent.push_back(now);
-        let weight = if settings.weighted { self.weight } else { 1.0 };
-        let fleet_share = weight / total_weight.max(1e-9);
+        let fleet_share = settings.weights.size(self.weight) / total_size.max(1e-9);
         let filled_per_s =
             settings.allowance_open() * MICROS_PER_SECOND / settings.slow_start_window.max(1) as f64;
         let allowed =
--- a/crates/proxy-core/src/message_latency/latencies.rs
+++ b/crates/proxy-core/src/message_latency/latencies.rs
@@ -4,7 +4,7 @@
 use super::utilisation::{Evidence, FleetUtilisation, Utilisation};
 use crate::peer_loads::{EstablishedLoad, PeerLoads, group_bit, group_count};
 use cottonnotch_aggregation::GroupLoad;
-use cottonnotch_decision::{Micros, RequestId, ServerId, Settings};
+use cottonnotch_decision::{Micros, RequestId, ServerId, Settings, WeightMeaning};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Time between two rounds of latency reports, in microseconds.
@@ -52,7 +52,7 @@
     pub proxies: u32,
     /// The shortest latency objective of a message, in microseconds. `None` disables the reports.
     pub objective: Option<Micros>,
-    /// Whether lists have sizes, so that loads can be compared with capacities.
+    /// Whether the weights in lists state sizes, so that loads can be compared with capacities.
     pub sizes_are_listed: bool,
 }
 
@@ -61,7 +61,7 @@
         LatencySettings {
             proxies: settings.nodes,
             objective: settings.shortest_message_objective(),
-            sizes_are_listed: settings.weighted,
+            sizes_are_listed: settings.weights == WeightMeaning::Size,
         }
     }
 }
@@ -341,10 +341,11 @@
     /// render node.
     fn expected_connections(&self, number: u32, spread: &BTreeMap<u32, f64>) -> f64 {
         let total: f64 = spread.values().sum();
-        let weight = |number: u32| self.nodes.get(&number).map_or(1.0, |node| node.weight);
-        let weights: f64 = spread.keys().map(|number| weight(*number)).sum();
+        let listed_size = |number: u32| self.nodes.get(&number).map_or(1.0, |node| node.weight);
+        let size = |number: u32| if self.sizes_are_listed { listed_size(number) } else { 1.0 };
+        let sizes: f64 = spread.keys().map(|number| size(*number)).sum();
         let here = spread.get(&number).copied().unwrap_or(0.0);
-        total * (here + PRIOR_CONNECTIONS * weight(number) / weights) / (total + PRIOR_CONNECTIONS)
+        total * (here + PRIOR_CONNECTIONS * size(number) / sizes) / (total + PRIOR_CONNECTIONS)
     }
 
     /// Returns a render node's capacity in microseconds of work per second: its listed size, reduced if its set-ups take longer than
--- a/crates/proxy-core/src/message_latency/latencies_tests.rs
+++ b/crates/proxy-core/src/message_latency/latencies_tests.rs
@@ -79,3 +79,14 @@
     latencies.connection_closed(RequestId(1));
     assert_eq!(reported_over(&mut latencies, 4 * S), [OURS, OTHERS]);
 }
+
+/// A render node's capacity is known only where lists state sizes.
+#[test]
+fn live_weights_are_no_capacities() {
+    for (weights, are_sizes) in
+        [(WeightMeaning::Nothing, false), (WeightMeaning::Size, true), (WeightMeaning::Live, false)]
+    {
+        let settings = Settings { weights, ..Settings::default() };
+        assert_eq!(LatencySettings::from(&settings).sizes_are_listed, are_sizes, "{weights:?}");
+    }
+}
--- a/crates/proxy-core/tests/guard.rs
+++ b/crates/proxy-core/tests/guard.rs
@@ -178,3 +178,20 @@
         assert!(guard.violations().of(Violation::SlowStartOverBudget) > 0);
     }
 }
+
+/// A weight that tells the load is no size: an empty server has the share of any other.
+#[test]
+fn bounds_attempts_in_slow_start_by_size_only() {
+    let live = Settings { weights: WeightMeaning::Live, ..settings(Idempotency::Idempotent) };
+    let mut guard = Guard::new(live);
+    let warm = Entry { weight: 0.1, ..entry(0, 0, ServerState::Ready, None) };
+    guard.listed(0, ListScope::Complete, &[warm, entry(1, 1, ServerState::Removed, None)]);
+    guard.listed(5 * S, ListScope::Changes, &[entry(1, 1, ServerState::Removed, None)]);
+    let cold = Entry { weight: 2.0, ..entry(1, 1, ServerState::Ready, Some(5 * S)) };
+    guard.listed(5 * S + 1, ListScope::Changes, &[cold]);
+    let sent = (0..60).filter(|id| {
+        guard.requested(6 * S, &request(100 + id));
+        guard.check_attempt(6 * S, RequestId(100 + id), ServerId(1)).is_ok()
+    });
+    assert!((18..30).contains(&sent.count()));
+}
--- a/crates/scale/src/shape.rs
+++ b/crates/scale/src/shape.rs
@@ -1,7 +1,7 @@
 //! The sizes of a fleet, and the synthetic connections that follow from them and a seed.
 
 use cottonnotch_decision::names::hash_to_unit;
-use cottonnotch_decision::{Class, Idempotency, Micros, Settings, ZoneId};
+use cottonnotch_decision::{Class, Idempotency, Micros, Settings, WeightMeaning, ZoneId};
 use serde::{Deserialize, Serialize};
 
 /// Size of a group's affinity subset, as the decision module chooses it today.
@@ -147,7 +147,7 @@
             over_quota_weight: 1.0,
             step: MS,
             list_on_request: true,
-            weighted: true,
+            weights: WeightMeaning::Size,
             retry_after: true,
             max_retry_after: 1_000 * MS,
             slow_start_from: 0.3,
