A slow discovery is waited for: a late call stays open beside the next one

Cause: a call was closed after 3.5 s without a head, or 2.75 s behind it, and the next one had the same patience.

Change: such a call is still reported as silent, so that the next one goes out in time, but it stays open for 15 s, four calls at most. The first one that sends an update is the watch, and the others are closed. So is a silent watch. A watch whose answer was slow counts as silent sooner.

--- a/crates/cottonnotch/src/net/discovery_client.rs
+++ b/crates/cottonnotch/src/net/discovery_client.rs
@@ -5,7 +5,7 @@
 use super::network_event::{Io, NetworkEvent, WatchLoss};
 use super::object::Object;
 use cottonnotch_decision::Micros;
-use cottonnotch_decision::list_polling::{UNANSWERED_AFTER, WATCH_SILENT_AFTER};
+use cottonnotch_decision::list_polling::{UNANSWERED_AFTER, silent_after};
 use cottonnotch_proxy_core::EndpointUpdate;
 use cottonnotch_reactor::http::StreamedResponse;
 use cottonnotch_reactor::json_stream::JsonStream;
@@ -14,12 +14,10 @@
 use std::io;
 use std::net::SocketAddr;
 
-/// The time without progress after which a watch counts as silent. If discovery fails without closing the
-/// connection, the endpoint list would become outdated unnoticed.
-const SILENCE_TIMEOUT: Micros = WATCH_SILENT_AFTER;
-/// The time without a response after which a request counts as silent. Discovery answers requests one after
-/// another, and answers 503 if a request waits too long; it has let requests wait for 3 s, so this is longer.
+/// The time without a response after which a request is reported as silent, so that the next one goes out beside it.
 const ANSWER_TIMEOUT: Micros = 3_500_000;
+/// The time without progress after which a request or a watch that was reported as silent is given up.
+const GIVE_UP_TIMEOUT: Micros = 15_000_000;
 /// The number of bytes of an incomplete JSON text that counts as progress. Otherwise only a complete response head,
 /// JSON text or heartbeat counts, so that single bytes do not keep a watch alive.
 const PROGRESS_BYTES: usize = 4_096;
@@ -41,8 +39,14 @@
     head_complete: bool,
     /// Whether a JSON text or a heartbeat has been received completely.
     has_data: bool,
-    /// Whether the loss of the watch was reported.
-    loss_reported: bool,
+    /// How long an answered watch may be silent.
+    silence_timeout: Micros,
+    /// Whether the watch was reported as silent since it last made progress.
+    silence_reported: bool,
+    /// The id of the timer that was set last; earlier ones are outdated.
+    timer: u32,
+    /// Whether the watch has ended.
+    has_ended: bool,
 }
 
 impl DiscoveryWatch {
@@ -55,10 +59,9 @@
         );
         stream.push(request.as_bytes());
         let last_progress = io.now();
-        io.timer(last_progress + ANSWER_TIMEOUT, key, 0);
         let (response, json_texts) = (StreamedResponse::new(), JsonStream::new());
-        let (connected, head_complete, has_data, loss_reported) = (false, false, false, false);
-        Ok(DiscoveryWatch {
+        let (connected, head_complete, has_data) = (false, false, false);
+        let mut watch = DiscoveryWatch {
             key,
             stream,
             connected,
@@ -69,19 +72,27 @@
             bytes_since_progress: 0,
             head_complete,
             has_data,
-            loss_reported,
-        })
+            silence_timeout: silent_after(0),
+            silence_reported: false,
+            timer: 0,
+            has_ended: false,
+        };
+        watch.set_timer(io);
+        Ok(watch)
     }
 
-    /// Returns the number of stages that the response has reached; it is also the id of the watch's current timer.
-    fn progress_stage(&self) -> u32 {
-        u32::from(self.head_complete) + u32::from(self.has_data)
+    fn set_timer(&mut self, io: &mut Io) {
+        self.timer += 1;
+        io.timer(self.deadline(), self.key, self.timer);
     }
 
-    /// Returns when the watch is given up if it makes no further progress.
+    /// Returns when the watch is reported as silent if it makes no further progress, or given up if that was reported.
     fn deadline(&self) -> Micros {
+        if self.silence_reported {
+            return self.last_progress + GIVE_UP_TIMEOUT;
+        }
         let silence_deadline =
-            self.last_progress + if self.head_complete { SILENCE_TIMEOUT } else { ANSWER_TIMEOUT };
+            self.last_progress + if self.head_complete { self.silence_timeout } else { ANSWER_TIMEOUT };
         if self.has_data {
             silence_deadline
         } else {
@@ -89,15 +100,27 @@
         }
     }
 
+    /// Ends the watch. If it was reported as silent, the next request is under way and nothing is reported.
     fn fail(&mut self, io: &mut Io, reason: impl ToString) {
-        self.report_lost(io, WatchLoss::Failed, reason);
+        if !self.has_ended && !self.silence_reported {
+            self.report_lost(io, WatchLoss::Failed, reason);
+        }
+        self.has_ended = true;
     }
 
-    fn report_lost(&mut self, io: &mut Io, loss: WatchLoss, reason: impl ToString) {
-        if !self.loss_reported {
-            self.loss_reported = true;
-            io.report(NetworkEvent::WatchLost { watch: self.key, loss, reason: reason.to_string() });
-        }
+    fn report_lost(&self, io: &mut Io, loss: WatchLoss, reason: impl ToString) {
+        io.report(NetworkEvent::WatchLost { watch: self.key, loss, reason: reason.to_string() });
+    }
+
+    fn report_silent(&mut self, io: &mut Io) {
+        let reason = match (self.head_complete, self.has_data) {
+            (_, true) => "discovery sent no heartbeat, it is silent",
+            (true, false) => "discovery sent no list, it is silent",
+            (false, false) => "discovery sent no response",
+        };
+        self.report_lost(io, WatchLoss::Silent, reason);
+        self.silence_reported = true;
+        self.set_timer(io);
     }
 
     fn receive(&mut self, io: &mut Io, bytes: &[u8]) {
@@ -128,11 +151,15 @@
     }
 
     fn record_progress(&mut self, io: &mut Io, has_data: bool) {
-        let stage_before = self.progress_stage();
+        let before = (self.head_complete, self.has_data, self.silence_reported);
         (self.last_progress, self.bytes_since_progress, self.head_complete) = (io.now(), 0, true);
-        self.has_data |= has_data;
-        if self.progress_stage() != stage_before {
-            io.timer(self.deadline(), self.key, self.progress_stage());
+        if has_data && !self.has_data {
+            self.has_data = true;
+            self.silence_timeout = silent_after(io.now() - self.requested_at);
+        }
+        self.silence_reported = false;
+        if before != (self.head_complete, self.has_data, self.silence_reported) {
+            self.set_timer(io);
         }
     }
 
@@ -181,27 +208,18 @@
     }
 
     fn timer(&mut self, io: &mut Io, timer: u32) {
-        let deadline = self.deadline();
-        if timer != self.progress_stage() {
-            // This timer belongs to an earlier stage of the response; the timer of the current stage is set.
-        } else if deadline > io.now() {
-            io.timer(deadline, self.key, timer);
-        } else if self.has_data {
-            self.report_lost(io, WatchLoss::Silent, "discovery sent no heartbeat, it is silent");
+        if timer != self.timer {
+            // The timer is outdated, and a later one is set.
+        } else if self.deadline() > io.now() {
+            self.set_timer(io);
+        } else if self.silence_reported {
+            self.has_ended = true;
         } else {
-            self.report_lost(
-                io,
-                WatchLoss::Silent,
-                if self.head_complete {
-                    "discovery sent no list, it is silent"
-                } else {
-                    "discovery sent no response"
-                },
-            );
+            self.report_silent(io);
         }
     }
 
     fn done(&self) -> bool {
-        self.loss_reported
+        self.has_ended
     }
 }
--- a/crates/cottonnotch/src/net/driver/dispatch.rs
+++ b/crates/cottonnotch/src/net/driver/dispatch.rs
@@ -24,7 +24,7 @@
             NetworkEvent::AdminRequested(admin, request) => self.handle_admin_request(admin, &request),
             NetworkEvent::Datagrams(received) => self.handle_datagrams(&received),
             NetworkEvent::EndpointUpdate { watch, update } => {
-                if self.endpoints.is_current_watch(watch) {
+                if self.endpoints.adopt_watch(context, watch) {
                     self.apply_endpoint_update(update, UpdateSource::Discovery);
                 }
             }
--- a/crates/cottonnotch/src/net/driver/endpoints.rs
+++ b/crates/cottonnotch/src/net/driver/endpoints.rs
@@ -1,11 +1,11 @@
 //! The endpoints: the render nodes listed by discovery, the watch on discovery, and the operators' overrides.
 
 use super::context::Context;
+use super::discovery_calls::DiscoveryCalls;
 use super::endpoint::{Endpoint, Incarnation};
 use super::log_target::LOG_TARGET;
 use super::message_latency::MessageLatency;
 use crate::maintenance::Maintenance;
-use crate::net::discovery_client::DiscoveryWatch;
 use crate::net::network_event::WatchLoss;
 use crate::rules::NodeKind;
 use cottonnotch_decision::names::Names;
@@ -31,7 +31,8 @@
     /// The endpoints' ids. Their numbers are the decision module's server ids and are never reused.
     names: Names,
     endpoints: Vec<Endpoint>,
-    watch: Option<Key>,
+    /// The open calls to discovery.
+    calls: DiscoveryCalls,
     revision: u64,
     /// The operators' overrides as stored, in Unix time.
     manual_overrides: Maintenance,
@@ -90,9 +91,7 @@
             "changes of revision {revision} after {last} rejected, the complete list is requested"
         );
         self.revision = 0;
-        if let Some(watch) = self.watch.take() {
-            context.reactor.remove(watch);
-        }
+        self.calls.close_all(context);
         Event::ListFailed
     }
 
@@ -211,26 +210,31 @@
 
     // ---- the watch on discovery ----
 
-    /// Starts a watch from the last accepted revision and closes the old watch. Returns an event if that fails.
+    /// Requests the changes after the last accepted revision, beside calls that are not answered yet. Returns an event
+    /// if that fails.
     pub fn start_watch(&mut self, context: &mut Context) -> Option<Event> {
-        if let Some(old) = self.watch.take() {
-            context.reactor.remove(old);
-        }
-        let (discovery, from) = (context.config.discovery, self.revision);
-        match context.reactor.insert(|key, io| Ok(Box::new(DiscoveryWatch::start(discovery, from, key, io)?)))
-        {
-            Ok(key) => {
-                self.watch = Some(key);
-                None
-            }
-            Err(error) => {
-                log::warn!(target: LOG_TARGET, discovery:%, error:%; "cannot watch discovery: {error}");
-                Some(Event::ListFailed)
-            }
-        }
+        let discovery = context.config.discovery;
+        let error = self.calls.start(context, self.revision).err()?;
+        context.records.watch_lost();
+        log::warn!(target: LOG_TARGET, discovery:%, error:%; "cannot watch discovery: {error}");
+        Some(Event::ListFailed)
     }
 
-    /// Handles the loss of a watch. Returns an event if the watch was the current one.
+    /// Requests the changes after the last accepted revision from another discovery. What the earlier one may still
+    /// answer does not count.
+    pub fn restart_watch(&mut self, context: &mut Context) -> Option<Event> {
+        self.calls.close_all(context);
+        self.start_watch(context)
+    }
+
+    /// Takes the call that has sent an update as the watch, in place of all others. Returns false if the call is
+    /// closed.
+    pub fn adopt_watch(&mut self, context: &mut Context, watch: Key) -> bool {
+        self.calls.adopt(context, watch)
+    }
+
+    /// Handles the loss of a watch. Returns an event if the watch was not closed before. A silent watch stays open: it
+    /// may only be slow.
     pub fn handle_watch_lost(
         &mut self,
         context: &mut Context,
@@ -238,7 +242,7 @@
         loss: WatchLoss,
         reason: &str,
     ) -> Option<Event> {
-        if !self.is_current_watch(watch) {
+        if !self.calls.contains(watch) {
             return None;
         }
         let (discovery, revision) = (context.config.discovery, self.revision);
@@ -249,21 +253,18 @@
                 "watch on discovery lost: {reason} ({more} more since the last such line)"
             );
         }
-        self.watch = None;
         Some(match loss {
             WatchLoss::Silent => Event::ListSilent,
-            WatchLoss::Failed => Event::ListFailed,
+            WatchLoss::Failed => {
+                self.calls.ended(watch);
+                Event::ListFailed
+            }
         })
     }
 
-    /// The current watch, or `None` if there is none.
-    pub fn current_watch(&self) -> Option<Key> {
-        self.watch
-    }
-
-    /// Whether this is the current watch. Reports of any other watch are outdated.
-    pub fn is_current_watch(&self, watch: Key) -> bool {
-        self.watch == Some(watch)
+    /// The open calls to discovery, oldest first.
+    pub fn calls(&self) -> &DiscoveryCalls {
+        &self.calls
     }
 
     // ---- queries ----
--- a/crates/cottonnotch/src/net/driver/mod.rs
+++ b/crates/cottonnotch/src/net/driver/mod.rs
@@ -14,6 +14,7 @@
 mod clock_file;
 mod context;
 mod decisions;
+mod discovery_calls;
 mod dispatch;
 mod endpoint;
 mod endpoints;
--- a/crates/cottonnotch/src/net/driver/process.rs
+++ b/crates/cottonnotch/src/net/driver/process.rs
@@ -8,8 +8,8 @@
 use crate::net::network_event::NetworkEvent;
 use crate::rules::RulesService;
 use cottonnotch_decision::{Event, Micros};
-use cottonnotch_reactor::Half;
 use cottonnotch_reactor::listener::Binding;
+use cottonnotch_reactor::{Half, Key};
 use cottonnotch_records::MoveReason;
 use std::io;
 
@@ -111,19 +111,20 @@
             // sent its last update. What has arrived of it is read first.
             self.apply_arrived_updates();
             // The end of the old watch is not a failure, so the module is told only about the new watch.
-            let event = self.endpoints.start_watch(&mut self.context);
+            let event = self.endpoints.restart_watch(&mut self.context);
             self.handle_event(event);
         }
     }
 
-    /// Reads the current watch once more and applies its updates that are not handled yet.
+    /// Reads the open calls to discovery once more and applies their updates that are not handled yet.
     fn apply_arrived_updates(&mut self) {
-        let Some(current) = self.endpoints.current_watch() else { return };
-        self.context.reactor.with(current, |watch, io| watch.readable(io, Half::Near));
+        let calls: Vec<Key> = self.endpoints.calls().iter().collect();
+        for call in calls {
+            self.context.reactor.with(call, |watch, io| watch.readable(io, Half::Near));
+        }
         let reports = std::mem::take(&mut self.context.reactor.io.reports);
-        let (updates, others): (Vec<NetworkEvent>, Vec<NetworkEvent>) = reports.into_iter().partition(
-            |report| matches!(report, NetworkEvent::EndpointUpdate { watch, .. } if *watch == current),
-        );
+        let (updates, others): (Vec<NetworkEvent>, Vec<NetworkEvent>) =
+            reports.into_iter().partition(|report| matches!(report, NetworkEvent::EndpointUpdate { .. }));
         // Reports that the updates cause come behind those that were there before.
         self.context.reactor.io.reports.extend(others);
         for update in updates {
--- a/crates/cottonnotch/src/net/driver/reload_tests.rs
+++ b/crates/cottonnotch/src/net/driver/reload_tests.rs
@@ -81,3 +81,18 @@
     let line = requested(&mut driver, &mut watch);
     assert!(line.contains("from=9 "), "{line}");
 }
+
+/// Calls that are never answered do not pile up.
+#[test]
+fn keeps_few_unanswered_calls() {
+    const FEW: usize = 4;
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let reload = Box::new(move || Ok(config(discovery)));
+    let mut driver = Driver::start(config(discovery), Recorder::off(), reload).unwrap();
+    let before = driver.context.reactor.connections();
+    for _ in 0..5 * FEW {
+        assert_eq!(driver.endpoints.start_watch(&mut driver.context), None);
+    }
+    assert_eq!(driver.endpoints.calls().iter().count(), FEW);
+    assert!(driver.context.reactor.connections() <= before + FEW);
+}
--- a/crates/cottonnotch/tests/endings/lists.rs
+++ b/crates/cottonnotch/tests/endings/lists.rs
@@ -220,6 +220,79 @@
     }
 }
 
+/// How long a slow discovery takes for an answer, and for the list behind the head of one.
+const SLOW_ANSWER: Duration = Duration::from_millis(4_500);
+const SLOW_LIST: Duration = Duration::from_millis(3_200);
+
+/// A call that is not answered for a while was given up, and the next one with it: a slow discovery was never waited for.
+#[test]
+fn waits_for_slow_discovery() {
+    for (at_once, time) in [("", SLOW_ANSWER), (HEAD, SLOW_LIST)] {
+        let (proxy, nodes, client, _far) = served();
+        let mut call = called_again(&proxy, Instant::now());
+        call.send(at_once);
+        std::thread::sleep(time);
+        let rest = if at_once.is_empty() { HEAD } else { "" };
+        call.send(&format!("{rest}{}", chunk(&drain(2, &nodes))));
+        is_obeyed(&proxy, &nodes, client);
+        let mut second = proxy.discovery.poll().expect("a second call beside the first one");
+        while !second.receive().is_empty() {}
+        call.send(&chunk(&list(
+            3,
+            false,
+            &[member("s0", &nodes[0], "up"), member("s1", &nodes[1], "draining")],
+        )));
+        let _held = (proxy.open(), nodes[0].accept_attempt());
+    }
+}
+
+/// A slow call and a fast one: the first answer counts, and what comes later on the other does not.
+#[test]
+fn ignores_late_answer_after_fast_one() {
+    let (proxy, nodes, mut client, _far) = served();
+    let mut slow = called_again(&proxy, Instant::now());
+    let mut fast = called_again(&proxy, Instant::now());
+    fast.send(&format!("{HEAD}{}", chunk(&drain(2, &nodes))));
+    assert_eq!(client.receive_rest().unwrap(), "MOVE\r\n");
+    let outdated = list(9, true, &[member("s0", &nodes[0], "up")]);
+    // It may be closed already.
+    let _ = slow.try_send(&format!("{HEAD}{}", chunk(&outdated)));
+    let _held: Vec<(ScriptedPeer, ScriptedPeer)> = (0..3).map(|_| proxy.establish(&nodes[1])).collect();
+    assert!(nodes[0].poll().is_none(), "nothing new to what drains");
+}
+
+/// A watch on a slow discovery falls silent: the next call goes out early enough for a slow answer, and the watch still counts.
+#[test]
+fn calls_slow_discovery_sooner_after_silence() {
+    const CALLED_WITHIN: Duration = Duration::from_millis(2_600);
+    let (proxy, nodes, client, _far) = served();
+    let mut watch = called_again(&proxy, Instant::now());
+    std::thread::sleep(SLOW_ANSWER);
+    watch.send(&format!("{HEAD}{}", chunk(&list(2, false, &[]))));
+    drop(proxy.discovery.poll().expect("a second call beside the first one"));
+    let begun = Instant::now();
+    let mut next = called_again(&proxy, begun);
+    assert!(begun.elapsed() < CALLED_WITHIN, "{:?}", begun.elapsed());
+    watch.send(&chunk(&drain(3, &nodes)));
+    is_obeyed(&proxy, &nodes, client);
+    while !next.receive().is_empty() {}
+}
+
+/// A new configuration names a slow discovery.
+#[test]
+fn waits_for_slow_discovery_after_reload() {
+    let (nodes, slow) = ([ScriptedServer::new(), ScriptedServer::new()], ScriptedServer::new());
+    let proxy = Proxy::start(&[&nodes[0]]);
+    let (client, _far) = proxy.establish(&nodes[0]);
+    let (_watch, _) = proxy.discovery.accept_watch();
+    let (old, new) = (proxy.discovery.address().to_string(), slow.address().to_string());
+    proxy.reconfigure(&[(&old, &new)]);
+    let mut call = slow.accept();
+    std::thread::sleep(SLOW_ANSWER);
+    call.send(&format!("{HEAD}{}", chunk(&drain(2, &nodes))));
+    is_obeyed(&proxy, &nodes, client);
+}
+
 // Guards resolver.rs `take`: a long list that comes slowly is not cut off, or it would be asked for again and again.
 /// A long list that comes slowly is waited for.
 #[test]
--- a/crates/decision/src/list_polling.rs
+++ b/crates/decision/src/list_polling.rs
@@ -10,11 +10,23 @@
 
 use crate::interface::{Micros, SECOND};
 
-/// Time without a message after which a subscription counts as silent. Heartbeats come every 2 s. A change
+/// Time without a message after which a subscription counts as silent (see [`silent_after`]). Heartbeats come every 2 s. A change
 /// that a silent subscription misses counts as notified 6 s after the last message; the time left must
 /// suffice for one successful call after one or two failed ones.
 pub const WATCH_SILENT_AFTER: Micros = 2_750_000;
 
+/// Time after which a change counts as notified to a node whose subscription has missed it.
+const NOTIFIED_AFTER: Micros = 6 * SECOND;
+/// Lower limit of the time without a message after which a subscription counts as silent. Heartbeats come every
+/// 2 s.
+const MIN_SILENT_AFTER: Micros = 2_250_000;
+
+/// Returns the time without a message after which a subscription counts as silent, if its own first answer took
+/// `answer_time`: the next one is likely to take as long, and has to be there when changes count as notified.
+pub fn silent_after(answer_time: Micros) -> Micros {
+    (NOTIFIED_AFTER - answer_time).clamp(MIN_SILENT_AFTER, WATCH_SILENT_AFTER)
+}
+
 /// Rate of calls that all nodes together send to the list service after a fault that affects the whole fleet.
 /// After a silence was detected and a call has failed, one of the six seconds is left; at this rate, 300
 /// nodes poll again within that second.
@@ -27,7 +39,8 @@
 /// service's queue.
 pub const MAX_CALL_INTERVAL: Micros = 4 * SECOND;
 /// Time without a complete answer after which the caller reports a call as silent. Together with the spread
-/// of the fleet's calls, the next call goes out at most 5 s after the silent one.
+/// of the fleet's calls, the next call goes out at most 5 s after the silent one. The silent one may still be
+/// answered: a slow service would never answer if each call were withdrawn.
 pub const UNANSWERED_AFTER: Micros = 4 * SECOND;
 /// Time after which a call counts as lost if the caller reports nothing about it. A long list takes time to
 /// arrive.
--- a/crates/decision/tests/list_clock.rs
+++ b/crates/decision/tests/list_clock.rs
@@ -7,7 +7,7 @@
     reason = "a test panics, and reads from top to bottom"
 )]
 
-use cottonnotch_decision::list_polling::WATCH_SILENT_AFTER;
+use cottonnotch_decision::list_polling::{WATCH_SILENT_AFTER, silent_after};
 use cottonnotch_decision::*;
 
 const MS: Micros = 1_000;
@@ -177,3 +177,16 @@
     node.handle(CALL_DURATION + after, Event::Timer(token), &mut out);
     assert_eq!(out.first(), Some(&Action::WatchList));
 }
+
+/// The longer an answer takes, the sooner a watch counts as silent, but never before a heartbeat is overdue.
+#[test]
+fn slow_answers_shorten_silence() {
+    const HEARTBEAT_INTERVAL: Micros = 2 * S;
+    assert_eq!(silent_after(0), WATCH_SILENT_AFTER);
+    for answer_time in (0..20 * S).step_by(100_000) {
+        let silent = silent_after(answer_time);
+        assert!((HEARTBEAT_INTERVAL + 200 * MS..=WATCH_SILENT_AFTER).contains(&silent));
+        let is_told_in_time = silent + answer_time <= NOTIFIED_WITHIN + GRACE;
+        assert!(is_told_in_time || answer_time > 4_750 * MS, "{answer_time}: {silent}");
+    }
+}
