An id whose unsafe request may have run is kept for a while and refused

Cause: an id was forgotten with its request, and the published ids of a process with the process.

Two processes mark such ids in the files that they exchange from the claim on; the marked ones count after their process has ended, and its successor takes them over.

One unit test of the files expects the new report in its place; none was relaxed.

--- a/crates/cottonnotch/src/net/driver/clients/admission.rs
+++ b/crates/cottonnotch/src/net/driver/clients/admission.rs
@@ -9,7 +9,7 @@
 use crate::net::driver::endpoints::Endpoints;
 use crate::net::driver::log_target::LOG_TARGET;
 use crate::net::driver::message_latency::MessageLatency;
-use crate::net::driver::open_ids::{ClaimOutcome, ClaimedRequest};
+use crate::net::driver::open_ids::{ClaimOutcome, ClaimedRequest, IdState};
 use crate::net::driver::request_table::{Stage, TrackedRequest};
 use crate::net::final_answer::FULL_RETRY_AFTER;
 use crate::net::request_error::RequestError;
@@ -123,8 +123,11 @@
 
     /// The error with which a client is answered without an attempt, or `None` if its request may go to an endpoint.
     fn validate(&self, config: &Config, connection_request: &ConnectionRequest) -> Option<RequestError> {
-        let is_open = self.open_ids.contains(connection_request.id);
-        unknown_name(config, connection_request).or(is_open.then_some(RequestError::DuplicateId))
+        let taken = self.open_ids.state(connection_request.id).map(|state| match state {
+            IdState::Open(_) => RequestError::DuplicateId,
+            IdState::Used => RequestError::UsedId,
+        });
+        unknown_name(config, connection_request).or(taken)
     }
 
     fn reject_invalid(
@@ -190,7 +193,7 @@
         error: &RequestError,
     ) -> [Option<Event>; 2] {
         self.log_rejection(context, error);
-        let Some(tracked) = self.remove(latency, key) else {
+        let Some(tracked) = self.remove(context, latency, key) else {
             context.records.client_rejected(|| error.to_string().into());
             return [None, None];
         };
--- a/crates/cottonnotch/src/net/driver/clients/attempts.rs
+++ b/crates/cottonnotch/src/net/driver/clients/attempts.rs
@@ -58,9 +58,10 @@
     }
 
     /// Records that the last byte of an attempt's first line was written.
-    pub fn handle_attempt_written(&self, context: &mut Context, key: Key) {
+    pub fn handle_attempt_written(&mut self, context: &mut Context, key: Key) {
         context.records.attempt_written();
-        if let Some(tracked) = self.requests.get(key) {
+        if let Some(tracked) = self.requests.get_mut(key) {
+            tracked.attempt_written = true;
             context.audit.attempt_written(context.reactor.io.now(), tracked);
         }
     }
@@ -101,6 +102,7 @@
         let tracked = self.requests.get_mut(key)?;
         let (server, attempt) = tracked.latest_attempt?;
         tracked.attempt_began = None;
+        tracked.has_run = true;
         context.records.established(tracked, || endpoints.shared_name(server), elapsed);
         let (event, setup) = match std::mem::replace(&mut tracked.stage, Stage::Established) {
             Stage::Reopening(request) => {
@@ -189,6 +191,7 @@
     if let Some(began) = tracked.attempt_began.take() {
         context.audit.attempt_ended(tracked, outcome);
         tracked.last_outcome = Some(outcome);
+        tracked.has_run |= std::mem::take(&mut tracked.attempt_written) && !outcome.never_ran();
         let elapsed = context.now() - began;
         context.records.attempt_ended(tracked.id, tracked.latest_attempt_number(), outcome, elapsed);
     }
--- a/crates/cottonnotch/src/net/driver/clients/endings.rs
+++ b/crates/cottonnotch/src/net/driver/clients/endings.rs
@@ -64,7 +64,7 @@
         invariant!(key.is_some(), "a final answer is given once, to a request that is owed one");
         // If the client left or was rejected, the request is removed when the report of that is handled.
         let answered = key.filter(|key| context.with_client(*key, answer) == Some(true));
-        answered.and_then(|key| self.remove(latency, key))
+        answered.and_then(|key| self.remove(context, latency, key))
     }
 
     /// Ends a request whose client was rejected with an error before it was answered.
@@ -91,7 +91,7 @@
         key: Key,
         outcome: Outcome,
     ) -> [Option<Event>; 2] {
-        let Some(mut tracked) = self.remove(latency, key) else { return [None, None] };
+        let Some(mut tracked) = self.remove(context, latency, key) else { return [None, None] };
         // A queued request has no attempt in flight, but may have had earlier ones. `Cancelled` keeps the module from
         // refunding what they used.
         let outcome = if tracked.attempt_began.is_some() { outcome } else { Outcome::Cancelled };
@@ -124,7 +124,7 @@
         if context.with_client(key, |client, io| client.migrate(io)) != Some(true) {
             return None;
         }
-        let tracked = self.remove(latency, key)?;
+        let tracked = self.remove(context, latency, key)?;
         context.audit.migrated(&tracked, reason);
         let (server, attempt) = tracked.latest_attempt?;
         let outcome = Outcome::Cancelled;
@@ -149,7 +149,7 @@
         key: Key,
         outcome: Outcome,
     ) -> Option<Event> {
-        let tracked = self.remove(latency, key)?;
+        let tracked = self.remove(context, latency, key)?;
         context.audit.ended(&tracked, outcome);
         context.records.ended(tracked.id, outcome);
         let (server, attempt) = tracked.latest_attempt?;
@@ -170,7 +170,7 @@
             if context.with_client(key, |client, io| client.reject(io, 0)) != Some(true) {
                 continue;
             }
-            if let Some(mut tracked) = self.remove(latency, key) {
+            if let Some(mut tracked) = self.remove(context, latency, key) {
                 end_attempt(context, &mut tracked, Outcome::Cancelled);
                 context.records.rejected(&tracked, 0, || None);
             }
--- a/crates/cottonnotch/src/net/driver/clients/mod.rs
+++ b/crates/cottonnotch/src/net/driver/clients/mod.rs
@@ -7,6 +7,7 @@
 
 pub use attempts::AttemptPlan;
 
+use super::context::Context;
 use super::message_latency::MessageLatency;
 use super::open_ids::OpenIds;
 use super::request_table::{RequestTable, TrackedRequest};
@@ -41,9 +42,19 @@
         self.requests.len()
     }
 
-    fn remove(&mut self, latency: &mut MessageLatency, key: Key) -> Option<TrackedRequest> {
+    fn remove(
+        &mut self,
+        context: &Context,
+        latency: &mut MessageLatency,
+        key: Key,
+    ) -> Option<TrackedRequest> {
         let tracked = self.requests.remove(key)?;
-        self.open_ids.release(tracked.wire_id);
+        let idempotency = context.config.profile.settings.idempotency(tracked.class as usize);
+        if tracked.may_have_run() && !idempotency.may_reject() {
+            self.open_ids.retire(context.now(), tracked.wire_id);
+        } else {
+            self.open_ids.release(tracked.wire_id);
+        }
         latency.remove_request(&tracked);
         Some(tracked)
     }
--- a/crates/cottonnotch/src/net/driver/dispatch.rs
+++ b/crates/cottonnotch/src/net/driver/dispatch.rs
@@ -119,6 +119,7 @@
     fn tick(&mut self) {
         self.context.observe_wall_clock();
         self.context.audit.report_overdue(self.context.now());
+        self.clients.open_ids().release_expired(self.context.now());
         // The rules may now allow or forbid queued requests.
         let rules_event = self.context.rules.as_mut().and_then(RulesService::tick);
         self.handle_event(rules_event);
--- a/crates/cottonnotch/src/net/driver/lifecycle.rs
+++ b/crates/cottonnotch/src/net/driver/lifecycle.rs
@@ -5,7 +5,7 @@
 use super::log_target::LOG_TARGET;
 use super::management::shared_file_path;
 use super::message_latency::MessageLatency;
-use super::open_ids::{OpenIds, Sibling, TableFile};
+use super::open_ids::{MAX_USED_IDS, OpenIds, Sibling, TableFile};
 use super::request_table::RequestTable;
 use super::shutdown::{self, Shutdown};
 use crate::config::{Config, ConfigError};
@@ -117,7 +117,7 @@
         // In this order: a process whose file is there without a table is one that has none.
         if self.id_table.is_none() {
             let path = hot_restart.id_table_path(hot_restart.started_unix());
-            self.id_table = Some(Arc::new(TableFile::create(&path, sockets)?));
+            self.id_table = Some(Arc::new(TableFile::create(&path, sockets + MAX_USED_IDS)?));
         }
         hot_restart.publish()
     }
--- a/crates/cottonnotch/src/net/driver/open_ids/layout.rs
+++ b/crates/cottonnotch/src/net/driver/open_ids/layout.rs
@@ -28,23 +28,44 @@
 
 /// The first word of a slot that holds no id.
 const EMPTY: u64 = 0;
-/// The first word of a slot that holds an id.
-const OPEN: u64 = 1;
+/// The first word of a slot that holds the id of a request that may run again.
+const REPEATABLE: u64 = 1;
+/// The first word of a slot that holds the id of a request that must not run again.
+const ONCE: u64 = 2;
 
-/// One slot of the hash table: an open id, or nothing.
-pub type Slot = Option<u64>;
+/// Whether the request of an id may run again after it has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdKind {
+    /// Another request with the id may follow.
+    Repeatable,
+    /// No other request with the id may run.
+    Once,
+}
+
+/// One slot of the hash table: an id, or nothing.
+pub type Slot = Option<(u64, IdKind)>;
 
 /// The slot's bytes.
 pub fn encode_slot(slot: Slot) -> [u8; SLOT_BYTES] {
     let mut bytes = [0; SLOT_BYTES];
-    bytes[..8].copy_from_slice(&slot.map_or(EMPTY, |_| OPEN).to_le_bytes());
-    bytes[8..].copy_from_slice(&slot.unwrap_or_default().to_le_bytes());
+    let (word, id) = match slot {
+        None => (EMPTY, 0),
+        Some((id, IdKind::Repeatable)) => (REPEATABLE, id),
+        Some((id, IdKind::Once)) => (ONCE, id),
+    };
+    bytes[..8].copy_from_slice(&word.to_le_bytes());
+    bytes[8..].copy_from_slice(&id.to_le_bytes());
     bytes
 }
 
 /// The slot with these bytes.
 pub fn decode_slot(bytes: &[u8; SLOT_BYTES]) -> Slot {
-    (read_word(bytes, 0) != EMPTY).then(|| read_word(bytes, 8))
+    let id = read_word(bytes, 8);
+    match read_word(bytes, 0) {
+        EMPTY => None,
+        ONCE => Some((id, IdKind::Once)),
+        _ => Some((id, IdKind::Repeatable)),
+    }
 }
 
 /// Where ids are in a table.
--- a/crates/cottonnotch/src/net/driver/open_ids/open_ids_tests.rs
+++ b/crates/cottonnotch/src/net/driver/open_ids/open_ids_tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the table of open ids and of the thread that exchanges them.
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test panics")]
 
+use super::layout::IdKind;
 use super::sibling_table::SiblingTable;
 use super::table::{PublishError, Table, TableFile};
 use super::worker::{ClaimOutcome, Job, Sibling, Worker, WorkerReport};
@@ -37,7 +38,7 @@
             if !is_claim {
                 table.remove(id);
                 open.remove(&id);
-            } else if table.insert(id).is_ok() {
+            } else if table.insert(id, IdKind::Repeatable).is_ok() {
                 open.insert(id);
             }
         }
@@ -54,7 +55,7 @@
     let (mut table, seen) = table(folder.path(), 32);
     for id in [0, 1, u64::MAX] {
         assert!(!seen.contains(id).unwrap());
-        table.insert(id).unwrap();
+        table.insert(id, IdKind::Repeatable).unwrap();
         assert!(seen.contains(id).unwrap());
     }
 }
@@ -65,9 +66,9 @@
     const STANDING: u64 = 8_000;
     let folder = tempfile::tempdir().unwrap();
     let (mut table, seen) = table(folder.path(), 2 * STANDING as usize);
-    (0..STANDING).for_each(|id| table.insert(id).unwrap());
+    (0..STANDING).for_each(|id| table.insert(id, IdKind::Repeatable).unwrap());
     for id in STANDING..300_000 {
-        table.insert(id).unwrap();
+        table.insert(id, IdKind::Repeatable).unwrap();
         table.remove(id);
     }
     assert!((0..STANDING).all(|id| seen.contains(id).unwrap()));
@@ -80,11 +81,11 @@
     let folder = tempfile::tempdir().unwrap();
     // One bucket.
     let (mut table, seen) = table(folder.path(), 16);
-    (0..32).for_each(|id| table.insert(id).unwrap());
-    assert!(matches!(table.insert(32), Err(PublishError::Full)));
+    (0..32).for_each(|id| table.insert(id, IdKind::Repeatable).unwrap());
+    assert!(matches!(table.insert(32, IdKind::Repeatable), Err(PublishError::Full)));
     assert!((0..32).all(|id| seen.contains(id).unwrap()) && !seen.contains(32).unwrap());
     table.remove(0);
-    table.insert(32).unwrap();
+    table.insert(32, IdKind::Repeatable).unwrap();
 }
 
 /// The ids of a process that has ended are free, whatever its file says.
@@ -92,12 +93,26 @@
 fn ids_of_ended_process_are_free() {
     let folder = tempfile::tempdir().unwrap();
     let (mut table, seen) = table(folder.path(), 32);
-    table.insert(7).unwrap();
+    table.insert(7, IdKind::Repeatable).unwrap();
     assert!(seen.contains(7).unwrap());
     drop(table);
     assert!(!seen.contains(7).unwrap());
 }
 
+/// The ids of requests that must not run again stay taken when their process has ended, and its successor can read them.
+#[test]
+fn ids_to_run_once_outlive_their_process() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut table, seen) = table(folder.path(), 32);
+    table.insert(7, IdKind::Once).unwrap();
+    table.insert(8, IdKind::Repeatable).unwrap();
+    table.insert(9, IdKind::Once).unwrap();
+    table.remove(9);
+    drop(table);
+    assert!(seen.contains(7).unwrap() && !seen.contains(8).unwrap() && !seen.contains(9).unwrap());
+    assert_eq!(seen.ids_to_run_once().unwrap(), [7]);
+}
+
 /// Files of other builds are no tables.
 #[test]
 fn ignores_files_of_other_formats() {
@@ -145,7 +160,8 @@
 
     fn meet(&self, siblings: &[&Process], open_ids: &[u64]) {
         let siblings = siblings.iter().map(|process| process.sibling.clone()).collect();
-        self.jobs.send(Job::Siblings { siblings, open_ids: Some(open_ids.to_vec()) }).unwrap();
+        let open_ids = open_ids.iter().map(|id| (*id, IdKind::Repeatable)).collect();
+        self.jobs.send(Job::Siblings { siblings, open_ids: Some(open_ids) }).unwrap();
     }
 
     fn wait_until_acknowledged(&self) {
@@ -154,7 +170,7 @@
     }
 
     fn claim(&self, number: u64, id: u64) {
-        self.jobs.send(Job::Claim { number, id }).unwrap();
+        self.jobs.send(Job::Claim { number, id, kind: IdKind::Repeatable }).unwrap();
     }
 
     fn outcome(&self, expected_number: u64) -> ClaimOutcome {
@@ -220,7 +236,8 @@
             scope.spawn(move || {
                 let play = |round| {
                     start.wait();
-                    jobs.send(Job::Claim { number: round, id: 1_000 + round }).unwrap();
+                    jobs.send(Job::Claim { number: round, id: 1_000 + round, kind: IdKind::Repeatable })
+                        .unwrap();
                     outcome_of(&reports, round)
                 };
                 (0..ROUNDS).map(play).collect()
@@ -251,5 +268,7 @@
     new.wait_until_acknowledged();
     let only = vec![earlier_build];
     new.jobs.send(Job::Siblings { siblings: only, open_ids: None }).unwrap();
+    let report = new.reports.recv_timeout(Duration::from_secs(10)).unwrap();
+    assert!(matches!(&report, WorkerReport::Inherited(ids) if ids.is_empty()), "{report:?}");
     new.wait_until_acknowledged();
 }
--- a/crates/cottonnotch/src/net/driver/open_ids/sibling_table.rs
+++ b/crates/cottonnotch/src/net/driver/open_ids/sibling_table.rs
@@ -1,6 +1,6 @@
 //! The table of another process of this proxy, as this process reads it.
 
-use super::layout::{BUCKET_BYTES, HEADER_BYTES, Layout, acknowledges, decode_slot};
+use super::layout::{BUCKET_BYTES, BUCKET_SLOTS, HEADER_BYTES, IdKind, Layout, acknowledges, decode_slot};
 use cottonnotch_decision::Micros;
 use std::fs::{self, File};
 use std::io;
@@ -40,15 +40,33 @@
         Ok(acknowledges(&read_header(&self.file)?, start))
     }
 
-    /// Whether the id is open at the process. An id that it has published before this call is found.
+    /// Whether the id is taken by the process. An id that it has published before this call is found. When the process has
+    /// ended, only the ids of requests that must not run again are taken.
     pub fn contains(&self, id: u64) -> io::Result<bool> {
-        Ok(self.search(id)? && self.is_alive()?)
+        match self.search(id)? {
+            None => Ok(false),
+            Some(IdKind::Once) => Ok(true),
+            Some(IdKind::Repeatable) => self.is_alive(),
+        }
+    }
+
+    /// The ids of requests that must not run again.
+    pub fn ids_to_run_once(&self) -> io::Result<Vec<u64>> {
+        let mut ids = Vec::new();
+        let mut bucket = [0; BUCKET_BYTES];
+        for first_slot in (0..self.layout.slots()).step_by(BUCKET_SLOTS) {
+            self.file.read_exact_at(&mut bucket, self.layout.offset(first_slot))?;
+            let slots = bucket.as_chunks().0.iter().filter_map(decode_slot);
+            ids.extend(slots.filter(|(_, kind)| *kind == IdKind::Once).map(|(id, _)| id));
+        }
+        Ok(ids)
     }
 
-    fn search(&self, id: u64) -> io::Result<bool> {
+    fn search(&self, id: u64) -> io::Result<Option<IdKind>> {
         let mut bucket = [0; BUCKET_BYTES];
         self.file.read_exact_at(&mut bucket, self.layout.offset(self.layout.first_slot(id)))?;
-        Ok(bucket.as_chunks().0.iter().any(|slot| decode_slot(slot) == Some(id)))
+        let mut slots = bucket.as_chunks().0.iter().filter_map(decode_slot);
+        Ok(slots.find(|(other, _)| *other == id).map(|(_, kind)| kind))
     }
 
     /// Whether the process is alive: it holds a lock on its file, which the system releases when the process ends.
--- a/crates/cottonnotch/src/net/driver/open_ids/table.rs
+++ b/crates/cottonnotch/src/net/driver/open_ids/table.rs
@@ -1,7 +1,8 @@
 //! The table of a process's own open ids: in memory, and in the file that other processes read.
 
 use super::layout::{
-    ACKNOWLEDGED_OFFSET, BUCKET_SLOTS, Layout, MAX_ACKNOWLEDGED, Slot, encode_acknowledged, encode_slot,
+    ACKNOWLEDGED_OFFSET, BUCKET_SLOTS, IdKind, Layout, MAX_ACKNOWLEDGED, Slot, encode_acknowledged,
+    encode_slot,
 };
 use cottonnotch_decision::Micros;
 use std::collections::{BTreeSet, HashMap};
@@ -94,11 +95,11 @@
     }
 
     /// Replaces all ids; they are in the file after the next successful [`Self::publish`].
-    pub fn replace(&mut self, ids: &[u64]) -> Result<(), PublishError> {
+    pub fn replace(&mut self, ids: &[(u64, IdKind)]) -> Result<(), PublishError> {
         self.slots.fill(None);
         self.by_id.clear();
         self.is_unpublished = true;
-        ids.iter().try_for_each(|id| self.place(*id).map(drop))
+        ids.iter().try_for_each(|(id, kind)| self.place(*id, *kind).map(drop))
     }
 
     /// Writes what the file lacks.
@@ -121,8 +122,8 @@
     }
 
     /// Adds an id and publishes it. On an error the id is not open.
-    pub fn insert(&mut self, id: u64) -> Result<(), PublishError> {
-        let slot = self.place(id)?;
+    pub fn insert(&mut self, id: u64, kind: IdKind) -> Result<(), PublishError> {
+        let slot = self.place(id, kind)?;
         if let Err(error) = self.write(slot) {
             self.remove(id);
             return Err(error.into());
@@ -139,14 +140,14 @@
     }
 
     /// Puts an id into a slot in memory. An id that is there already keeps its slot.
-    fn place(&mut self, id: u64) -> Result<usize, PublishError> {
+    fn place(&mut self, id: u64, kind: IdKind) -> Result<usize, PublishError> {
         if let Some(slot) = self.by_id.get(&id) {
             return Ok(*slot);
         }
         let first = self.file.layout.first_slot(id);
         let mut bucket = first..first + BUCKET_SLOTS;
         let slot = bucket.find(|slot| self.slots[*slot].is_none()).ok_or(PublishError::Full)?;
-        self.slots[slot] = Some(id);
+        self.slots[slot] = Some((id, kind));
         self.by_id.insert(id, slot);
         Ok(slot)
     }
--- a/crates/cottonnotch/src/net/driver/open_ids/worker.rs
+++ b/crates/cottonnotch/src/net/driver/open_ids/worker.rs
@@ -5,7 +5,7 @@
 //! that claim an id at the same time, at least one sees the other's claim, so at most one is granted. A process that sees one
 //! withdraws its own claim and tries again a little later: the other may just have released the id, or have withdrawn too.
 
-use super::layout::MAX_ACKNOWLEDGED;
+use super::layout::{IdKind, MAX_ACKNOWLEDGED};
 use super::sibling_table::SiblingTable;
 use super::table::{PublishError, Table, TableFile};
 use cottonnotch_decision::Micros;
@@ -49,9 +49,9 @@
 #[derive(Debug)]
 pub enum Job {
     /// The other processes that are alive. `open_ids` holds all ids of this process if it had not published them before.
-    Siblings { siblings: Vec<Sibling>, open_ids: Option<Vec<u64>> },
+    Siblings { siblings: Vec<Sibling>, open_ids: Option<Vec<(u64, IdKind)>> },
     /// Claims an id; the outcome is reported with the claim's number.
-    Claim { number: u64, id: u64 },
+    Claim { number: u64, id: u64, kind: IdKind },
     /// Releases an id, whether its claim was granted or is still being tried.
     Release { id: u64 },
 }
@@ -74,6 +74,8 @@
     Claim { number: u64, outcome: ClaimOutcome },
     /// All these processes, by their start times, respect the ids of this process.
     Acknowledged(Vec<Micros>),
+    /// Processes have ended; these are the ids of their requests that must not run again.
+    Inherited(Vec<u64>),
 }
 
 /// A claim that is tried again.
@@ -81,6 +83,7 @@
 struct Retry {
     number: u64,
     id: u64,
+    kind: IdKind,
     delay: Duration,
     until: Instant,
 }
@@ -94,6 +97,8 @@
     siblings: Vec<Sibling>,
     /// The tables of those siblings that publish their ids.
     tables: BTreeMap<Micros, SiblingTable>,
+    /// The tables of those that had ended at the last change of the siblings.
+    ended: Vec<SiblingTable>,
     /// Whether each sibling was found to respect the ids of this process, or to publish none.
     is_acknowledged: bool,
     /// Claims to be tried again, by time; the number makes the keys unique.
@@ -116,6 +121,7 @@
             file,
             siblings: Vec::new(),
             tables: BTreeMap::new(),
+            ended: Vec::new(),
             is_acknowledged: true,
             retries: BTreeMap::new(),
             reports,
@@ -155,9 +161,9 @@
     fn handle(&mut self, job: Job) {
         match job {
             Job::Siblings { siblings, open_ids } => self.set_siblings(siblings, open_ids),
-            Job::Claim { number, id } => {
+            Job::Claim { number, id, kind } => {
                 let until = Instant::now() + RELEASE_GRACE;
-                self.claim(Retry { number, id, delay: self.first_retry_delay(), until });
+                self.claim(Retry { number, id, kind, delay: self.first_retry_delay(), until });
             }
             Job::Release { id } => self.table.remove(id),
         }
@@ -171,21 +177,44 @@
 
     // ---- siblings ----
 
-    fn set_siblings(&mut self, siblings: Vec<Sibling>, open_ids: Option<Vec<u64>>) {
+    fn set_siblings(&mut self, siblings: Vec<Sibling>, open_ids: Option<Vec<(u64, IdKind)>>) {
         if let Some(open_ids) = open_ids
             && let Err(error) = self.table.replace(&open_ids)
         {
             log::error!(target: LOG_TARGET, error:%; "open ids cannot be shared with another process: {error}");
         }
         self.is_acknowledged &= siblings == self.siblings;
+        let has_one_ended = self.siblings.iter().any(|sibling| !siblings.contains(sibling));
         self.siblings = siblings;
-        let siblings = &self.siblings;
-        self.tables.retain(|start, _| siblings.iter().any(|sibling| sibling.started_unix == *start));
+        if has_one_ended {
+            self.inherit_from_ended();
+        }
         if let Err(error) = self.acknowledge_siblings() {
             log::warn!(target: LOG_TARGET, error:%; "open ids cannot be shared with another process yet: {error}");
         }
     }
 
+    /// Reports the ids that the tables of ended processes keep from running again. These tables still count for claims until the
+    /// next change, so that a claim which is made before the loop has read the report is denied, too.
+    fn inherit_from_ended(&mut self) {
+        let siblings = &self.siblings;
+        let is_alive = |start: &Micros| siblings.iter().any(|sibling| sibling.started_unix == *start);
+        let (alive, ended): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            std::mem::take(&mut self.tables).into_iter().partition(|(start, _)| is_alive(start));
+        self.tables = alive;
+        self.ended = ended.into_values().collect();
+        let mut inherited = Vec::new();
+        for table in &self.ended {
+            match table.ids_to_run_once() {
+                Ok(ids) => inherited.extend(ids),
+                Err(error) => {
+                    log::warn!(target: LOG_TARGET, error:%; "the ids of an ended process cannot be read: {error}");
+                }
+            }
+        }
+        self.report(WorkerReport::Inherited(inherited));
+    }
+
     /// Opens the tables of new siblings, and tells those whose tables are open that their ids are respected. A process that
     /// is not told accepts no clients.
     fn acknowledge_siblings(&mut self) -> io::Result<()> {
@@ -235,7 +264,7 @@
 
     /// Tries a claim once: reports its end, or schedules another try.
     fn claim(&mut self, retry: Retry) {
-        let outcome = match self.try_claim(retry.id) {
+        let outcome = match self.try_claim(retry.id, retry.kind) {
             Ok(true) => ClaimOutcome::Granted,
             Ok(false) => ClaimOutcome::Taken,
             Err(error) => {
@@ -252,8 +281,8 @@
     }
 
     /// Claims an id if it is open at no other process. The id is in the table afterwards only if that is so.
-    fn try_claim(&mut self, id: u64) -> Result<bool, PublishError> {
-        self.table.insert(id)?;
+    fn try_claim(&mut self, id: u64, kind: IdKind) -> Result<bool, PublishError> {
+        self.table.insert(id, kind)?;
         // The claim must be visible to the others before their tables are read.
         fence(Ordering::SeqCst);
         let is_taken = self.is_taken(id);
@@ -264,7 +293,7 @@
     }
 
     fn is_taken(&self, id: u64) -> io::Result<bool> {
-        for table in self.tables.values() {
+        for table in self.tables.values().chain(&self.ended) {
             if table.contains(id)? {
                 return Ok(true);
             }
--- a/crates/cottonnotch/src/net/driver/request_table.rs
+++ b/crates/cottonnotch/src/net/driver/request_table.rs
@@ -25,6 +25,10 @@
     pub stage: Stage,
     /// The outcome of the previous attempt, if there was one.
     pub last_outcome: Option<Outcome>,
+    /// Whether the last byte of the line of the attempt in flight was written.
+    pub attempt_written: bool,
+    /// Whether an earlier attempt may have run, or the connection is established.
+    pub has_run: bool,
 }
 
 impl TrackedRequest {
@@ -41,9 +45,16 @@
             group,
             stage: Stage::AwaitingAnswer,
             last_outcome,
+            attempt_written: false,
+            has_run: false,
         }
     }
 
+    /// Whether an endpoint may have executed the request.
+    pub fn may_have_run(&self) -> bool {
+        self.has_run || self.attempt_written
+    }
+
     /// The number of the latest attempt, counting all attempts including those that reopen a connection.
     pub fn latest_attempt_number(&self) -> u32 {
         self.attempts.saturating_sub(1)
--- a/crates/cottonnotch/src/net/request_error.rs
+++ b/crates/cottonnotch/src/net/request_error.rs
@@ -26,4 +26,7 @@
     /// error, so that one client could cause all endpoints to be paused.
     #[error("the id is open already")]
     DuplicateId,
+    /// The id belongs to a request that has ended and may have run, and that must not run again.
+    #[error("the id was used already")]
+    UsedId,
 }
--- a/crates/cottonnotch/tests/endings/clients.rs
+++ b/crates/cottonnotch/tests/endings/clients.rs
@@ -273,3 +273,66 @@
     assert_eq!(far.receive_rest().unwrap(), "");
     in_progress(&proxy, 0);
 }
+
+/// The id of an unsafe request that may have run was served again when it came again, whatever had become of its client.
+#[test]
+fn unsafe_id_runs_once() {
+    const REFUSAL: &str = "ERR the id was used already\r\n";
+    let endings: [fn(ScriptedPeer, ScriptedPeer); 4] = [
+        // The client leaves with its attempt out, orderly or not.
+        |client, mut far| {
+            drop(client);
+            assert_eq!(far.receive(), "");
+        },
+        |client, mut far| {
+            client.reset();
+            // The proxy ends the attempt in either way.
+            let _ = far.try_receive();
+        },
+        // It was served to its end.
+        |mut client, mut far| {
+            far.send("UP 1\r\nBYE\r\n");
+            drop(far);
+            assert_eq!(client.receive_rest().unwrap(), "UP 1\r\nBYE\r\n");
+        },
+        // It has failed, and may have run.
+        |mut client, far| {
+            far.reset();
+            assert!(client.receive_rest().unwrap().starts_with("ERR "));
+        },
+    ];
+    let settings = SETTINGS.replace(r#""effect":"safe""#, r#""effect":"unsafe""#);
+    for end in endings {
+        let node = ScriptedServer::new();
+        let proxy = Proxy::with(&[&node], 1024, &settings);
+        let line = with_fresh_id(OPEN);
+        let mut client = proxy.connect();
+        client.send(&line);
+        let (far, _) = node.accept_attempt();
+        end(client, far);
+        let mut again = proxy.connect();
+        again.send(&line);
+        assert_eq!(again.receive_rest().unwrap(), REFUSAL);
+        assert!(node.poll().is_none(), "it runs once");
+    }
+}
+
+/// An unsafe request that was turned away has not run: its id is free.
+#[test]
+fn unsafe_id_is_free_after_refusal() {
+    let settings =
+        SETTINGS.replace(r#""effect":"safe""#, r#""effect":"unsafe""#).replace("2000000", "500000");
+    let node = ScriptedServer::new();
+    let proxy = Proxy::with(&[&node], 1024, &settings);
+    let line = with_fresh_id(OPEN).replace("d=2000", "d=300");
+    for _ in 0..2 {
+        let mut client = proxy.connect();
+        client.send(&line);
+        let (mut far, _) = node.accept_attempt();
+        far.send("BUSY\r\n");
+        drop(far);
+        assert!(client.receive_rest().unwrap().starts_with("BUSY"));
+        // Until the next full second the render node is left alone.
+        std::thread::sleep(Duration::from_millis(1_100));
+    }
+}
--- a/crates/cottonnotch/tests/peers/proxy.rs
+++ b/crates/cottonnotch/tests/peers/proxy.rs
@@ -54,6 +54,19 @@
         Self::shared_by(command, address, folder, discovery, nodes)
     }
 
+    /// As [`Self::shared`], with these settings.
+    pub fn shared_with(
+        address: SocketAddr,
+        folder: &std::path::Path,
+        nodes: &[&ScriptedServer],
+        settings: &str,
+    ) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cottonnotch"));
+        command.env("TMPDIR", folder);
+        let (listen, discovery) = (address.to_string(), ScriptedServer::new());
+        Self::at(command, &listen, Some("127.0.0.1:0"), discovery, nodes, 1024, settings)
+    }
+
     /// As [`Self::shared`], started by this command.
     pub fn shared_by(
         mut command: Command,
--- a/crates/cottonnotch/tests/replacement.rs
+++ b/crates/cottonnotch/tests/replacement.rs
@@ -219,6 +219,56 @@
     assert!(old.wait_for_exit().success());
 }
 
+/// The id of an unsafe request whose client left ran a second time, at either process.
+#[test]
+fn used_id_is_refused_by_both_processes() {
+    const RETURNS: usize = 40;
+    let folder = tempfile::tempdir().unwrap();
+    let (address, node) = (free_address(), ScriptedServer::new());
+    let settings = SETTINGS.replace(r#""effect":"safe""#, r#""effect":"unsafe""#);
+    let old = Proxy::shared_with(address, folder.path(), &[&node], &settings);
+    let line = with_fresh_id(OPEN);
+    let mut client = old.connect();
+    client.send(&line);
+    let (mut far, _) = node.accept_attempt();
+    drop(client);
+    assert_eq!(far.receive(), "", "the attempt is given up");
+    let new = Proxy::shared_with(address, folder.path(), &[&node], &settings);
+    let answers = answers_to(address, &line, RETURNS);
+    assert!(answers.iter().all(|answer| answer.starts_with("ERR the id ")), "{answers:?}");
+    let refused = [&old, &new].map(|proxy| proxy.metric("handled.look.bad_gateway").unwrap());
+    assert!(refused.iter().all(|refused| *refused > 0), "each process refused some: {refused:?}");
+    assert!(node.poll().is_none(), "it runs once");
+}
+
+/// The ids of unsafe requests that had run were forgotten with their process, and ran again at its successor.
+#[test]
+fn successor_refuses_used_ids() {
+    let settings = SETTINGS.replace(r#""effect":"safe""#, r#""effect":"unsafe""#);
+    for end in [(|proxy| proxy.terminate()) as fn(&mut Proxy), |proxy| proxy.kill()] {
+        let folder = tempfile::tempdir().unwrap();
+        let (address, node) = (free_address(), ScriptedServer::new());
+        let mut old = Proxy::shared_with(address, folder.path(), &[&node], &settings);
+        let line = with_fresh_id(OPEN);
+        let mut client = old.connect();
+        client.send(&line);
+        let (mut far, _) = node.accept_attempt();
+        drop(client);
+        assert_eq!(far.receive(), "", "the attempt is given up");
+        let new = Proxy::shared_with(address, folder.path(), &[&node], &settings);
+        assert_eq!(new.admin_request("GET", "/status", "").0, 200);
+        end(&mut old);
+        old.wait_for_exit();
+        // At once, and after the new process has noticed the end.
+        for _ in 0..20 {
+            let answers = answers_to(address, &line, 1);
+            assert!(answers[0].starts_with("ERR the id "), "{answers:?}");
+            std::thread::sleep(Duration::from_millis(25));
+        }
+        assert!(node.poll().is_none(), "it runs once");
+    }
+}
+
 /// An id may be used again at either process as soon as its owner's connection has ended at one of them.
 #[test]
 fn id_is_free_once_its_connection_has_ended() {
