--- a/crates/cottonnotch/src/net/driver/golden_tests.rs
+++ b/crates/cottonnotch/src/net/driver/golden_tests.rs
@@ -194,6 +194,7 @@
         RequestError::UnknownTenant,
         RequestError::DuplicateId,
         RequestError::TooManyPings,
+        RequestError::UsedId,
     ];
     texts.extend(others.iter().map(RequestError::to_string));
     assert_text(&golden_path!("client_errors.txt"), &(texts.join("\n") + "\n"));
