The address of a test is held until its program ends

Seen: two tests of replacement failed in one run ("waited in vain"), and in 3 of 20 runs of the whole program, five at once.

Cause: `free_address` bound a port, read its number and gave it back, so that another test could get the same one. Proxies share their address (SO_REUSEPORT), so two tests' proxies then got one another's clients.

Change: a socket that does not listen holds the port. No bound or wait is changed.

--- a/crates/cottonnotch/tests/peers/messages.rs
+++ b/crates/cottonnotch/tests/peers/messages.rs
@@ -1,7 +1,8 @@
 //! What peers and discovery send, and the configuration of a proxy under test.
 
 use super::ScriptedServer;
-use std::net::{SocketAddr, TcpListener};
+use socket2::{Domain, Socket, Type};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 
 /// The member of a list that a scripted render node is.
@@ -17,9 +18,16 @@
     format!(r#"{{"revision":{revision},"complete":{complete},"members":[{members}]}}"#)
 }
 
-/// An address that is free, and that processes may share.
+/// An address that processes may share, and that nobody else is given: a socket that does not listen holds it until the test
+/// program ends.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    let holder = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    holder.set_reuse_address(true).unwrap();
+    holder.set_reuse_port(true).unwrap();
+    holder.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    let address = holder.local_addr().unwrap().as_socket().unwrap();
+    std::mem::forget(holder);
+    address
 }
 
 /// A chunk of a response that holds one line.
