The id of a connection that is being reopened is free again

Callers would have seen: a client of an unsafe class whose connection was open before the run (`at=ID`) leaves before it is up and comes again with its line: it was refused, `ERR the id was used already`.

Cause: the line of a reopening counted as an attempt that may have run.

Change: an attempt to reopen does not count until the connection is up. Two tests share their beginning now, and a long comment is wrapped.

--- a/crates/cottonnotch/src/net/driver/clients/attempts.rs
+++ b/crates/cottonnotch/src/net/driver/clients/attempts.rs
@@ -191,7 +191,8 @@
     if let Some(began) = tracked.attempt_began.take() {
         context.audit.attempt_ended(tracked, outcome);
         tracked.last_outcome = Some(outcome);
-        tracked.has_run |= std::mem::take(&mut tracked.attempt_written) && !outcome.never_ran();
+        tracked.has_run |= tracked.may_have_run() && !outcome.never_ran();
+        tracked.attempt_written = false;
         let elapsed = context.now() - began;
         context.records.attempt_ended(tracked.id, tracked.latest_attempt_number(), outcome, elapsed);
     }
--- a/crates/cottonnotch/src/net/driver/open_ids/mod.rs
+++ b/crates/cottonnotch/src/net/driver/open_ids/mod.rs
@@ -1,6 +1,7 @@
-//! The ids of open requests, and of ended ones that must not run again. An id may be open once at a time at the whole proxy, which may have several processes during a hot
-//! restart. While this process is alone, its ids are in memory only. While others are alive, a thread publishes them in a file
-//! ([`table`]) and looks for each new id in the files of the others ([`worker`]); a request waits for that meanwhile.
+//! The ids of open requests, and of ended ones that must not run again. An id may be open once at a time at the whole proxy, which
+//! may have several processes during a hot restart. While this process is alone, its ids are in memory only. While others are
+//! alive, a thread publishes them in a file ([`table`]) and looks for each new id in the files of the others ([`worker`]); a
+//! request waits for that meanwhile.
 //!
 //! No process accepts clients before all others that publish their ids have acknowledged it: from then on, each of them publishes
 //! an id before it looks for it at the new one. Locks on the files tell which processes are alive.
--- a/crates/cottonnotch/src/net/driver/request_table.rs
+++ b/crates/cottonnotch/src/net/driver/request_table.rs
@@ -27,7 +27,8 @@
     pub last_outcome: Option<Outcome>,
     /// Whether the last byte of the line of the attempt in flight was written.
     pub attempt_written: bool,
-    /// Whether an earlier attempt may have run, or the connection is established.
+    /// Whether an earlier attempt may have run, or the connection is established. An attempt to reopen a connection
+    /// runs nothing: it may be repeated.
     pub has_run: bool,
 }
 
@@ -52,7 +53,7 @@
 
     /// Whether an endpoint may have executed the request.
     pub fn may_have_run(&self) -> bool {
-        self.has_run || self.attempt_written
+        self.has_run || self.attempt_written && !matches!(self.stage, Stage::Reopening(_))
     }
 
     /// The number of the latest attempt, counting all attempts including those that reopen a connection.
--- a/crates/cottonnotch/tests/endings/clients.rs
+++ b/crates/cottonnotch/tests/endings/clients.rs
@@ -336,3 +336,21 @@
         std::thread::sleep(Duration::from_millis(1_100));
     }
 }
+
+/// A connection that is reopened runs nothing: its id is free when its client comes again, in an unsafe class, too.
+#[test]
+fn reopening_id_is_free() {
+    let settings = SETTINGS.replace(r#""effect":"safe""#, r#""effect":"unsafe""#);
+    let node = ScriptedServer::new();
+    let proxy = Proxy::with(&[&node], 1024, &settings);
+    let line = with_fresh_id(OPEN).replace("d=2000", "d=2000,at=s0");
+    let mut client = proxy.connect();
+    client.send(&line);
+    let (mut far, _) = node.accept_attempt();
+    drop(client);
+    assert_eq!(far.receive(), "");
+    let mut again = proxy.connect();
+    again.send(&line);
+    node.accept_attempt().0.send("UP 1\r\n");
+    assert_eq!(again.receive(), "UP 1\r\n");
+}
--- a/crates/cottonnotch/tests/replacement.rs
+++ b/crates/cottonnotch/tests/replacement.rs
@@ -219,6 +219,17 @@
     assert!(old.wait_for_exit().success());
 }
 
+/// The line of a client that has left with its attempt out.
+fn abandoned_line(proxy: &Proxy, node: &ScriptedServer) -> String {
+    let line = with_fresh_id(OPEN);
+    let mut client = proxy.connect();
+    client.send(&line);
+    let (mut far, _) = node.accept_attempt();
+    drop(client);
+    assert_eq!(far.receive(), "", "the attempt is given up");
+    line
+}
+
 /// The id of an unsafe request whose client left ran a second time, at either process.
 #[test]
 fn used_id_is_refused_by_both_processes() {
@@ -227,12 +238,7 @@
     let (address, node) = (free_address(), ScriptedServer::new());
     let settings = SETTINGS.replace(r#""effect":"safe""#, r#""effect":"unsafe""#);
     let old = Proxy::shared_with(address, folder.path(), &[&node], &settings);
-    let line = with_fresh_id(OPEN);
-    let mut client = old.connect();
-    client.send(&line);
-    let (mut far, _) = node.accept_attempt();
-    drop(client);
-    assert_eq!(far.receive(), "", "the attempt is given up");
+    let line = abandoned_line(&old, &node);
     let new = Proxy::shared_with(address, folder.path(), &[&node], &settings);
     let answers = answers_to(address, &line, RETURNS);
     assert!(answers.iter().all(|answer| answer.starts_with("ERR the id ")), "{answers:?}");
@@ -249,12 +255,7 @@
         let folder = tempfile::tempdir().unwrap();
         let (address, node) = (free_address(), ScriptedServer::new());
         let mut old = Proxy::shared_with(address, folder.path(), &[&node], &settings);
-        let line = with_fresh_id(OPEN);
-        let mut client = old.connect();
-        client.send(&line);
-        let (mut far, _) = node.accept_attempt();
-        drop(client);
-        assert_eq!(far.receive(), "", "the attempt is given up");
+        let line = abandoned_line(&old, &node);
         let new = Proxy::shared_with(address, folder.path(), &[&node], &settings);
         assert_eq!(new.admin_request("GET", "/status", "").0, 200);
         end(&mut old);
