The oldest call to discovery outlasts frequent ones, and a heartbeat is an answer

Callers would have seen: with rules on, a proxy that lacks a list which others have asks for it each second. The fifth call closed the first one, so that a discovery that answers after 4.5 s was not waited for, as before. And a call that is answered by a heartbeat alone left the calls beside it open until the next update.

Cause: a call in excess of four closed the oldest one, each late call asked for another one, and only an update settled which call is the watch.

Change: a call in excess replaces the latest; only the latest determines when the next one goes out; a first heartbeat settles the watch as an update does. The oldest call is the one that discovery answers first, so keeping it is what makes a slow answer arrive.

--- a/crates/cottonnotch/src/net/discovery_client.rs
+++ b/crates/cottonnotch/src/net/discovery_client.rs
@@ -128,9 +128,12 @@
         let result = self.response.feed(bytes, &mut body);
         let parsed = self.json_texts.feed(&body, &mut json_texts);
         self.bytes_since_progress += bytes.len();
-        let is_progress = !json_texts.is_empty()
-            || !body.is_empty() && !self.json_texts.has_partial_text()
-            || self.bytes_since_progress >= PROGRESS_BYTES;
+        let is_heartbeat = json_texts.is_empty() && !body.is_empty() && !self.json_texts.has_partial_text();
+        let is_progress =
+            !json_texts.is_empty() || is_heartbeat || self.bytes_since_progress >= PROGRESS_BYTES;
+        if is_heartbeat && !self.has_data {
+            io.report(NetworkEvent::WatchUnchanged { watch: self.key });
+        }
         if is_progress || self.response.has_head() && !self.head_complete {
             self.record_progress(io, is_progress);
         }
--- a/crates/cottonnotch/src/net/driver/discovery_calls.rs
+++ b/crates/cottonnotch/src/net/driver/discovery_calls.rs
@@ -8,7 +8,7 @@
 use std::collections::VecDeque;
 use std::io;
 
-/// Maximum number of open calls. Beyond it, the oldest call is closed.
+/// Maximum number of open calls. A call in excess of it replaces the latest one: the oldest is answered first.
 const MAX_OPEN_CALLS: usize = 4;
 
 /// The open calls, oldest first. Each is a watch that may not have been answered yet.
@@ -23,13 +23,13 @@
     /// Returns the system's error if no connection can be started.
     pub fn start(&mut self, context: &mut Context, from: u64) -> io::Result<()> {
         self.open.retain(|call| context.reactor.contains(*call));
+        while self.open.len() >= MAX_OPEN_CALLS {
+            self.open.pop_back().into_iter().for_each(|latest| context.reactor.remove(latest));
+        }
         let discovery = context.config.discovery;
         let started =
             context.reactor.insert(|key, io| Ok(Box::new(DiscoveryWatch::start(discovery, from, key, io)?)));
         self.open.push_back(started?);
-        while self.open.len() > MAX_OPEN_CALLS {
-            self.open.pop_front().into_iter().for_each(|oldest| context.reactor.remove(oldest));
-        }
         Ok(())
     }
 
@@ -48,6 +48,12 @@
         true
     }
 
+    /// Whether a call that went out after this one is open, and determines when the next one goes out.
+    pub fn has_later(&self, context: &Context, call: Key) -> bool {
+        let later = self.open.iter().skip_while(|open| **open != call).skip(1);
+        later.into_iter().any(|later| context.reactor.contains(*later))
+    }
+
     /// Forgets a call that has ended.
     pub fn ended(&mut self, call: Key) {
         self.open.retain(|open| *open != call);
--- a/crates/cottonnotch/src/net/driver/dispatch.rs
+++ b/crates/cottonnotch/src/net/driver/dispatch.rs
@@ -28,6 +28,9 @@
                     self.apply_endpoint_update(update, UpdateSource::Discovery);
                 }
             }
+            NetworkEvent::WatchUnchanged { watch } => {
+                self.endpoints.adopt_watch(context, watch);
+            }
             NetworkEvent::WatchLost { watch, loss, reason } => {
                 let event = self.endpoints.handle_watch_lost(context, watch, loss, &reason);
                 self.handle_event(event);
--- a/crates/cottonnotch/src/net/driver/endpoints.rs
+++ b/crates/cottonnotch/src/net/driver/endpoints.rs
@@ -233,8 +233,8 @@
         self.calls.adopt(context, watch)
     }
 
-    /// Handles the loss of a watch. Returns an event if the watch was not closed before. A silent watch stays open: it
-    /// may only be slow.
+    /// Handles the loss of a watch. Returns an event if the watch was not closed before and no later call is open. A
+    /// silent watch stays open: it may only be slow.
     pub fn handle_watch_lost(
         &mut self,
         context: &mut Context,
@@ -253,13 +253,15 @@
                 "watch on discovery lost: {reason} ({more} more since the last such line)"
             );
         }
-        Some(match loss {
+        let has_later_call = self.calls.has_later(context, watch);
+        let event = match loss {
             WatchLoss::Silent => Event::ListSilent,
             WatchLoss::Failed => {
                 self.calls.ended(watch);
                 Event::ListFailed
             }
-        })
+        };
+        (!has_later_call).then_some(event)
     }
 
     /// The open calls to discovery, oldest first.
--- a/crates/cottonnotch/src/net/driver/reload_tests.rs
+++ b/crates/cottonnotch/src/net/driver/reload_tests.rs
@@ -4,9 +4,11 @@
 
 use super::Driver;
 use crate::config::{Config, OperatorConfig};
-use crate::net::network_event::NetworkEvent;
+use crate::net::network_event::{NetworkEvent, WatchLoss};
+use cottonnotch_decision::Event;
 use cottonnotch_decision::settings::{Pairs, read};
 use cottonnotch_proxy_core::EndpointUpdate;
+use cottonnotch_reactor::Key;
 use cottonnotch_records::Recorder;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -96,3 +98,25 @@
     assert_eq!(driver.endpoints.calls().iter().count(), FEW);
     assert!(driver.context.reactor.connections() <= before + FEW);
 }
+
+/// However often discovery is called, the oldest call stays open: a slow discovery answers it first. Only the latest one determines
+/// when the next one goes out.
+#[test]
+fn oldest_call_outlasts_frequent_ones() {
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let reload = Box::new(move || Ok(config(discovery)));
+    let mut driver = Driver::start(config(discovery), Recorder::off(), reload).unwrap();
+    let (context, endpoints) = (&mut driver.context, &mut driver.endpoints);
+    assert_eq!(endpoints.start_watch(context), None);
+    let oldest = endpoints.calls().iter().next().unwrap();
+    for _ in 0..20 {
+        assert_eq!(endpoints.start_watch(context), None);
+    }
+    let calls: Vec<Key> = endpoints.calls().iter().collect();
+    assert_eq!(calls[0], oldest);
+    let latest = calls[calls.len() - 1];
+    for call in calls {
+        let event = endpoints.handle_watch_lost(context, call, WatchLoss::Silent, "a test");
+        assert_eq!(event, (call == latest).then_some(Event::ListSilent));
+    }
+}
--- a/crates/cottonnotch/src/net/network_event.rs
+++ b/crates/cottonnotch/src/net/network_event.rs
@@ -18,7 +18,9 @@
     Client(Key, ClientEvent),
     /// Discovery has sent the endpoint list or changes to it.
     EndpointUpdate { watch: Key, update: EndpointUpdate },
-    /// A watch on discovery has ended or could not start.
+    /// The first answer on a watch is a heartbeat: nothing has changed since the requested revision.
+    WatchUnchanged { watch: Key },
+    /// A watch on discovery has ended, is silent, or could not start.
     WatchLost { watch: Key, loss: WatchLoss, reason: String },
     /// Datagrams have arrived; each has its sender's address.
     Datagrams(Vec<(SocketAddr, Vec<u8>)>),
--- a/crates/cottonnotch/tests/endings/lists.rs
+++ b/crates/cottonnotch/tests/endings/lists.rs
@@ -261,6 +261,22 @@
     assert!(nodes[0].poll().is_none(), "nothing new to what drains");
 }
 
+/// A call whose first answer is a heartbeat is the watch as well: the calls beside it are closed.
+#[test]
+fn keeps_one_watch_where_nothing_has_changed() {
+    const HEARTBEAT: &str = "1\r\n\n\r\n";
+    let (proxy, nodes, client, _far) = served();
+    let mut slow = called_again(&proxy, Instant::now());
+    let mut fast = called_again(&proxy, Instant::now());
+    let begun = Instant::now();
+    fast.send(&format!("{HEAD}{HEARTBEAT}"));
+    while !slow.receive().is_empty() {}
+    // Before the next heartbeat is due, so for no other reason.
+    assert!(begun.elapsed() < Duration::from_secs(2), "{:?}", begun.elapsed());
+    fast.send(&chunk(&drain(2, &nodes)));
+    is_obeyed(&proxy, &nodes, client);
+}
+
 /// A watch on a slow discovery falls silent: the next call goes out early enough for a slow answer, and the watch still counts.
 #[test]
 fn calls_slow_discovery_sooner_after_silence() {
--- a/crates/decision/src/list_polling.rs
+++ b/crates/decision/src/list_polling.rs
@@ -10,9 +10,9 @@
 
 use crate::interface::{Micros, SECOND};
 
-/// Time without a message after which a subscription counts as silent (see [`silent_after`]). Heartbeats come every 2 s. A change
-/// that a silent subscription misses counts as notified 6 s after the last message; the time left must
-/// suffice for one successful call after one or two failed ones.
+/// Time without a message after which a subscription counts as silent (see [`silent_after`]). Heartbeats come
+/// every 2 s. A change that a silent subscription misses counts as notified 6 s after the last message; the
+/// time left must suffice for one successful call after one or two failed ones.
 pub const WATCH_SILENT_AFTER: Micros = 2_750_000;
 
 /// Time after which a change counts as notified to a node whose subscription has missed it.
--- a/crates/reactor/src/line.rs
+++ b/crates/reactor/src/line.rs
@@ -202,8 +202,8 @@
         self.taken = 0;
     }
 
-    /// Whether the connection is known to be broken, or the socket has a pending error. After the peer has shut down its sending side, reads keep returning the end of the
-    /// stream and do not show that the connection was broken later.
+    /// Whether the connection is known to be broken, or the socket has a pending error. After the peer has shut down its sending
+    /// side, reads keep returning the end of the stream and do not show that the connection was broken later.
     pub fn is_broken(&self) -> bool {
         self.broken.is_some() || !matches!(self.stream.take_error(), Ok(None))
     }
