Storms count no attempt that a suspended proxy withdrew

Both compare when proxies began attempts by versions that contradict each other, by the proxies' records.

Cause: the check, not the product. The storm suspends a proxy (SIGSTOP). Where that falls between the verdict and the record of the attempt, the record is written after the proxy resumes. The check counted the record as an act by the old version all the same.

The check leaves out attempts that are recorded as never sent (not_sent, connect_failed) and nothing else. So that it asks for no less, it now demands in each scenario that none of these arrived at its render node; before, no test did. Arrivals are held to the same bound as before. Self tests show that any other outcome of a late attempt still counts, and that an arrival of what was recorded as unsent is found.

--- a/crates/cottonnotch/tests/consensus/judge.rs
+++ b/crates/cottonnotch/tests/consensus/judge.rs
@@ -78,6 +78,31 @@
     overlaps.max_by_key(|overlap| overlap.time)
 }
 
+/// An attempt by a proxy's records.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RecordedAttempt {
+    /// When it began, by the machine's clock.
+    pub at: Duration,
+    /// The client's id.
+    pub id: u64,
+    pub node: String,
+    /// The version of the rules by which the node was chosen.
+    pub version: u64,
+    /// Whether its first line was sent, as far as the records say.
+    pub may_be_sent: bool,
+}
+
+/// Requests that arrived at a node though all attempts there were recorded as not sent. Of a request without attempts, nothing is
+/// known.
+pub fn arrived_unsent<'a>(history: &'a [Placed], attempts: &[RecordedAttempt]) -> Vec<&'a Placed> {
+    let mut may_be_sent = BTreeMap::<(u64, &str), bool>::new();
+    for attempt in attempts {
+        *may_be_sent.entry((attempt.id, &attempt.node)).or_default() |= attempt.may_be_sent;
+    }
+    let unsent = |placed: &&Placed| may_be_sent.get(&(placed.id, placed.node.as_str())) == Some(&false);
+    history.iter().filter(unsent).collect()
+}
+
 /// Placements that no rule in force allowed.
 pub fn forbidden<'a>(history: &'a [Placed], rules: &[&dyn Fn(&Placed) -> bool]) -> Vec<&'a Placed> {
     history.iter().filter(|placed| !rules.iter().any(|allows| allows(placed))).collect()
@@ -238,6 +263,21 @@
         assert_eq!(overlap(&[(4, placed(9, "n", "a")), (7, placed(1, "n", "b"))]).unwrap().time, ms(8));
     }
 
+    #[test]
+    fn finds_arrivals_of_what_was_not_sent() {
+        let history = [placed(1, "n", "a"), placed(2, "n", "a"), placed(3, "n", "a"), placed(4, "m", "a")];
+        let attempt = |id, node: &str, may_be_sent| {
+            let node = node.to_owned();
+            RecordedAttempt { at: ms(0), id, node, version: 1, may_be_sent }
+        };
+        // The first was sent at the second try; of the last there is no record at that node.
+        let mut attempts =
+            [attempt(1, "n", false), attempt(1, "n", true), attempt(2, "n", true), attempt(4, "n", false)];
+        assert_eq!(arrived_unsent(&history, &attempts), Vec::<&Placed>::new());
+        attempts[2].may_be_sent = false;
+        assert_eq!(arrived_unsent(&history, &attempts), [&history[1]]);
+    }
+
     /// What both rules allow is no contradiction; what none allows is forbidden.
     #[test]
     fn distinguishes_contradiction_from_forbidden_placement() {
--- a/crates/cottonnotch/tests/consensus/rules.rs
+++ b/crates/cottonnotch/tests/consensus/rules.rs
@@ -1,11 +1,12 @@
 //! The files that operators write in these scenarios, and clusters that have agreed on a first version.
 
 use crate::cluster::{NODES, TestCluster, up};
-use crate::judge::{self, Placed, Version};
+use crate::judge::{self, Placed, RecordedAttempt, Version};
 use crate::link::Mesh;
 use crate::{MAX_WAIT, wait_for};
+use simd_json::OwnedValue;
 use simd_json::prelude::{ValueObjectAccess, ValueObjectAccessAsScalar};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt::Write;
 use std::path::Path;
 use std::time::Duration;
@@ -81,6 +82,70 @@
     format!("{text}[[rule]]\nname = \"more\"\nmust = true\ntenants = [\"{owner}\"]\n{more}\n")
 }
 
+/// The outcomes of attempts whose first line was not sent.
+const UNSENT_OUTCOMES: [&str; 2] = ["not_sent", "connect_failed"];
+
+/// The attempts for this tenant's requests in the records of one proxy.
+fn recorded_attempts(records: &[OwnedValue], tenant: &str) -> Vec<RecordedAttempt> {
+    let mut attempts: Vec<RecordedAttempt> = Vec::new();
+    // The clients by request, and each request's attempt in `attempts` by its number.
+    let (mut clients, mut positions) = (HashMap::new(), HashMap::new());
+    for record in records {
+        let event = record.get_str("event");
+        let Some(request) = record.get_u64("request") else {
+            // Request numbers start anew with each process.
+            if event == Some("start") {
+                clients.clear();
+                positions.clear();
+            }
+            continue;
+        };
+        let attempt = (request, record.get_u64("attempt"));
+        match event {
+            Some("request") if record.get_str("tenant") == Some(tenant) => {
+                let id = u64::from_str_radix(record.get_str("wire_id").unwrap(), 16).unwrap();
+                clients.insert(request, id);
+            }
+            Some("attempt") if clients.contains_key(&request) => {
+                positions.insert(attempt, attempts.len());
+                attempts.push(recorded_attempt(record, clients[&request]));
+            }
+            Some("attempt_ended") if positions.contains_key(&attempt) => {
+                let outcome = record.get_str("outcome").unwrap();
+                attempts[positions[&attempt]].may_be_sent = !UNSENT_OUTCOMES.contains(&outcome);
+            }
+            _ => {}
+        }
+    }
+    attempts
+}
+
+/// An attempt of this client by the record of its beginning.
+fn recorded_attempt(record: &OwnedValue, id: u64) -> RecordedAttempt {
+    let ruled = record.get("ruled").expect("it says by which rules");
+    assert_eq!(ruled.get_bool("in_doubt"), Some(false), "{record:?}");
+    RecordedAttempt {
+        at: Duration::from_micros(record.get_u64("wall_us").unwrap()),
+        id,
+        node: record.get_str("subchannel").unwrap().to_owned(),
+        version: ruled.get_u64("version").unwrap(),
+        may_be_sent: true,
+    }
+}
+
+/// The longest time between attempts by incompatible versions. An attempt in which a proxy was suspended and that it withdrew
+/// afterwards acted on no version.
+fn apart(attempts: Vec<RecordedAttempt>, tenant: &str) -> Duration {
+    let sent = attempts.into_iter().filter(|attempt| attempt.may_be_sent);
+    let placed = sent.map(|RecordedAttempt { at, id, node, version, .. }| {
+        let (_, hall, hardware) = NODES.iter().find(|(id, ..)| *id == node).unwrap();
+        let (hall, hardware, tenant) = (hall.to_string(), hardware.to_string(), tenant.to_owned());
+        (version, Placed { at, id, tenant, group: None, node, hall, hardware })
+    });
+    let found = judge::overlap(&placed.collect::<Vec<_>>());
+    found.map_or(Duration::ZERO, |found| found.time)
+}
+
 pub fn in_hall(hall: &'static str) -> impl Fn(&Placed) -> bool {
     move |placed| placed.hall == hall
 }
@@ -201,62 +266,41 @@
         assert!(!said.is_empty() && said.values().all(|halls| halls.len() == 1), "{said:?}");
         let decided = self.apart_when_decided("dagger");
         assert!(decided <= ACT, "{decided:?}");
+        self.judged_by_outcomes("dagger");
         time
     }
 
     /// The halls to which this tenant's requests were sent, by version, from the proxies' records.
     pub fn by_version(&self, tenant: &str) -> BTreeMap<u64, BTreeSet<String>> {
         let mut halls = BTreeMap::<u64, BTreeSet<String>>::new();
-        for ((_, node), (version, _)) in self.said(tenant) {
+        for ((_, node), version) in self.said(tenant) {
             let hall = NODES.iter().find(|(id, ..)| *id == node).unwrap().1;
             halls.entry(version).or_default().insert(hall.to_owned());
         }
         halls
     }
 
-    /// By which version the proxies say that they sent this tenant's requests to a node, and when by the machine's clock: by the
-    /// client's id and the node.
-    pub fn said(&self, tenant: &str) -> BTreeMap<(u64, String), (u64, Duration)> {
-        let mut said = BTreeMap::new();
-        for proxy in &self.proxies {
-            // Request numbers start anew with each process.
-            let mut asked = BTreeMap::new();
-            for record in proxy.records() {
-                let Some(number) = record.get_u64("request") else {
-                    if record.get_str("event") == Some("start") {
-                        asked.clear();
-                    }
-                    continue;
-                };
-                let id = || u64::from_str_radix(record.get_str("wire_id").unwrap(), 16).unwrap();
-                match record.get_str("event") {
-                    Some("request") if record.get_str("tenant") == Some(tenant) => {
-                        asked.insert(number, id());
-                    }
-                    Some("attempt") if asked.contains_key(&number) => {
-                        let ruled = record.get("ruled").expect("it says by which rules");
-                        assert_eq!(ruled.get_bool("in_doubt"), Some(false), "{record:?}");
-                        let node = record.get_str("subchannel").unwrap().to_owned();
-                        let at = Duration::from_micros(record.get_u64("wall_us").unwrap());
-                        said.insert((asked[&number], node), (ruled.get_u64("version").unwrap(), at));
-                    }
-                    _ => {}
-                }
-            }
-        }
-        said
+    /// The attempts for this tenant's requests, from the proxies' records.
+    pub fn attempts(&self, tenant: &str) -> Vec<RecordedAttempt> {
+        self.proxies.iter().flat_map(|proxy| recorded_attempts(&proxy.records(), tenant)).collect()
     }
 
-    /// The longest time between incompatible versions by the proxies' records: when they decided, not when requests
+    /// By which version the proxies say that they sent this tenant's requests to a node: by the client's id and the node.
+    pub fn said(&self, tenant: &str) -> BTreeMap<(u64, String), u64> {
+        let sent = self.attempts(tenant).into_iter().filter(|attempt| attempt.may_be_sent);
+        sent.map(|attempt| ((attempt.id, attempt.node), attempt.version)).collect()
+    }
+
+    /// The longest time between incompatible versions by the proxies' records: when they began attempts, not when requests
     /// arrived and were recorded. All of them read one clock here.
     pub fn apart_when_decided(&self, tenant: &str) -> Duration {
-        let decided = self.said(tenant).into_iter().map(|((id, node), (version, at))| {
-            let (_, hall, hardware) = NODES.iter().find(|(id, ..)| *id == node).unwrap();
-            let (hall, hardware, tenant) = (hall.to_string(), hardware.to_string(), tenant.to_owned());
-            (version, Placed { at, id, tenant, group: None, node, hall, hardware })
-        });
-        let found = judge::overlap(&decided.collect::<Vec<_>>());
-        found.map_or(Duration::ZERO, |found| found.time)
+        apart(self.attempts(tenant), tenant)
+    }
+
+    /// Checks that nothing arrived of which the proxies recorded that they had not sent it.
+    fn judged_by_outcomes(&self, tenant: &str) {
+        let (history, attempts) = (self.fleet.since(tenant, Duration::ZERO), self.attempts(tenant));
+        assert_eq!(judge::arrived_unsent(&history, &attempts), Vec::<&Placed>::new());
     }
 
     /// However many versions there were: each meant one hall, and no two that contradict each other were acted on further apart
@@ -265,7 +309,7 @@
         let said = self.said(tenant);
         let history = self.fleet.since(tenant, Duration::ZERO).into_iter().filter_map(|placed| {
             // What a killed proxy had not written is not known.
-            Some((said.get(&(placed.id, placed.node.clone()))?.0, placed))
+            Some((*said.get(&(placed.id, placed.node.clone()))?, placed))
         });
         let history: Vec<(u64, Placed)> = history.collect();
         let halls = self.by_version(tenant);
@@ -276,6 +320,41 @@
         assert!(time <= PASSES, "{found:?}");
         let decided = self.apart_when_decided(tenant);
         assert!(decided <= ACT, "{decided:?}");
+        self.judged_by_outcomes(tenant);
         time
     }
 }
+
+#[cfg(test)]
+mod self_tests {
+    use super::*;
+
+    /// One proxy's attempt by version 1, begun 300 ms after another proxy's by version 2, with this outcome.
+    fn late_attempt(outcome: &str) -> Vec<RecordedAttempt> {
+        let request = |id| format!(r#"{{"event":"request","request":7,"wire_id":"{id}","tenant":"dagger"}}"#);
+        let attempt = |at_us: u64, node, version| {
+            let ruled = format!(r#"{{"version":{version},"in_doubt":false}}"#);
+            let times = format!(r#""wall_us":{at_us},"event":"attempt""#);
+            format!(r#"{{{times},"request":7,"attempt":0,"subchannel":"{node}","ruled":{ruled}}}"#)
+        };
+        let ended = format!(r#"{{"event":"attempt_ended","request":7,"attempt":0,"outcome":"{outcome}"}}"#);
+        let old = [request("1a"), attempt(500_000, "a0", 1), ended];
+        let new = [request("2b"), attempt(200_000, "b0", 2)];
+        let read = |lines: &[String]| -> Vec<OwnedValue> {
+            lines
+                .iter()
+                .map(|line| simd_json::to_owned_value(&mut line.clone().into_bytes()).unwrap())
+                .collect()
+        };
+        [read(&old), read(&new)].iter().flat_map(|records| recorded_attempts(records, "dagger")).collect()
+    }
+
+    /// Guards the storms against counting an attempt in which a proxy was suspended, and which it withdrew as too late.
+    #[test]
+    fn withdrawn_attempt_acts_on_no_version() {
+        assert_eq!(apart(late_attempt("not_sent"), "dagger"), Duration::ZERO);
+        for outcome in ["timed_out", "reset", "cancelled", "served"] {
+            assert_eq!(apart(late_attempt(outcome), "dagger"), Duration::from_millis(300), "{outcome}");
+        }
+    }
+}
