A returned discovery is asked within 0.75 s where lists are pushed

Callers saw: discovery was down for 8 s and had render nodes as draining when it was back; new connections went to these for up to 3.7 s after its return, where 1 s is allowed.

Cause: after each failed call the time to the next one doubled, to between 2.7 and 4 s. That suits lists that are asked for, where a change counts 6 s after discovery could be reached. Where lists are pushed, what discovery has counts as it is back, and only the first call of a process took account of that.

Change: where lists are pushed, the next call goes out within 0.75 s of a failed one, or within the time over which the fleet's calls are spread (one second with 300 proxies). Nothing changes where lists are asked for.

--- a/crates/cottonnotch/tests/endings/lists.rs
+++ b/crates/cottonnotch/tests/endings/lists.rs
@@ -7,6 +7,8 @@
 
 /// What the silence of a watch, or of a call that waits, may cost: from then on what it missed counts as told.
 const NOTIFIED_AFTER: Duration = Duration::from_secs(6);
+/// What a drain that counts as told leaves for the last new connection.
+const STOPS_SENDING_WITHIN: Duration = Duration::from_secs(1);
 
 /// Two render nodes, of which the proxy knows the first; a client that is up there, and its far end.
 fn served() -> (Proxy, [ScriptedServer; 2], ScriptedPeer, ScriptedPeer) {
@@ -355,6 +357,25 @@
     begun.elapsed()
 }
 
+// Guards list_polling.rs `failed`: what discovery has when it is back counts at once where lists are pushed, so the calls that
+// fail come as often. (The time between them doubled to 4 s.)
+/// However long discovery has been down, pushed lists are asked for again within the time that a drain leaves.
+#[test]
+fn calls_returned_discovery_of_pushed_lists_in_time() {
+    let nodes = [ScriptedServer::new(), ScriptedServer::new()];
+    let proxy = Proxy::with(&[&nodes[0]], 1024, &SETTINGS.replace("on_request", "pushed"));
+    let (client, _far) = proxy.establish(&nodes[0]);
+    let reject = || proxy.discovery.accept_attempt().0.send(BUSY);
+    reject();
+    let rejected = Instant::now();
+    (0..8).for_each(|_| reject());
+    let (mut watch, _) = proxy.discovery.accept_watch();
+    // All of them together, since a busy machine may hold one up.
+    assert!(rejected.elapsed() < 9 * STOPS_SENDING_WITHIN, "{:?}", rejected.elapsed());
+    watch.send(&chunk(&drain(2, &nodes)));
+    is_obeyed(&proxy, &nodes, client);
+}
+
 // Guards driver/mod.rs `start`: readiness waits for the door, and the door for no list where nobody served before.
 /// A process that starts without discovery is ready and serves at once under load.
 #[test]
--- a/crates/decision/src/list_polling.rs
+++ b/crates/decision/src/list_polling.rs
@@ -6,7 +6,8 @@
 //! limited rate for the whole fleet, so each node keeps to its share of that rate. In a small fleet a call
 //! goes out almost at once; in a fleet of 300 nodes or more the calls are spread over one second. The delay
 //! is limited, so that the node does not miss changes for too long: the next call is due within
-//! [`MAX_CALL_INTERVAL`] of the last one, however that one ended.
+//! [`MAX_CALL_INTERVAL`] of the last one, however that one ended, and within [`MAX_PUSHED_CALL_INTERVAL`] of a
+//! failed one if the list is pushed.
 
 use crate::interface::{Micros, SECOND};
 
@@ -31,13 +32,16 @@
 /// After a silence was detected and a call has failed, one of the six seconds is left; at this rate, 300
 /// nodes poll again within that second.
 const FLEET_CALLS_PER_S: i64 = 300;
-/// Delay after the first failed call. It doubles with each further failure, within the limit of
-/// [`MAX_CALL_INTERVAL`].
+/// Delay after the first failed call. It doubles with each further failure, within the limit of the maximum
+/// interval between calls.
 const INITIAL_BACKOFF: Micros = SECOND / 2;
 /// Maximum time from a failing call to the next one. A change counts as notified 6 s after the service had it
 /// and could be reached, even if earlier calls failed; this leaves 2 s for the next call to wait in the
 /// service's queue.
 pub const MAX_CALL_INTERVAL: Micros = 4 * SECOND;
+/// The same if the list is pushed: a change counts as notified as soon as the service has it and can be reached,
+/// and a node must have stopped using a draining server one second later. The rest is for the call itself.
+pub const MAX_PUSHED_CALL_INTERVAL: Micros = 3 * SECOND / 4;
 /// Time without a complete answer after which the caller reports a call as silent. Together with the spread
 /// of the fleet's calls, the next call goes out at most 5 s after the silent one. The silent one may still be
 /// answered: a slow service would never answer if each call were withdrawn.
@@ -57,6 +61,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ListPoller {
     nodes: u32,
+    list_pushed: bool,
     next_poll: Option<Micros>,
     consecutive_failures: u32,
     /// When the last call went out; `None` if it was answered or has failed.
@@ -66,14 +71,15 @@
 }
 
 impl ListPoller {
-    /// Returns the poller of a node in a fleet of `nodes`, before the first poll.
-    pub fn new(nodes: u32) -> Self {
-        ListPoller { nodes, ..ListPoller::default() }
+    /// Returns the poller of a node in a fleet of `nodes`, before the first poll. `list_pushed` is as in
+    /// [`Settings`](crate::Settings).
+    pub fn new(nodes: u32, list_pushed: bool) -> Self {
+        ListPoller { nodes, list_pushed, ..ListPoller::default() }
     }
 
-    /// Sets the number of nodes of the fleet.
-    pub fn set_nodes(&mut self, nodes: u32) {
-        self.nodes = nodes;
+    /// Applies changed settings. A call that is scheduled keeps its time.
+    pub fn configure(&mut self, nodes: u32, list_pushed: bool) {
+        (self.nodes, self.list_pushed) = (nodes, list_pushed);
     }
 
     /// Returns the time over which the calls of all nodes are spread: at most one second. Calls beyond the
@@ -112,11 +118,12 @@
         (self.poll_in(now, after), self.consecutive_failures == FAILURES_UNTIL_NOTIFIED)
     }
 
-    /// Returns the exponential backoff, with jitter over its last two thirds, limited by the time that
-    /// [`MAX_CALL_INTERVAL`] leaves.
+    /// Returns the exponential backoff, with jitter over its last two thirds, limited by the time that the
+    /// maximum interval between calls leaves.
     fn backoff(&self, now: Micros, random: f64) -> Micros {
         let since_call = self.called_at.map_or(0, |at| now - at);
-        let max_delay = (MAX_CALL_INTERVAL - since_call).max(self.spread());
+        let max_interval = if self.list_pushed { MAX_PUSHED_CALL_INTERVAL } else { MAX_CALL_INTERVAL };
+        let max_delay = (max_interval - since_call).max(self.spread());
         let doublings = (self.consecutive_failures - 1).min(MAX_BACKOFF_DOUBLINGS);
         let backoff = (INITIAL_BACKOFF << doublings).max(self.spread());
         if backoff + backoff / 2 <= max_delay {
--- a/crates/decision/src/policy/balancer.rs
+++ b/crates/decision/src/policy/balancer.rs
@@ -50,7 +50,7 @@
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
         Balancer {
             quota: Quota::even(settings.nodes),
-            list_poller: ListPoller::new(settings.nodes),
+            list_poller: ListPoller::new(settings.nodes, settings.list_pushed),
             jitter: Jitter { state: seed },
             arrivals: ArrivalRate::new(now),
             setups: SetupPacing::new(now),
@@ -122,7 +122,7 @@
 
     fn replace_settings(&mut self, settings: Settings) {
         self.quota.set_nodes(settings.nodes);
-        self.list_poller.set_nodes(settings.nodes);
+        self.list_poller.configure(settings.nodes, settings.list_pushed);
         let previous = std::mem::replace(&mut self.settings, settings);
         if self.settings.weights != previous.weights {
             self.servers.evaluate_weights(self.settings.weights);
--- a/crates/decision/tests/list_polling.rs
+++ b/crates/decision/tests/list_polling.rs
@@ -19,6 +19,8 @@
 const NOTIFIED_WITHIN: Micros = 6 * S;
 /// Part of that time that must be left when the next call goes out.
 const MARGIN: Micros = S;
+/// Time after which a node must have stopped sending to a server, from when its drain counts as notified.
+const STOPS_SENDING_WITHIN: Micros = S;
 /// Time after which a call is rejected or reset, if that happens at once.
 const REJECTION_DELAY: Micros = 5 * MS;
 
@@ -55,6 +57,15 @@
     Answered,
 }
 
+/// When a change of the list counts as notified.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListMode {
+    /// Some time after discovery had it and could be reached.
+    OnRequest,
+    /// As soon as discovery has it and can be reached.
+    Pushed,
+}
+
 /// Results of the simulation of a fleet.
 #[derive(Debug, Default)]
 struct SimulationResult {
@@ -62,6 +73,8 @@
     max_call_gap: Micros,
     /// Time from the end of the fault until all proxies had the list.
     time_to_notify_all: Micros,
+    /// Longest time from the end of the fault until a proxy's first call.
+    max_time_to_call: Micros,
     /// Number of calls after the end of the fault.
     calls_after_fault: usize,
     /// Number of calls in the busiest second.
@@ -70,8 +83,10 @@
 
 /// Simulates a fleet whose watches all receive their last message at time 0, and a discovery that is faulty
 /// until `fault_ends_at`.
-fn simulate(nodes: u32, discovery: Discovery, seed: u64) -> SimulationResult {
-    let settings = |ordinal| Settings { ordinal, nodes, list_on_request: true, ..Settings::default() };
+fn simulate(nodes: u32, mode: ListMode, discovery: Discovery, seed: u64) -> SimulationResult {
+    let list_pushed = mode == ListMode::Pushed;
+    let settings =
+        |ordinal| Settings { ordinal, nodes, list_on_request: true, list_pushed, ..Settings::default() };
     let fleet = (0..nodes).map(|n| Balancer::new(settings(n), seed ^ (u64::from(n) << 20), 0));
     let mut fleet: Vec<Balancer> = fleet.collect();
     let mut schedule: BinaryHeap<Reverse<(Micros, u32, SimEvent)>> =
@@ -108,6 +123,9 @@
                     }
                     result.max_calls_in_a_second = result.max_calls_in_a_second.max(recent.len());
                     result.calls_after_fault += usize::from(now >= discovery.fault_ends_at);
+                    if before.is_none_or(|before| before < discovery.fault_ends_at) {
+                        result.max_time_to_call = result.max_time_to_call.max(now - discovery.fault_ends_at);
+                    }
                     let (after, sim_event) = if now < discovery.fault_ends_at {
                         match discovery.fault {
                             Fault::RejectedAtOnce => (REJECTION_DELAY, SimEvent::Failed),
@@ -165,7 +183,7 @@
                 for seed in 0..4 {
                     let discovery =
                         Discovery { rate, max_wait, rejects_at_once, fault, fault_ends_at: down * S };
-                    let result = simulate(nodes, discovery, seed);
+                    let result = simulate(nodes, ListMode::OnRequest, discovery, seed);
                     println!("{nodes} proxies, {down} s {fault:?}, seed {seed}: {result:?}");
                     worst.push((result.max_call_gap, nodes, fault, down, seed));
                 }
@@ -186,7 +204,7 @@
         for fault in [Fault::RejectedAtOnce, Fault::RejectedAfter(2 * S)] {
             for seed in 0..4 {
                 let discovery = Discovery { rate, max_wait, rejects_at_once, fault, fault_ends_at: 30 * S };
-                let result = simulate(nodes, discovery, seed);
+                let result = simulate(nodes, ListMode::OnRequest, discovery, seed);
                 let context =
                     format!("seed {seed}, {nodes} proxies at {rate} a second, {fault:?}: {result:?}");
                 println!("{context}");
@@ -201,3 +219,44 @@
         }
     }
 }
+
+/// Where lists are pushed, each proxy calls a discovery that is back in time for the drains that it has.
+#[test]
+fn returned_discovery_of_pushed_lists_is_called_in_time() {
+    for (nodes, rate, max_wait, rejects_at_once) in FLEETS {
+        // A call that waits for its rejection as discovery returns goes first.
+        for (fault, wait) in
+            [(Fault::RejectedAtOnce, REJECTION_DELAY), (Fault::RejectedAfter(800 * MS), 800 * MS)]
+        {
+            for down in [3, 6, 12, 30, 120] {
+                for seed in 0..4 {
+                    let discovery =
+                        Discovery { rate, max_wait, rejects_at_once, fault, fault_ends_at: down * S };
+                    let result = simulate(nodes, ListMode::Pushed, discovery, seed);
+                    let context = format!("{nodes} proxies, {down} s {fault:?}, seed {seed}: {result:?}");
+                    assert!(result.max_time_to_call <= wait + STOPS_SENDING_WITHIN, "{context}");
+                }
+            }
+        }
+    }
+}
+
+/// Frequent calls of pushed lists are no burst: a proxy makes about one in two thirds of a second, and one that is
+/// rejected last calls again within a second.
+#[test]
+fn polling_fleet_of_pushed_lists_does_not_overload_discovery() {
+    for (nodes, rate, max_wait, rejects_at_once) in FLEETS {
+        for seed in 0..4 {
+            let (fault, fault_ends_at) = (Fault::RejectedAtOnce, 30 * S);
+            let discovery = Discovery { rate, max_wait, rejects_at_once, fault, fault_ends_at };
+            let result = simulate(nodes, ListMode::Pushed, discovery, seed);
+            let context = format!("seed {seed}, {nodes} proxies at {rate} a second: {result:?}");
+            println!("{context}");
+            let min_time = (f64::from(nodes) / rate * S as f64) as Micros;
+            assert!(result.time_to_notify_all <= min_time * 3 / 2 + max_wait + S, "{context}");
+            assert!(result.max_calls_in_a_second <= 3 * nodes as usize, "{context}");
+            let calls_of_a_proxy = 2 * (result.time_to_notify_all / S + 1) as usize;
+            assert!(result.calls_after_fault <= calls_of_a_proxy * nodes as usize, "{context}");
+        }
+    }
+}
