A connection that was open before the start waits for the list with its endpoint

Callers saw: connections that had been open at a render node before the proxy's start (at=ID) came before it had asked discovery, with a configured list that lacked that render node. They were told UP by other render nodes, which do not hold them.

Cause: a connection that names an unknown render node was taken for a new one, also where discovery's list was still to come.

Change: until discovery has sent a list, such a connection waits, and is looked up every 0.2 s. With the list it goes to its render node, or is opened anew if the list lacks it too; without a list it is opened anew after 10 s, with what is left of its client's time.

Evidence: endings reopening_waits_for_list_with_its_endpoint, reopening_at_endpoint_of_no_list_opens_anew, reopening_without_discovery_opens_anew and reopening_client_may_leave_before_the_list failed before and pass.

--- a/crates/cottonnotch/src/net/driver/clients/admission.rs
+++ b/crates/cottonnotch/src/net/driver/clients/admission.rs
@@ -10,7 +10,7 @@
 use crate::net::driver::log_target::LOG_TARGET;
 use crate::net::driver::message_latency::MessageLatency;
 use crate::net::driver::open_ids::{ClaimOutcome, ClaimedRequest, IdState};
-use crate::net::driver::request_table::{Stage, TrackedRequest};
+use crate::net::driver::request_table::{Stage, TrackedRequest, UnlistedRequest};
 use crate::net::final_answer::FULL_RETRY_AFTER;
 use crate::net::request_error::RequestError;
 use cottonnotch_decision::settings::Profile;
@@ -104,21 +104,15 @@
             connection_request.id,
             connection_request.group,
         );
-        // A request that names an unknown endpoint is treated as a new connection.
-        match connection_request.current_endpoint.and_then(|name| endpoints.find(&name)) {
-            None => {
-                context.audit.requested(context.now(), &request, tracked.wire_id);
-                self.requests.insert(key, tracked);
-                Some(Event::Request(request))
-            }
-            Some(server) => {
-                let stage = Stage::Reopening(Box::new(request));
-                let latest_attempt = Some((server, 0));
-                self.requests.insert(key, TrackedRequest { latest_attempt, stage, ..tracked });
-                self.reopen(context, endpoints, key);
-                None
-            }
-        }
+        let Some(endpoint) = connection_request.current_endpoint else {
+            context.audit.requested(context.now(), &request, tracked.wire_id);
+            self.requests.insert(key, tracked);
+            return Some(Event::Request(request));
+        };
+        let since = context.now();
+        let stage = Stage::AwaitingList(Box::new(UnlistedRequest { request, endpoint, since }));
+        self.requests.insert(key, TrackedRequest { stage, ..tracked });
+        self.resume_reopening(context, endpoints, key)
     }
 
     /// The error with which a client is answered without an attempt, or `None` if its request may go to an endpoint.
--- a/crates/cottonnotch/src/net/driver/clients/attempts.rs
+++ b/crates/cottonnotch/src/net/driver/clients/attempts.rs
@@ -13,6 +13,9 @@
 /// Interval between the attempts to reopen a connection that was open before this process started. They are repeated
 /// until the client gives up.
 const REOPEN_DELAY: Micros = 200_000;
+/// How long a connection that was open before this process started waits for a first list from discovery, if the
+/// list of the configuration does not have its endpoint.
+const LIST_TIMEOUT: Micros = 10_000_000;
 
 /// The endpoint and the time limits of an attempt, as the decision module chose them.
 #[derive(Clone, Copy, Debug)]
@@ -76,7 +79,7 @@
     ) -> [Option<Event>; 2] {
         let Some(tracked) = self.requests.get_mut(key) else { return [None, None] };
         end_attempt(context, tracked, outcome);
-        if let Stage::Reopening(_) = tracked.stage {
+        if tracked.is_reopening() {
             self.schedule_reopen(context, key);
             return [None, None];
         }
@@ -130,7 +133,7 @@
     // ---- connections that were open before the start ----
 
     /// Starts an attempt to reconnect a client to the endpoint that it was connected to before this process started.
-    pub(super) fn reopen(&mut self, context: &mut Context, endpoints: &Endpoints, key: Key) {
+    fn reopen(&mut self, context: &mut Context, endpoints: &Endpoints, key: Key) {
         if !context.is_awaiting_answer(key) {
             // The client has left, which is reported separately.
             return;
@@ -148,11 +151,47 @@
         context.set_timer(REOPEN_DELAY, REOPEN_TIMER);
     }
 
-    /// Retries all connections that wait to be reopened. Called when `REOPEN_TIMER` fires.
-    pub fn reopen_all(&mut self, context: &mut Context, endpoints: &Endpoints) {
-        for key in std::mem::take(&mut self.reopening) {
+    /// Retries all connections that wait to be reopened. Called when `REOPEN_TIMER` fires. Returns the events of
+    /// those that can only be opened anew.
+    pub fn reopen_all(&mut self, context: &mut Context, endpoints: &Endpoints) -> Vec<Event> {
+        let waiting = std::mem::take(&mut self.reopening).into_iter();
+        waiting.filter_map(|key| self.resume_reopening(context, endpoints, key)).collect()
+    }
+
+    /// Reopens a connection, or waits for the list if it does not have the connection's endpoint yet. Returns the event
+    /// of a connection whose endpoint does not exist: it is opened anew elsewhere.
+    pub(super) fn resume_reopening(
+        &mut self,
+        context: &mut Context,
+        endpoints: &Endpoints,
+        key: Key,
+    ) -> Option<Event> {
+        let tracked = self.requests.get_mut(key)?;
+        let Stage::AwaitingList(unlisted) = &tracked.stage else {
             self.reopen(context, endpoints, key);
+            return None;
+        };
+        let waited = context.now() - unlisted.since;
+        let server = endpoints.find(&unlisted.endpoint);
+        if server.is_none() && !endpoints.has_discovery_list() && waited < LIST_TIMEOUT {
+            self.schedule_reopen(context, key);
+            return None;
+        }
+        let mut request = unlisted.request.clone();
+        if let Some(server) = server {
+            tracked.latest_attempt = Some((server, 0));
+            tracked.stage = Stage::Reopening(Box::new(request));
+            self.reopen(context, endpoints, key);
+            return None;
+        }
+        if !context.is_awaiting_answer(key) {
+            // The client has left, which is reported separately.
+            return None;
         }
+        request.left = request.left.map(|left| (left - waited).max(0));
+        tracked.stage = Stage::AwaitingAnswer;
+        context.audit.requested(context.now(), &request, tracked.wire_id);
+        Some(Event::Request(request))
     }
 }
 
--- a/crates/cottonnotch/src/net/driver/clients/endings.rs
+++ b/crates/cottonnotch/src/net/driver/clients/endings.rs
@@ -181,7 +181,7 @@
 /// The events of a request whose client is gone: that the client closed, and that its latest attempt ended. The end
 /// of the attempt is reported even if it ended before; otherwise a trial attempt would count as in flight forever.
 fn client_gone_events(tracked: TrackedRequest, outcome: Outcome) -> [Option<Event>; 2] {
-    if let Stage::Reopening(_) = tracked.stage {
+    if tracked.is_reopening() {
         return [None, None];
     }
     let request = tracked.id;
--- a/crates/cottonnotch/src/net/driver/dispatch.rs
+++ b/crates/cottonnotch/src/net/driver/dispatch.rs
@@ -47,7 +47,10 @@
         match timer {
             context::TICK_TIMER => self.tick(),
             context::DRAIN_ROUND_TIMER => self.drain_round(),
-            context::REOPEN_TIMER => self.clients.reopen_all(context, &self.endpoints),
+            context::REOPEN_TIMER => {
+                let events = self.clients.reopen_all(context, &self.endpoints);
+                self.handle_events(events);
+            }
             context::ACCEPT_CLIENTS_TIMER => {
                 self.acceptor.on_accept_timer(context, self.clients.in_progress())
             }
--- a/crates/cottonnotch/src/net/driver/request_table.rs
+++ b/crates/cottonnotch/src/net/driver/request_table.rs
@@ -53,7 +53,13 @@
 
     /// Whether an endpoint may have executed the request.
     pub fn may_have_run(&self) -> bool {
-        self.has_run || self.attempt_written && !matches!(self.stage, Stage::Reopening(_))
+        self.has_run || self.attempt_written && !self.is_reopening()
+    }
+
+    /// Whether the connection was open before this process started and is not established again yet. The decision
+    /// module does not know such a request.
+    pub fn is_reopening(&self) -> bool {
+        matches!(self.stage, Stage::Reopening(_) | Stage::AwaitingList(_))
     }
 
     /// The number of the latest attempt, counting all attempts including those that reopen a connection.
@@ -70,10 +76,23 @@
     /// The connection was open before this process started and is to be reopened at the same endpoint. The decision
     /// module learns of the request once the connection is established.
     Reopening(Box<Request>),
+    /// The same, but its endpoint is not listed yet.
+    AwaitingList(Box<UnlistedRequest>),
     /// The connection is established.
     Established,
 }
 
+/// A request whose connection was open before this process started, at an endpoint that is not listed yet.
+#[derive(Debug, PartialEq)]
+pub struct UnlistedRequest {
+    /// The request.
+    pub request: Request,
+    /// The endpoint's id, as the client named it.
+    pub endpoint: String,
+    /// When the request was received.
+    pub since: Micros,
+}
+
 /// All requests, indexed by the key of the client's connection and by the decision module's id.
 #[derive(Debug, Default)]
 pub struct RequestTable {
@@ -130,8 +149,7 @@
 
     /// The requests that were open before this process started and are not established again yet.
     pub fn reopening(&self) -> Vec<Key> {
-        let reopening =
-            self.by_key.iter().filter(|(_, tracked)| matches!(tracked.stage, Stage::Reopening(_)));
+        let reopening = self.by_key.iter().filter(|(_, tracked)| tracked.is_reopening());
         reopening.map(|(key, _)| *key).collect()
     }
 
--- a/crates/cottonnotch/tests/endings/clients.rs
+++ b/crates/cottonnotch/tests/endings/clients.rs
@@ -354,3 +354,86 @@
     node.accept_attempt().0.send("UP 1\r\n");
     assert_eq!(again.receive(), "UP 1\r\n");
 }
+
+/// The line of a connection that was open at `s1` before the start.
+fn open_at_s1() -> String {
+    with_fresh_id(&OPEN.replace("d=2000", "d=20000,at=s1"))
+}
+
+/// The proxy knows `s0`, and discovery both; the clients come before its list.
+fn clients_before_list() -> (Proxy, [ScriptedServer; 2], Vec<ScriptedPeer>) {
+    let nodes = [ScriptedServer::new(), ScriptedServer::new()];
+    let proxy = Proxy::with_admin(&[&nodes[0]], 1024, &patient());
+    let open = || {
+        let mut client = proxy.connect();
+        client.send(&open_at_s1());
+        client
+    };
+    let clients = (0..3).map(|_| open()).collect();
+    // Their lines have been handled when a later client is served.
+    proxy.establish(&nodes[0]);
+    (proxy, nodes, clients)
+}
+
+// Guards admission.rs `track`, which gave such a connection to another render node.
+/// A connection from before the start waits for the list that has its render node.
+#[test]
+fn reopening_waits_for_list_with_its_endpoint() {
+    let (proxy, nodes, clients) = clients_before_list();
+    assert!(nodes[0].poll().is_none(), "it isn't there that they are open");
+    let (mut watch, _) = proxy.discovery.accept_watch();
+    watch.send(&chunk(&list(2, true, &[member("s0", &nodes[0], "up"), member("s1", &nodes[1], "up")])));
+    for mut client in clients {
+        let (mut far, line) = nodes[1].accept_attempt();
+        assert!(line.contains("at=s1"), "{line}");
+        far.send("UP 5\r\n");
+        assert_eq!(client.receive(), "UP 5\r\n");
+    }
+    assert!(nodes[0].poll().is_none());
+}
+
+/// Where the list doesn't have it either, the connection is opened anew; so is one that comes after the list.
+#[test]
+fn reopening_at_endpoint_of_no_list_opens_anew() {
+    let (proxy, nodes, mut clients) = clients_before_list();
+    let (mut watch, _) = proxy.discovery.accept_watch();
+    watch.send(&chunk(&list(2, true, &[member("s0", &nodes[0], "up"), member("s2", &nodes[1], "draining")])));
+    proxy.wait_for_log("endpoint s2 is Draining");
+    clients.push(proxy.connect());
+    clients.last_mut().unwrap().send(&open_at_s1());
+    for _ in &clients {
+        nodes[0].accept_attempt().0.send("UP 1\r\n");
+    }
+    assert!(clients.iter_mut().all(|client| client.receive() == "UP 1\r\n"));
+}
+
+/// Without discovery the wait ends after 10 s, and what is left of the client's time is passed on.
+#[test]
+fn reopening_without_discovery_opens_anew() {
+    let (_proxy, nodes, mut clients) = clients_before_list();
+    std::thread::sleep(Duration::from_secs(8));
+    assert!(nodes[0].poll().is_none(), "they wait for the list");
+    for _ in &clients {
+        let (mut far, line) = nodes[0].accept_attempt();
+        let left = line.split("d=").nth(1).and_then(|rest| rest.split([',', '\r']).next()?.parse().ok());
+        assert!(left.is_some_and(|left: u32| left < 12_000), "{line}");
+        far.send("UP 1\r\n");
+    }
+    assert!(clients.iter_mut().all(|client| client.receive() == "UP 1\r\n"));
+}
+
+/// A client that leaves while it waits for the list is sent nowhere, and its id is free.
+#[test]
+fn reopening_client_may_leave_before_the_list() {
+    let (proxy, nodes, clients) = clients_before_list();
+    drop(clients);
+    wait_for(TIMEOUT, "they have left", || (proxy.metric("in_progress") == Some(0)).then_some(()));
+    let (mut watch, _) = proxy.discovery.accept_watch();
+    let members =
+        [member("s0", &nodes[0], "up"), member("s1", &nodes[1], "up"), member("s2", &nodes[1], "draining")];
+    watch.send(&chunk(&list(2, true, &members)));
+    proxy.wait_for_log("endpoint s2 is Draining");
+    // Longer than it takes to look at those that wait.
+    std::thread::sleep(Duration::from_millis(500));
+    assert!(nodes.iter().all(|node| node.poll().is_none()), "nothing is sent for them");
+}
