A process suspended as its poll returns takes nothing in time for late

Known red, clients::sends_nothing_for_clients_gone_at_release: an operator's call was answered 408 in place of 200, now and then, on a busy machine.

Cause: a round of the event loop read the clock after its poll had returned, and fired what timers were due by then. A stop (SIGSTOP) takes effect as a system call returns: a process that is suspended there finds the limit over and has not polled for what arrived meanwhile. Every time limit of a connection had this order.

Change: timers are due until the poll began or, if it found nothing, until its wait ended. Both are times for which the poll has looked; later timers wait for the next round, which polls first.

Evidence: call_faults suspension_after_a_wait_makes_no_call_late forces the order with a new setting of the shims, WaitDelay; it failed (408) before and passes.

--- a/crates/cottonnotch/tests/call_faults.rs
+++ b/crates/cottonnotch/tests/call_faults.rs
@@ -89,6 +89,24 @@
     }
 }
 
+/// A process that is suspended as it returns from its wait answers a call that was complete in time, not 408.
+#[test]
+fn suspension_after_a_wait_makes_no_call_late() {
+    let shims = Shims::new();
+    let node = ScriptedServer::new();
+    let proxy = Proxy::with_admin_by(shims.command(None), &[&node], 1024, SETTINGS);
+    let mut operator = ScriptedPeer::new(std::net::TcpStream::connect(proxy.admin_address()).unwrap());
+    operator.send("POST /maintenance/enter HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\ns");
+    // What was sent is read once a later call has been answered.
+    assert_eq!(proxy.metric("skipped_render_nodes"), Some(0));
+    // Longer than the 2 s that a call has.
+    shims.set(Setting::WaitDelay, 2_500);
+    let _client = proxy.connect();
+    wait_for(TIMEOUT, "the wait that returns late", || (shims.count(Setting::WaitDelay) == 1).then_some(()));
+    operator.send("0");
+    assert_eq!(operator.answer().0, 200);
+}
+
 /// Clients are accepted whatever accept fails with for a moment.
 #[test]
 fn accepts_clients_after_transient_accept_errors() {
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -205,19 +205,17 @@
 
     /// Waits for the next readiness or timer and runs the callbacks.
     pub fn turn(&mut self) -> io::Result<()> {
-        let now = self.io.now();
+        let began = self.io.now();
         let wait = match self.io.timers.peek() {
             _ if !self.io.pending_reads.is_empty() => Some(Duration::ZERO),
-            Some(Reverse((at, ..))) => Some(Duration::from_micros((at - now).max(0) as u64)),
+            Some(Reverse((at, ..))) => Some(Duration::from_micros((at - began).max(0) as u64)),
             None => None,
         };
         match self.poll.poll(&mut self.events, wait) {
             Err(error) if error.kind() == io::ErrorKind::Interrupted => return Ok(()),
             other => other?,
         }
-        // Timers that become due during the callbacks wait for the next round: what arrives before a time limit must be read
-        // before the limit counts, also if the process is suspended in a callback.
-        let now = self.io.now();
+        let due_until = self.polled_until(began, wait);
         let ready: Vec<(Token, bool, bool)> = self
             .events
             .iter()
@@ -238,7 +236,7 @@
         for (key, half) in std::mem::take(&mut self.io.pending_reads) {
             self.with(key, |c, io| c.readable(io, half));
         }
-        while self.io.timers.peek().is_some_and(|Reverse((at, ..))| *at <= now) {
+        while self.io.timers.peek().is_some_and(|Reverse((at, ..))| *at <= due_until) {
             let Some(Reverse((_, _, owner, timer))) = self.io.timers.pop() else { break };
             match owner {
                 Owner::Loop => self.io.report(C::Report::timer(timer)),
@@ -249,4 +247,15 @@
         }
         Ok(())
     }
+
+    /// Returns the time until which timers are due after a poll that began at `began`. What arrives before a time limit must be
+    /// read before the limit counts, also if the process is suspended as the poll returns or in a callback: so timers that
+    /// become due later than a poll is known to have looked wait for the next round.
+    fn polled_until(&self, began: Micros, wait: Option<Duration>) -> Micros {
+        match wait {
+            // It looked for the last time as the wait ended.
+            Some(wait) if self.events.is_empty() => began + wait.as_micros() as Micros,
+            _ => began,
+        }
+    }
 }
--- a/crates/shim-control/src/lib.rs
+++ b/crates/shim-control/src/lib.rs
@@ -47,11 +47,13 @@
     Register = 12,
     /// Milliseconds by which each call on a file of the folder is delayed; 0: none.
     FileDelay = 13,
+    /// Milliseconds by which the next `epoll_wait` that finds something returns late; the shims set it back to 0.
+    WaitDelay = 14,
 }
 
 impl Setting {
     /// All of them.
-    pub const ALL: [Setting; 14] = [
+    pub const ALL: [Setting; 15] = [
         Setting::WallOffset,
         Setting::Accept,
         Setting::Socket,
@@ -66,6 +68,7 @@
         Setting::Broken,
         Setting::Register,
         Setting::FileDelay,
+        Setting::WaitDelay,
     ];
 
     /// Its word in the file.
--- a/crates/shims/src/control.rs
+++ b/crates/shims/src/control.rs
@@ -75,6 +75,15 @@
     words().map_or(0, |words| words[setting.word()].load(Ordering::Relaxed))
 }
 
+/// Sleeps for the milliseconds that are set, and sets them back to 0; counted.
+pub fn delay_once(setting: Setting) {
+    let delay = words().map_or(0, |words| words[setting.word()].swap(0, Ordering::Relaxed));
+    if delay > 0 {
+        count(setting);
+        std::thread::sleep(Duration::from_millis(delay as u64));
+    }
+}
+
 /// Counts that a setting had an effect; returns how often it had before.
 pub fn count(setting: Setting) -> i64 {
     words().map_or(0, |words| words[COUNTS + setting.word()].fetch_add(1, Ordering::Relaxed))
--- a/crates/shims/src/sockets.rs
+++ b/crates/shims/src/sockets.rs
@@ -1,6 +1,6 @@
 //! Calls on sockets: some fail, some are interrupted, some do only a part.
 
-use crate::control::{Kind, chance, fail, failure, is, note, picked};
+use crate::control::{Kind, chance, delay_once, fail, failure, is, note, picked};
 use crate::real::real;
 use cottonnotch_shim_control::Setting;
 use libc::{c_int, c_void, epoll_event, size_t, sockaddr, socklen_t, ssize_t};
@@ -160,7 +160,11 @@
         return -1;
     }
     // SAFETY: as the caller promises.
-    unsafe { epoll_wait::call(poll, events, most, timeout) }
+    let found = unsafe { epoll_wait::call(poll, events, most, timeout) };
+    if found > 0 {
+        delay_once(Setting::WaitDelay);
+    }
+    found
 }
 
 /// Stands in front of the C library's call.
