A test's full backlog is known to be full

Cause: the rig. FullBacklog made connections until one wasn't established within 0.1 s, and took the backlog for full then. On a busy machine that may be the first one: nothing is in the backlog, the proxy's attempt is established at once, and no connection is ever dropped. With no filler at all the same failure came at once, with the same log.

The rig now makes connections until the system says that one waits at the listener, whose backlog takes one.

--- a/crates/cottonnotch/tests/peers/full_backlog.rs
+++ b/crates/cottonnotch/tests/peers/full_backlog.rs
@@ -18,8 +18,12 @@
         socket.listen(0).unwrap();
         let listener = TcpListener::from(socket);
         let address = listener.local_addr().unwrap();
-        let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
-        let fillers: Vec<TcpStream> = std::iter::from_fn(connect).collect();
+        let mut fillers = Vec::new();
+        // A connection that isn't established in this time may have met a busy machine, not a full backlog.
+        wait_for(TIMEOUT, "a full backlog", || {
+            fillers.extend(TcpStream::connect_timeout(&address, Duration::from_millis(100)));
+            is_full(address).then_some(())
+        });
         listener.set_nonblocking(true).unwrap();
         FullBacklog { node: ScriptedServer::listening(listener), fillers }
     }
@@ -50,3 +54,15 @@
         (peer, line)
     }
 }
+
+/// Whether a connection waits to be accepted at this listener, whose backlog takes one.
+fn is_full(listener: SocketAddr) -> bool {
+    const LISTEN: &str = "0A";
+    let suffix = format!(":{:04X}", listener.port());
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let mut rows = table.lines().skip(1).map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let waiting = |row: &Vec<&str>| u32::from_str_radix(row[4].split(':').nth(1)?, 16).ok();
+    rows.any(|row| {
+        row[1].ends_with(&suffix) && row[3] == LISTEN && waiting(&row).is_some_and(|count| count > 0)
+    })
+}
